Add the workspace, shared types and package interfaces

Cause: the project starts empty; several people need fixed interfaces to work on different packages at once.

Conclusion: packages can be built against these interfaces.

--- /dev/null
+++ b/crates/acaciareel/src/main.rs
@@ -0,0 +1,3 @@
+//! Command-line client of acaciareel for operators and callers.
+
+fn main() {}
--- /dev/null
+++ b/crates/acaciareeld/src/main.rs
@@ -0,0 +1,3 @@
+//! The acaciareel daemon of an entry VM.
+
+fn main() {}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,31 @@
+//! Identifiers, sizes, tables and verdicts shared by every acaciareel package.
+//!
+//! This package has no dependencies and performs no I/O.
+
+mod ids;
+mod numbers;
+mod request;
+mod resources;
+mod sorted_vec;
+mod tables;
+mod verdict;
+mod worker;
+
+pub use crate::{
+    ids::{
+        FailureDomain, IdError, IdempotencyKey, KindName, OperationId, PoolName, RackName, TaskId,
+        TenantName, WorkerGroup, WorkerId,
+    },
+    numbers::{
+        Accelerators, Attempt, Connections, CpuMillicores, FencingToken, Incarnation, LogIndex,
+        MemoryBytes, Millis, NumberError, RatePerSecond, Slots, TableVersion, Term, VmId,
+    },
+    request::{Body, BodyDigest, Request},
+    resources::Resources,
+    sorted_vec::SortedVec,
+    tables::{
+        Class, Effect, NameError, Policy, Pool, Quota, RawRow, RawTables, Route, TableError, Tables,
+    },
+    verdict::{Answer, Reason, Verdict},
+    worker::{RunningTask, WorkerReport},
+};
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Generated wire types and their checked conversions.
