Bind submissions and delegated placements to a placer's term

A late copy of a submission that a leader has refused could be admitted by the next leader, after the caller had been told that it did not run. The message names the term it is meant for; heartbeats announce it. PlaceKnown, PlaceCheck, PlaceLost and PlaceStop cover the loss of a remote placer.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,7 +20,7 @@
         Effect, LogLevel, Observation, OperatorReply, Reply, RequestState, VmStatus, WorkerStatus,
     },
     event::{CallId, ConnectionId, Event, WorkerReply},
-    message::{GroupId, PeerMessage, PoolRoom, TablesReply, WorkerCall},
+    message::{GroupId, PeerMessage, Placing, PoolRoom, TablesReply, WorkerCall},
     node::Node,
     settings::{NodeRestored, NodeSettings, PeerSettings, RestoredGroup},
 };
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -5,8 +5,8 @@
 use acaciareel_consensus::Message;
 use acaciareel_types::{
     Answer, FailureDomain, FencingToken, IdempotencyKey, KindName, Millis, OperationId, PoolName,
-    RawTables, Request, Resources, TableVersion, Tables, TaskId, TenantName, Verdict, VmId,
-    WorkerId, WorkerReport,
+    RawTables, Request, Resources, TableVersion, TaskId, TenantName, Term, Verdict, VmId, WorkerId,
+    WorkerReport,
 };
 
 use crate::RequestState;
@@ -42,6 +42,17 @@
     pub predicted_wait_ms: Millis,
 }
 
+/// Placer role that the sender of a heartbeat holds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Placing {
+    /// Failure domain whose workers the sender places work on.
+    pub domain: FailureDomain,
+    /// Term of the domain's ledger leader; 0 for a placer that serves without a ledger majority.
+    pub term: Term,
+    /// Room in each pool of the domain.
+    pub rooms: Vec<PoolRoom>,
+}
+
 /// Answer to a change of the tables.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum TablesReply {
@@ -64,10 +75,8 @@
         tables_version: TableVersion,
         /// Whether the sender is stopping and wants no new requests.
         stopping: bool,
-        /// Whether the sender places work on its failure domain's workers.
-        placer: bool,
-        /// Room in each pool, if the sender is the placer.
-        rooms: Vec<PoolRoom>,
+        /// Placer roles of the sender.
+        placing: Vec<Placing>,
     },
     /// Message of a consensus group.
     Group {
@@ -82,6 +91,9 @@
         submission: u64,
         /// Failure domain that is to serve the request.
         domain: FailureDomain,
+        /// Term of the placer that the sender has chosen. A placer of another term does nothing
+        /// with the request, so that a late copy cannot run after a refusal by a later placer.
+        term: Term,
         /// Request with the time that is left.
         request: Request,
     },
@@ -123,6 +135,8 @@
     Place {
         /// Task, unique to the attempt.
         task: TaskId,
+        /// Term of the placer that the sender has chosen; another one refuses.
+        term: Term,
         /// Request.
         request: Request,
     },
@@ -133,6 +147,26 @@
         /// Time after which another attempt may succeed.
         retry_after_ms: Millis,
     },
+    /// Answer to `Place` and `PlaceCheck`: the task is queued or running.
+    PlaceKnown {
+        /// Task.
+        task: TaskId,
+    },
+    /// The home asks the present placer of a domain for the fate of a task placed there.
+    PlaceCheck {
+        /// Task.
+        task: TaskId,
+    },
+    /// Answer to `PlaceCheck`: the task does not run and will not run; it may have run.
+    PlaceLost {
+        /// Task.
+        task: TaskId,
+    },
+    /// The home asks the placer of a domain to stop a task placed there.
+    PlaceStop {
+        /// Task.
+        task: TaskId,
+    },
     /// An entry VM passes on a worker's announcement to the placer of the worker's domain.
     Announce {
         /// Report.
@@ -232,12 +266,3 @@
         token: FencingToken,
     },
 }
-
-/// State of the tables group, for display and for the wire.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub(crate) struct VersionedTables {
-    /// Version.
-    pub version: TableVersion,
-    /// Tables.
-    pub tables: Tables,
-}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,13 +2,12 @@
 
 use acaciareel_types::Millis;
 
-use crate::{Effect, Event, NodeRestored, NodeSettings, message::VersionedTables};
+use crate::{Effect, Event, NodeRestored, NodeSettings};
 
 /// Whole state of one VM.
 #[derive(Debug)]
 pub struct Node {
     settings: NodeSettings,
-    tables: VersionedTables,
 }
 
 impl Node {
@@ -17,12 +16,11 @@
     pub fn new(settings: NodeSettings, _restored: NodeRestored, _now_ms: Millis) -> Self {
         Self {
             settings,
-            tables: VersionedTables::default(),
         }
     }
 
     /// Takes one event and appends the effects to carry out.
     pub fn reduce(&mut self, _now_ms: Millis, _event: Event, _out: &mut Vec<Effect>) {
-        let _ = (&self.settings, &self.tables);
+        let _ = &self.settings;
     }
 }
