--- /dev/null
+++ b/crates/acaciareeld/src/http.rs
@@ -0,0 +1,350 @@
+//! HTTP interface for callers, operators and workers.
+
+use std::{
+    net::SocketAddr,
+    panic::RefUnwindSafe,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use acaciareel_node::{ConnectionId, Event, Reply};
+use acaciareel_types::{FailureDomain, Incarnation, VmId};
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use flexi_logger::{LogSpecification, LoggerHandle};
+use futures_util::future;
+use gotham::{
+    anyhow,
+    handler::{Handler, HandlerFuture, NewHandler},
+    helpers::http::Body,
+    state::{FromState, State, client_addr},
+};
+use http_body_util::{BodyExt, Limited};
+use hyper::{HeaderMap, Method, Response, StatusCode, Uri, header};
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, oneshot},
+    task::JoinHandle,
+    time,
+};
+
+use crate::{config::LimitsConfig, error::DaemonError, node_task::Input};
+
+mod auth;
+mod connection;
+mod endpoint;
+mod rate_limit;
+mod request;
+mod response;
+
+pub use auth::Tokens;
+use connection::{Gate, Gates, GuardedStream};
+use endpoint::Endpoint;
+use rate_limit::RateLimit;
+use response::HttpError;
+
+/// What the handlers share.
+#[derive(Debug)]
+pub struct App {
+    /// This VM.
+    pub vm: VmId,
+    /// Its failure domain.
+    pub failure_domain: FailureDomain,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Limits.
+    pub limits: LimitsConfig,
+    /// Tokens.
+    pub tokens: Tokens,
+    /// Inputs of the node.
+    pub inputs: mpsc::Sender<Input>,
+    /// Metrics page.
+    pub metrics: PrometheusHandle,
+    /// Level of the log.
+    pub logger: LoggerHandle,
+    /// Whether a stop was asked for.
+    pub stopping: AtomicBool,
+}
+
+/// State of the server.
+#[derive(Debug)]
+struct Shared {
+    app: Arc<App>,
+    gates: Arc<Gates>,
+    next_connection: AtomicU64,
+    announcements: RateLimit,
+}
+
+/// Running server.
+#[derive(Debug)]
+pub struct Server {
+    /// Address that it listens on.
+    pub address: SocketAddr,
+    gates: Arc<Gates>,
+    accepting: JoinHandle<()>,
+}
+
+impl Server {
+    /// Listens on an address and serves requests.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be used.
+    pub async fn start(address: SocketAddr, app: Arc<App>) -> Result<Self, Report<DaemonError>> {
+        let listener = TcpListener::bind(address)
+            .await
+            .change_context(DaemonError::Start)
+            .attach_with(|| format!("HTTP address {address}"))?;
+        let address = listener.local_addr().change_context(DaemonError::Start)?;
+        let limits = &app.limits;
+        let gates = Arc::new(Gates::new(
+            limits.connections,
+            limits.header_bytes,
+            Duration::from_millis(limits.header_timeout_ms.0),
+        ));
+        let shared = Shared {
+            announcements: RateLimit::new(limits.announcements, Instant::now()),
+            gates: Arc::clone(&gates),
+            next_connection: AtomicU64::new(1),
+            app,
+        };
+        let handler = HttpHandler(Arc::new(shared));
+        let wrapping = Arc::clone(&gates);
+        let accepting = tokio::spawn(async move {
+            let wrap = move |stream| future::ready(GuardedStream::new(stream, &wrapping).ok_or(()));
+            gotham::bind_server(listener, handler, wrap).await;
+        });
+        Ok(Self {
+            address,
+            gates,
+            accepting,
+        })
+    }
+
+    /// Closes the listening socket. Open connections go on.
+    pub fn stop_accepting(&self) {
+        self.accepting.abort();
+    }
+
+    /// Waits until no request is in flight and every answer has been sent.
+    pub async fn wait_until_idle(&self) {
+        while self.gates.busy() {
+            time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+/// Handler of one request.
+#[derive(Clone, Debug)]
+struct HttpHandler(Arc<Shared>);
+
+/// The state behind the handler is changed by complete steps only.
+impl RefUnwindSafe for HttpHandler {}
+
+impl NewHandler for HttpHandler {
+    type Instance = Self;
+
+    fn new_handler(&self) -> anyhow::Result<Self> {
+        Ok(self.clone())
+    }
+}
+
+impl Handler for HttpHandler {
+    fn handle(self, mut state: State) -> Pin<Box<HandlerFuture>> {
+        let gate = client_addr(&state).and_then(|address| self.0.gates.get(address));
+        // The request counts as in flight from here on, even if the future is never polled.
+        let in_flight = gate.map(InFlight::new);
+        Box::pin(async move {
+            let received = Received::take(&mut state);
+            let result = self.0.serve(received).await;
+            let mut response = result.unwrap_or_else(HttpError::into_response);
+            if self.0.app.stopping.load(Ordering::Relaxed) {
+                let close = header::HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            drop(in_flight);
+            Ok((state, response))
+        })
+    }
+}
+
+/// Counts a request in flight for its connection.
+struct InFlight(Arc<Gate>);
+
+impl InFlight {
+    fn new(gate: Arc<Gate>) -> Self {
+        gate.request_started();
+        Self(gate)
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.request_ended();
+    }
+}
+
+/// A request as it was received.
+struct Received {
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Body,
+    at: Instant,
+}
+
+impl Received {
+    fn take(state: &mut State) -> Self {
+        Self {
+            method: Method::take_from(state),
+            uri: Uri::take_from(state),
+            headers: HeaderMap::take_from(state),
+            body: Body::take_from(state),
+            at: Instant::now(),
+        }
+    }
+
+    /// Size of the request head as it was sent, apart from spaces.
+    fn head_bytes(&self) -> usize {
+        let line = self.uri.path().len() + self.uri.query().map_or(0, str::len);
+        let headers = self.headers.iter();
+        line + headers
+            .map(|(name, value)| name.as_str().len() + value.len() + 4)
+            .sum::<usize>()
+    }
+}
+
+impl Shared {
+    async fn serve(&self, received: Received) -> Result<Response<Body>, HttpError> {
+        let limits = &self.app.limits;
+        if received.head_bytes() > limits.header_bytes {
+            let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+            let reason = format!("headers exceed {} bytes", limits.header_bytes);
+            return Err(HttpError::new(status, reason));
+        }
+        let endpoint = Endpoint::find(&received.method, received.uri.path())?;
+        if matches!(endpoint, Endpoint::Health) {
+            return Ok(self.health());
+        }
+        let access = self.app.tokens.check(&received.headers, endpoint.role())?;
+        if let Endpoint::Announce | Endpoint::TaskResult(_) = endpoint
+            && !self.announcements.take(Instant::now())
+        {
+            return Err(HttpError::too_many());
+        }
+        let body = self.read_body(received.body).await?;
+        match endpoint {
+            Endpoint::Metrics => Ok(response::text(StatusCode::OK, self.app.metrics.render())),
+            Endpoint::Status => self.status().await,
+            Endpoint::LogLevel => self.set_log_level(&body),
+            endpoint => {
+                let connection = self.connection();
+                let parts = request::Parts {
+                    headers: &received.headers,
+                    body,
+                    access: &access,
+                };
+                let event = request::event(endpoint, connection, parts)?;
+                let reply = self.ask(connection, event).await?;
+                response::reply(reply, received.at.elapsed())
+            }
+        }
+    }
+
+    async fn read_body(&self, body: Body) -> Result<Bytes, HttpError> {
+        let limits = &self.app.limits;
+        let limit = Duration::from_millis(limits.header_timeout_ms.0);
+        let collected = Limited::new(body, limits.body_bytes).collect();
+        match time::timeout(limit, collected).await {
+            Ok(Ok(collected)) => Ok(collected.to_bytes()),
+            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+                let reason = format!("body exceeds {} bytes", limits.body_bytes);
+                Err(HttpError::new(StatusCode::PAYLOAD_TOO_LARGE, reason))
+            }
+            Ok(Err(error)) => Err(HttpError::bad_request(format!("body: {error}"))),
+            Err(_) => {
+                let reason = format!("body did not arrive within {}", limits.header_timeout_ms);
+                Err(HttpError::new(StatusCode::REQUEST_TIMEOUT, reason))
+            }
+        }
+    }
+
+    fn connection(&self) -> ConnectionId {
+        ConnectionId(self.next_connection.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Hands an event to the node and waits for the reply. If this future is dropped because the
+    /// connection was closed, the node is told so.
+    async fn ask(&self, connection: ConnectionId, event: Event) -> Result<Reply, HttpError> {
+        let (sender, receiver) = oneshot::channel();
+        let input = Input::Request {
+            connection,
+            event,
+            reply: sender,
+        };
+        let unavailable = || {
+            let reason = "the daemon is stopping";
+            HttpError::new(StatusCode::SERVICE_UNAVAILABLE, reason.to_owned())
+        };
+        self.app.inputs.send(input).await.map_err(|_| unavailable())?;
+        let mut waiting = Waiting {
+            connection,
+            inputs: Some(&self.app.inputs),
+        };
+        let reply = receiver.await;
+        waiting.inputs = None;
+        reply.map_err(|_| HttpError::unknown_fate())
+    }
+
+    async fn status(&self) -> Result<Response<Body>, HttpError> {
+        let connection = self.connection();
+        let vms = self.ask(connection, Event::ShowVms { connection }).await?;
+        let connection = self.connection();
+        let workers = self.ask(connection, Event::ShowWorkers { connection }).await?;
+        response::status(&self.app, &vms, &workers)
+    }
+
+    fn health(&self) -> Response<Body> {
+        if self.app.stopping.load(Ordering::Relaxed) {
+            response::text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n".to_owned())
+        } else {
+            response::text(StatusCode::OK, "ok\n".to_owned())
+        }
+    }
+
+    fn set_log_level(&self, body: &Bytes) -> Result<Response<Body>, HttpError> {
+        let text = std::str::from_utf8(body)
+            .map_err(|_| HttpError::bad_request("the level is not text".to_owned()))?;
+        let level = LogSpecification::parse(text.trim())
+            .map_err(|error| HttpError::bad_request(format!("level: {error}")))?;
+        self.app.logger.set_new_spec(level);
+        log::info!(event = "log_level_changed", level = text.trim(); "");
+        Ok(response::empty(StatusCode::NO_CONTENT))
+    }
+}
+
+/// Tells the node that a connection is gone, unless its reply has arrived.
+struct Waiting<'a> {
+    connection: ConnectionId,
+    inputs: Option<&'a mpsc::Sender<Input>>,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let Some(inputs) = self.inputs else {
+            return;
+        };
+        let event = Event::Gone {
+            connection: self.connection,
+        };
+        if let Err(mpsc::error::TrySendError::Full(input)) = inputs.try_send(Input::Event(event)) {
+            let inputs = inputs.clone();
+            tokio::spawn(async move { inputs.send(input).await });
+        }
+    }
+}
--- /dev/null
+++ b/crates/acaciareeld/src/http/auth.rs
@@ -0,0 +1,138 @@
+//! Bearer tokens of operators, callers and workers.
+
+use std::{fmt, fs, path::Path};
+
+use acaciareel_types::TenantName;
+use error_stack::{Report, ResultExt};
+use hyper::{HeaderMap, StatusCode, header};
+
+use crate::{config::TokensConfig, error::DaemonError, http::HttpError};
+
+/// Shortest token. 16 characters of base64 hold 96 bits.
+const MIN_TOKEN_BYTES: usize = 16;
+
+/// Part of the interface that a token opens.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Role {
+    /// Tables, workers, VMs, status, metrics.
+    Operator,
+    /// Requests.
+    Caller,
+    /// Announcements and results.
+    Worker,
+}
+
+/// What the holder of a token may do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Access {
+    role: Role,
+    /// The only tenant that a caller may act for; any if absent.
+    tenant: Option<TenantName>,
+}
+
+impl Access {
+    /// Checks that the holder may act for a tenant.
+    pub fn check_tenant(&self, tenant: &TenantName) -> Result<(), HttpError> {
+        match &self.tenant {
+            Some(own) if own != tenant => {
+                let reason = format!("the token belongs to tenant {own}");
+                Err(HttpError::new(StatusCode::FORBIDDEN, reason))
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
+/// All valid tokens.
+pub struct Tokens {
+    tokens: Vec<(String, Access)>,
+}
+
+impl fmt::Debug for Tokens {
+    /// Leaves out the tokens, which must not reach a log.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Tokens({})", self.tokens.len())
+    }
+}
+
+impl Tokens {
+    /// Reads the files that the settings name.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file cannot be read, has no token, or has one that is too short.
+    pub fn load(config: &TokensConfig) -> Result<Self, Report<DaemonError>> {
+        let mut tokens = Vec::new();
+        for (file, role) in [
+            (&config.operators, Role::Operator),
+            (&config.callers, Role::Caller),
+            (&config.workers, Role::Worker),
+        ] {
+            read(file, role, &mut tokens)
+                .change_context(DaemonError::Start)
+                .attach_with(|| format!("token file {}", file.display()))?;
+        }
+        Ok(Self { tokens })
+    }
+
+    /// Returns the token that this VM shows to workers.
+    pub fn for_workers(&self) -> &str {
+        let mut tokens = self.tokens.iter();
+        let found = tokens.find(|(_, access)| access.role == Role::Worker);
+        found.map_or("", |(token, _)| token)
+    }
+
+    /// Checks the token of a request against the role that it needs.
+    pub fn check(&self, headers: &HeaderMap, role: Role) -> Result<Access, HttpError> {
+        let value = headers.get(header::AUTHORIZATION);
+        let token = value
+            .and_then(|value| value.to_str().ok())
+            .and_then(|text| text.strip_prefix("Bearer "));
+        let Some(token) = token else {
+            let reason = "the header Authorization needs a bearer token";
+            return Err(HttpError::new(StatusCode::UNAUTHORIZED, reason.to_owned()));
+        };
+        // All tokens are compared, so that the time taken tells nothing about them.
+        let matches = self.tokens.iter().filter(|(valid, _)| equal(valid, token));
+        let matches: Vec<_> = matches.map(|(_, access)| access).collect();
+        if matches.is_empty() {
+            let reason = "the token is not known".to_owned();
+            return Err(HttpError::new(StatusCode::UNAUTHORIZED, reason));
+        }
+        let allowed = matches.into_iter().find(|access| access.role == role);
+        allowed.cloned().ok_or_else(|| {
+            let reason = "the token does not open this part of the interface";
+            HttpError::new(StatusCode::FORBIDDEN, reason.to_owned())
+        })
+    }
+}
+
+fn read(
+    file: &Path,
+    role: Role,
+    tokens: &mut Vec<(String, Access)>,
+) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
+    let before = tokens.len();
+    for line in fs::read_to_string(file)?.lines() {
+        let mut words = line.split_whitespace();
+        let Some(token) = words.next().filter(|word| !word.starts_with('#')) else {
+            continue;
+        };
+        if token.len() < MIN_TOKEN_BYTES {
+            let reason = format!("a token has fewer than {MIN_TOKEN_BYTES} characters");
+            return Err(reason.into());
+        }
+        let tenant = words.next().map(str::parse).transpose()?;
+        tokens.push((token.to_owned(), Access { role, tenant }));
+    }
+    if tokens.len() == before {
+        return Err("the file holds no token".into());
+    }
+    Ok(())
+}
+
+/// Compares in a time that depends on the lengths only.
+fn equal(a: &str, b: &str) -> bool {
+    let difference = a.bytes().zip(b.bytes()).fold(0, |d, (a, b)| d | (a ^ b));
+    a.len() == b.len() && difference == 0
+}
--- /dev/null
+++ b/crates/acaciareeld/src/http/request.rs
@@ -0,0 +1,158 @@
+//! Events made from HTTP requests.
+
+use std::{fmt, str::FromStr};
+
+use acaciareel_node::{ConnectionId, Event};
+use acaciareel_types::{Attempt, IdempotencyKey, KindName, Millis, Request, TaskId, TenantName};
+use acaciareel_wire::{Fields, headers, http, types};
+use bytes::Bytes;
+use hyper::HeaderMap;
+use serde::de::DeserializeOwned;
+
+use crate::http::{HttpError, auth::Access, endpoint::Endpoint};
+
+/// Time limit of a request that states none. The node lowers it to the limit of the route.
+const NO_TIME_LIMIT: Millis = Millis(7 * 24 * 3_600_000);
+
+/// Content of a request.
+pub struct Parts<'a> {
+    pub headers: &'a HeaderMap,
+    pub body: Bytes,
+    pub access: &'a Access,
+}
+
+/// Makes the event of an endpoint that the node serves.
+pub fn event(
+    endpoint: Endpoint,
+    connection: ConnectionId,
+    parts: Parts<'_>,
+) -> Result<Event, HttpError> {
+    match endpoint {
+        Endpoint::Submit(kind) => submit(kind, connection, parts),
+        Endpoint::State(key) => inquire(key, false, connection, &parts),
+        Endpoint::Cancel(key) => inquire(key, true, connection, &parts),
+        Endpoint::Apply => apply(connection, &parts),
+        Endpoint::Announce => {
+            let report: types::WorkerReport = json(&parts.body)?;
+            let report = report.try_into().map_err(HttpError::bad_request)?;
+            Ok(Event::Announce { connection, report })
+        }
+        Endpoint::TaskResult(task) => task_result(task, connection, &parts),
+        Endpoint::Drain(worker) => Ok(Event::Drain { connection, worker }),
+        Endpoint::Tables => Ok(Event::ShowTables { connection }),
+        Endpoint::History => Ok(Event::ShowHistory { connection }),
+        Endpoint::Vms => Ok(Event::ShowVms { connection }),
+        Endpoint::Workers => Ok(Event::ShowWorkers { connection }),
+        Endpoint::Health | Endpoint::Metrics | Endpoint::Status | Endpoint::LogLevel => {
+            Err(HttpError::bad_request("the node does not serve this path"))
+        }
+    }
+}
+
+fn submit(
+    kind: KindName,
+    connection: ConnectionId,
+    parts: Parts<'_>,
+) -> Result<Event, HttpError> {
+    let tenant = tenant(&parts)?;
+    let request = Request {
+        kind,
+        tenant,
+        key: required(parts.headers, headers::IDEMPOTENCY_KEY)?,
+        attempt: optional(parts.headers, headers::ATTEMPT)?.unwrap_or(Attempt(1)),
+        time_limit_ms: optional(parts.headers, headers::TIME_LIMIT_MS)?.unwrap_or(NO_TIME_LIMIT),
+        body: parts.body.as_ref().into(),
+    };
+    if request.attempt < Attempt(1) || request.time_limit_ms < Millis(1) {
+        return Err(HttpError::bad_request(format!(
+            "{} and {} must be at least 1",
+            headers::ATTEMPT,
+            headers::TIME_LIMIT_MS
+        )));
+    }
+    Ok(Event::Submit {
+        connection,
+        request,
+    })
+}
+
+fn inquire(
+    key: IdempotencyKey,
+    cancel: bool,
+    connection: ConnectionId,
+    parts: &Parts<'_>,
+) -> Result<Event, HttpError> {
+    Ok(Event::Inquire {
+        connection,
+        tenant: tenant(parts)?,
+        key,
+        cancel,
+    })
+}
+
+fn apply(connection: ConnectionId, parts: &Parts<'_>) -> Result<Event, HttpError> {
+    let request: http::ApplyRequest = json(&parts.body)?;
+    let fields = Fields::of("ApplyRequest");
+    let operation = fields.parse("operation_id", &request.operation_id);
+    let tables = fields.present("tables", request.tables);
+    let tables = tables.and_then(TryInto::try_into);
+    Ok(Event::Apply {
+        connection,
+        operation: operation.map_err(HttpError::bad_request)?,
+        expected_version: acaciareel_types::TableVersion(request.expected_version),
+        tables: tables.map_err(HttpError::bad_request)?,
+    })
+}
+
+fn task_result(
+    task: TaskId,
+    connection: ConnectionId,
+    parts: &Parts<'_>,
+) -> Result<Event, HttpError> {
+    let result: http::TaskResult = json(&parts.body)?;
+    let fields = Fields::of("TaskResult");
+    let worker = fields.parse("worker", &result.worker);
+    let answer = fields.present("answer", result.answer);
+    let used = result.used.unwrap_or_default();
+    Ok(Event::TaskResult {
+        connection,
+        task,
+        worker: worker.map_err(HttpError::bad_request)?,
+        answer: answer
+            .and_then(TryInto::try_into)
+            .map_err(HttpError::bad_request)?,
+        used: used.try_into().map_err(HttpError::bad_request)?,
+    })
+}
+
+fn tenant(parts: &Parts<'_>) -> Result<TenantName, HttpError> {
+    let tenant = required(parts.headers, headers::TENANT)?;
+    parts.access.check_tenant(&tenant)?;
+    Ok(tenant)
+}
+
+fn required<T>(headers: &HeaderMap, name: &str) -> Result<T, HttpError>
+where
+    T: FromStr<Err: fmt::Display>,
+{
+    optional(headers, name)?
+        .ok_or_else(|| HttpError::bad_request(format!("header {name} is missing")))
+}
+
+fn optional<T>(headers: &HeaderMap, name: &str) -> Result<Option<T>, HttpError>
+where
+    T: FromStr<Err: fmt::Display>,
+{
+    let wrong =
+        |reason: &dyn fmt::Display| HttpError::bad_request(format!("header {name}: {reason}"));
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|error| wrong(&error))?;
+    let value = text.trim().parse().map_err(|error: T::Err| wrong(&error))?;
+    Ok(Some(value))
+}
+
+fn json<T: DeserializeOwned>(body: &Bytes) -> Result<T, HttpError> {
+    serde_json::from_slice(body).map_err(|error| HttpError::bad_request(format!("body: {error}")))
+}
--- /dev/null
+++ b/crates/acaciareeld/src/logging.rs
@@ -0,0 +1,99 @@
+//! Log lines as `key=value` pairs or as JSON, with a level that can change at run time.
+
+use std::io::{self, Write};
+
+use acaciareel_node::LogLevel;
+use error_stack::{Report, ResultExt};
+use flexi_logger::{DeferredNow, FileSpec, FormatFunction, Logger, LoggerHandle};
+use log::{
+    Level, Record,
+    kv::{Error, Key, Value, VisitSource},
+};
+
+use crate::{
+    config::{LogFormat, LogsConfig},
+    error::DaemonError,
+};
+
+/// Starts logging. Dropping the handle ends it.
+///
+/// # Errors
+///
+/// Fails if the log folder cannot be used or logging was started before.
+pub fn start(config: &LogsConfig) -> Result<LoggerHandle, Report<DaemonError>> {
+    let format: FormatFunction = match config.format {
+        LogFormat::KeyValue => key_value_line,
+        LogFormat::Json => flexi_logger::json_format,
+    };
+    let logger = Logger::try_with_str(&config.level)
+        .change_context(DaemonError::Settings)?
+        .format(format);
+    let logger = match &config.folder {
+        Some(folder) => logger.log_to_file(FileSpec::default().directory(folder)),
+        None => logger.log_to_stderr(),
+    };
+    logger.start().change_context(DaemonError::Start)
+}
+
+/// Logs an event of the node.
+pub fn node_event(level: LogLevel, event: &str, fields: &[(&'static str, String)]) {
+    let level = match level {
+        LogLevel::Error => Level::Error,
+        LogLevel::Warn => Level::Warn,
+        LogLevel::Info => Level::Info,
+        LogLevel::Debug => Level::Debug,
+    };
+    if level > log::max_level() {
+        return;
+    }
+    let mut pairs = vec![("event", event)];
+    pairs.extend(fields.iter().map(|(key, value)| (*key, value.as_str())));
+    log::logger().log(
+        &Record::builder()
+            .level(level)
+            .target("acaciareel_node")
+            .module_path_static(Some("acaciareel_node"))
+            .args(format_args!(""))
+            .key_values(&pairs.as_slice())
+            .build(),
+    );
+}
+
+/// Writes one line: time, level, the pairs of the record and its text, if it has one.
+fn key_value_line(out: &mut dyn Write, now: &mut DeferredNow, record: &Record) -> io::Result<()> {
+    let time = now.format("%Y-%m-%dT%H:%M:%S%.3f%:z");
+    let level = record.level().as_str().to_ascii_lowercase();
+    write!(out, "time={time} level={level}")?;
+    let mut pairs = Pairs { out, result: Ok(()) };
+    let visited = record.key_values().visit(&mut pairs);
+    pairs.result.and(visited.map_err(io::Error::other))?;
+    let text = record.args().to_string();
+    if !text.is_empty() {
+        write_pair(out, "message", &text)?;
+    }
+    Ok(())
+}
+
+struct Pairs<'a> {
+    out: &'a mut dyn Write,
+    result: io::Result<()>,
+}
+
+impl<'kvs> VisitSource<'kvs> for Pairs<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        if self.result.is_ok() {
+            self.result = write_pair(self.out, key.as_str(), &value.to_string());
+        }
+        Ok(())
+    }
+}
+
+/// Writes one pair; a value that would not be read back as one word is quoted.
+fn write_pair(out: &mut dyn Write, key: &str, value: &str) -> io::Result<()> {
+    let plain = |c: char| c.is_ascii_graphic() && c != '"' && c != '=';
+    if !value.is_empty() && value.chars().all(plain) {
+        write!(out, " {key}={value}")
+    } else {
+        write!(out, " {key}={value:?}")
+    }
+}
--- a/crates/acaciareeld/src/main.rs
+++ b/crates/acaciareeld/src/main.rs
@@ -1,3 +1,82 @@
 //! The acaciareel daemon of an entry VM.
 
-fn main() {}
+use std::{env, path::Path, process};
+
+use argh::FromArgs;
+use error_stack::{Report, ResultExt};
+use tokio::runtime::Builder;
+
+use crate::{cli::Arguments, config::Config, error::DaemonError, exit_codes::ExitCode};
+
+mod cli;
+mod config;
+mod daemon;
+mod error;
+mod exit_codes;
+mod http;
+mod logging;
+mod metering;
+mod node_task;
+mod storage;
+mod storage_task;
+mod transport;
+mod worker_client;
+
+/// Threads of the runtime: one for the node, one for connections. A VM spends at most 5% of a core
+/// on control, so more would only cost memory.
+const WORKER_THREADS: usize = 2;
+
+fn main() -> process::ExitCode {
+    let arguments = match arguments() {
+        Ok(arguments) => arguments,
+        Err(code) => return code.into(),
+    };
+    match execute(&arguments) {
+        Ok(()) => ExitCode::Ok.into(),
+        Err(report) => {
+            eprintln!("acaciareeld: {report:?}");
+            report.current_context().exit_code().into()
+        }
+    }
+}
+
+/// Parses the arguments. Help goes to standard output, errors to standard error.
+fn arguments() -> Result<Arguments, ExitCode> {
+    let strings: Vec<String> = env::args().collect();
+    let words: Vec<&str> = strings.iter().map(String::as_str).collect();
+    Arguments::from_args(&["acaciareeld"], words.get(1..).unwrap_or_default()).map_err(|exit| {
+        if exit.status.is_ok() {
+            println!("{}", exit.output);
+            ExitCode::Ok
+        } else {
+            eprintln!("{}", exit.output);
+            ExitCode::Usage
+        }
+    })
+}
+
+fn execute(arguments: &Arguments) -> Result<(), Report<DaemonError>> {
+    if let Some(file) = &arguments.check_config {
+        load(file)?;
+        println!("ok");
+        return Ok(());
+    }
+    let Some(file) = &arguments.config else {
+        return Err(Report::new(DaemonError::Settings).attach("--config FILE is required"));
+    };
+    let config = load(file)?;
+    if arguments.print_config {
+        print!("{config}");
+        return Ok(());
+    }
+    Builder::new_multi_thread()
+        .worker_threads(WORKER_THREADS)
+        .enable_all()
+        .build()
+        .change_context(DaemonError::Start)?
+        .block_on(daemon::run(config, arguments.rejoin_as_new))
+}
+
+fn load(file: &Path) -> Result<Config, Report<DaemonError>> {
+    Config::load(file).change_context(DaemonError::Settings)
+}
--- /dev/null
+++ b/crates/acaciareeld/src/metering.rs
@@ -0,0 +1,153 @@
+//! Metrics of the daemon on a Prometheus page.
+//!
+//! All times are in seconds. Histograms carry tenant and class, refusals their reason.
+
+use std::{collections::BTreeSet, fs};
+
+use acaciareel_node::Observation;
+use acaciareel_types::{Class, Millis, TenantName};
+use error_stack::{Report, ResultExt};
+use metrics::{counter, describe_counter, describe_gauge, describe_histogram, gauge, histogram};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+use crate::{error::DaemonError, logging};
+
+/// Bounds of the histograms' buckets in seconds; 2.4 s is the target for urgent work.
+const BUCKETS: &[f64] = &[
+    0.001, 0.002_5, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.4, 5.0, 10.0, 30.0, 60.0,
+    300.0, 1_800.0,
+];
+/// Tenants with histograms of their own; the target is 700. Later ones share the label `other`, so
+/// that made-up tenants cannot fill the memory.
+const MAX_TENANTS: usize = 1_000;
+
+/// Name of the histogram of waiting time.
+pub const WAIT: &str = "acaciareel_wait_seconds";
+/// Name of the histogram of run time.
+pub const RUN: &str = "acaciareel_run_seconds";
+/// Name of the histogram of end-to-end time.
+pub const TOTAL: &str = "acaciareel_total_seconds";
+
+/// Installs the recorder of the process.
+///
+/// # Errors
+///
+/// Fails if a recorder was installed before.
+pub fn start() -> Result<PrometheusHandle, Report<DaemonError>> {
+    let handle = PrometheusBuilder::new()
+        .set_buckets(BUCKETS)
+        .and_then(PrometheusBuilder::install_recorder)
+        .change_context(DaemonError::Start)?;
+    describe_histogram!(WAIT, "Time from acceptance of a request to the start of its task");
+    describe_histogram!(RUN, "Time from start to end of a task");
+    describe_histogram!(TOTAL, "Time from receipt of a request to its answer");
+    describe_counter!("acaciareel_answers_total", "Answers by verdict");
+    describe_counter!("acaciareel_refusals_total", "Answers other than `ran` by reason");
+    describe_gauge!("acaciareel_tables_version", "Version of the tables in force");
+    describe_gauge!("acaciareel_process_cpu_seconds", "Processor time used since the start");
+    describe_gauge!("acaciareel_process_resident_bytes", "Resident memory");
+    describe_counter!("acaciareel_peer_sent_bytes_total", "UDP payload sent to a peer");
+    describe_counter!("acaciareel_peer_received_bytes_total", "UDP payload received");
+    describe_counter!("acaciareel_peer_dropped_total", "Messages dropped from a full queue");
+    Ok(handle)
+}
+
+/// Turns the observations of the node into metrics and log lines.
+#[derive(Debug, Default)]
+pub struct Observer {
+    tenants: BTreeSet<TenantName>,
+}
+
+impl Observer {
+    /// Records one observation.
+    pub fn observe(&mut self, observation: Observation) {
+        match observation {
+            Observation::Answered {
+                tenant,
+                class,
+                verdict,
+                reason,
+                total_ms,
+            } => {
+                counter!("acaciareel_answers_total", "verdict" => verdict).increment(1);
+                if let Some(reason) = reason {
+                    counter!(
+                        "acaciareel_refusals_total",
+                        "verdict" => verdict,
+                        "reason" => reason.as_str()
+                    )
+                    .increment(1);
+                }
+                self.time(TOTAL, &tenant, class, total_ms);
+            }
+            Observation::Placed {
+                tenant,
+                class,
+                waited_ms,
+            } => self.time(WAIT, &tenant, class, waited_ms),
+            Observation::Ended {
+                tenant,
+                class,
+                ran_ms,
+            } => self.time(RUN, &tenant, class, ran_ms),
+            Observation::TablesInForce(version) => {
+                gauge!("acaciareel_tables_version").set(to_f64(version.0));
+                log::info!(event = "tables_in_force", version = version.0; "");
+            }
+            Observation::Log {
+                level,
+                event,
+                fields,
+            } => logging::node_event(level, event, &fields),
+        }
+    }
+
+    fn time(&mut self, name: &'static str, tenant: &TenantName, class: Class, elapsed: Millis) {
+        let tenant = self.label(tenant);
+        histogram!(name, "tenant" => tenant, "class" => class.as_str())
+            .record(to_f64(elapsed.0) / 1_000.0);
+    }
+
+    fn label(&mut self, tenant: &TenantName) -> String {
+        if self.tenants.contains(tenant) || self.tenants.len() < MAX_TENANTS {
+            self.tenants.insert(tenant.clone());
+            tenant.to_string()
+        } else {
+            "other".to_owned()
+        }
+    }
+}
+
+/// Reads the control cost of this process from the kernel.
+pub fn measure_process() {
+    if let Some(seconds) = cpu_seconds() {
+        gauge!("acaciareel_process_cpu_seconds").set(seconds);
+    }
+    if let Some(bytes) = resident_bytes() {
+        gauge!("acaciareel_process_resident_bytes").set(to_f64(bytes));
+    }
+}
+
+/// Fields 14 and 15 of `/proc/self/stat`, in ticks of 10 ms on every Linux platform.
+fn cpu_seconds() -> Option<f64> {
+    let stat = fs::read_to_string("/proc/self/stat").ok()?;
+    // The second field, the command in parentheses, may hold spaces.
+    let (_, fields) = stat.rsplit_once(") ")?;
+    let mut fields = fields.split(' ').skip(11);
+    let user: u64 = fields.next()?.parse().ok()?;
+    let system: u64 = fields.next()?.parse().ok()?;
+    Some(to_f64(user + system) / 100.0)
+}
+
+fn resident_bytes() -> Option<u64> {
+    let status = fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    let kib: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+    Some(kib << 10)
+}
+
+/// Metrics are floating-point; values here stay far below 2^53.
+#[allow(clippy::cast_precision_loss)]
+fn to_f64(value: u64) -> f64 {
+    value as f64
+}
--- /dev/null
+++ b/crates/acaciareeld/src/storage/error.rs
@@ -0,0 +1,85 @@
+//! Errors of the data folder.
+
+use std::{
+    error::Error,
+    fmt,
+    path::{Path, PathBuf},
+};
+
+use acaciareel_types::VmId;
+use error_stack::Report;
+
+/// Why the data folder cannot be used.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StorageError {
+    /// A file cannot be read or written.
+    Io {
+        /// File or folder.
+        file: PathBuf,
+    },
+    /// Another process uses the folder.
+    InUse {
+        /// Folder.
+        folder: PathBuf,
+    },
+    /// The state belongs to another VM.
+    OtherVm {
+        /// Folder.
+        folder: PathBuf,
+        /// Owner of the state.
+        owner: VmId,
+    },
+    /// A file holds something other than what was synced.
+    Damaged {
+        /// File.
+        file: PathBuf,
+        /// Position.
+        offset: u64,
+        /// What was found.
+        reason: String,
+    },
+}
+
+impl StorageError {
+    /// Makes an error for a file that cannot be read or written.
+    pub fn io(file: &Path) -> Self {
+        Self::Io {
+            file: file.to_owned(),
+        }
+    }
+
+    /// Makes the report of a damaged file.
+    pub fn damaged(file: &Path, offset: u64, reason: &str) -> Report<Self> {
+        Report::new(Self::Damaged {
+            file: file.to_owned(),
+            offset,
+            reason: reason.to_owned(),
+        })
+    }
+}
+
+impl fmt::Display for StorageError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Io { file } => write!(f, "cannot read or write {}", file.display()),
+            Self::InUse { folder } => {
+                write!(f, "{} is used by another process", folder.display())
+            }
+            Self::OtherVm { folder, owner } => {
+                write!(f, "{} holds the state of {owner}", folder.display())
+            }
+            Self::Damaged {
+                file,
+                offset,
+                reason,
+            } => write!(
+                f,
+                "{} is damaged at byte {offset}: {reason}; to set the state aside and rejoin as a \
+                 new member, run acaciareeld with the same --config and --rejoin-as-new",
+                file.display()
+            ),
+        }
+    }
+}
+
+impl Error for StorageError {}
--- /dev/null
+++ b/crates/acaciareeld/src/storage/frame.rs
@@ -0,0 +1,96 @@
+//! Length-prefixed records with checksums.
+//!
+//! A file starts with [`MAGIC`]. Each record is its length (4 bytes, little endian), the CRC32 of
+//! these 4 bytes, the CRC32 of the payload, and the payload.
+
+use std::{
+    fs::File,
+    io::{BufReader, Read},
+    path::Path,
+};
+
+use error_stack::{Report, ResultExt};
+
+use crate::storage::StorageError;
+
+/// First bytes of a file; the last two are the version of the format.
+pub const MAGIC: &[u8] = b"ACARFL01";
+
+const HEADER_BYTES: usize = 12;
+
+/// End of a file.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Tail {
+    /// The last record is complete.
+    Complete,
+    /// A crash interrupted the last write.
+    Torn {
+        /// End of the last complete record.
+        offset: u64,
+        /// Bytes after it.
+        bytes: u64,
+    },
+}
+
+/// Appends a record.
+pub fn append(out: &mut Vec<u8>, payload: &[u8]) {
+    // Records are far below 4 GiB: bodies are bounded by the HTTP limit, snapshots by memory.
+    let length = u32::try_from(payload.len()).unwrap_or(u32::MAX);
+    let length = length.to_le_bytes();
+    out.extend(length);
+    out.extend(crc32fast::hash(&length).to_le_bytes());
+    out.extend(crc32fast::hash(payload).to_le_bytes());
+    out.extend(payload);
+}
+
+/// Reads all records and passes each with its offset to `visit`.
+///
+/// A record that is wrong counts as torn if no valid record follows, since only the last write can
+/// be incomplete. A valid record after it shows that synced data was damaged.
+pub fn read(
+    path: &Path,
+    file: &mut File,
+    mut visit: impl FnMut(u64, &[u8]) -> Result<(), Report<StorageError>>,
+) -> Result<Tail, Report<StorageError>> {
+    let mut reader = BufReader::with_capacity(64 << 10, file);
+    let mut bytes = Vec::new();
+    reader
+        .read_to_end(&mut bytes)
+        .change_context_lazy(|| StorageError::io(path))?;
+    if !bytes.starts_with(MAGIC) {
+        return Err(StorageError::damaged(path, 0, "wrong file type or version"));
+    }
+    let mut offset = MAGIC.len();
+    while offset < bytes.len() {
+        let Some(payload) = record_at(&bytes, offset) else {
+            return torn(path, &bytes, offset);
+        };
+        visit(offset as u64, payload)?;
+        offset += HEADER_BYTES + payload.len();
+    }
+    Ok(Tail::Complete)
+}
+
+fn torn(path: &Path, bytes: &[u8], offset: usize) -> Result<Tail, Report<StorageError>> {
+    if (offset + 1..bytes.len()).any(|later| record_at(bytes, later).is_some()) {
+        let reason = "a record is wrong although later ones are valid";
+        return Err(StorageError::damaged(path, offset as u64, reason));
+    }
+    Ok(Tail::Torn {
+        offset: offset as u64,
+        bytes: (bytes.len() - offset) as u64,
+    })
+}
+
+/// Returns the payload of the record at an offset, unless it is incomplete or wrong.
+fn record_at(bytes: &[u8], offset: usize) -> Option<&[u8]> {
+    let header = bytes.get(offset..offset + HEADER_BYTES)?;
+    let field = |at: usize| header[at..at + 4].try_into().map(u32::from_le_bytes).ok();
+    if crc32fast::hash(&header[..4]) != field(4)? {
+        return None;
+    }
+    let start = offset + HEADER_BYTES;
+    let end = start.checked_add(usize::try_from(field(0)?).ok()?)?;
+    let payload = bytes.get(start..end)?;
+    (crc32fast::hash(payload) == field(8)?).then_some(payload)
+}
--- /dev/null
+++ b/crates/acaciareeld/src/worker_client.rs
@@ -0,0 +1,185 @@
+//! HTTP calls to workers.
+
+use std::{net::SocketAddr, time::Duration};
+
+use acaciareel_node::{WorkerCall, WorkerReply};
+use acaciareel_types::{FencingToken, TaskId};
+use acaciareel_wire::http::{LeaseReply, LeaseRequest, StaleToken, StartTask, TaskCommand};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, Response, StatusCode, body::Incoming, header};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use serde::Serialize;
+use serde_json::Value;
+use tokio::time;
+
+use crate::config::LimitsConfig;
+
+/// Largest reply of a worker; a full report of 8 slots has a few KiB.
+const MAX_REPLY_BYTES: usize = 1 << 20;
+/// An unused connection is closed after this time; leases are renewed every second.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Client for all workers.
+#[derive(Clone, Debug)]
+pub struct WorkerClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    authorization: String,
+    time_limit: Duration,
+}
+
+/// How a call that got no usable reply ended.
+enum Failure {
+    NotSent,
+    Lost,
+}
+
+impl WorkerClient {
+    /// Creates a client that sends this bearer token.
+    pub fn new(limits: &LimitsConfig, token: &str) -> Self {
+        let connect = Duration::from_millis(limits.worker_connect_ms.0);
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(connect));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .build(connector);
+        Self {
+            client,
+            authorization: format!("Bearer {token}"),
+            // A connection that takes too long must fail as such, because the call was not sent.
+            time_limit: connect + Duration::from_millis(limits.worker_reply_ms.0),
+        }
+    }
+
+    /// Makes a call and tells what is known about it.
+    pub async fn call(&self, address: SocketAddr, call: WorkerCall) -> WorkerReply {
+        let (path, body) = request(&call);
+        let exchange = self.exchange(address, &path, body);
+        match time::timeout(self.time_limit, exchange).await {
+            Ok(Ok((status, body))) => reply(&call, status, &body),
+            Ok(Err(Failure::NotSent)) => WorkerReply::NotSent,
+            Ok(Err(Failure::Lost)) | Err(_) => WorkerReply::Lost,
+        }
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<(StatusCode, Bytes), Failure> {
+        let request = Request::post(format!("http://{address}{path}"))
+            .header(header::CONTENT_TYPE, "application/json")
+            .header(header::AUTHORIZATION, &self.authorization)
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|_| Failure::NotSent)?;
+        let response = self.client.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                Failure::NotSent
+            } else {
+                Failure::Lost
+            }
+        })?;
+        read(response).await.ok_or(Failure::Lost)
+    }
+}
+
+async fn read(response: Response<Incoming>) -> Option<(StatusCode, Bytes)> {
+    let status = response.status();
+    let body = Limited::new(response.into_body(), MAX_REPLY_BYTES);
+    Some((status, body.collect().await.ok()?.to_bytes()))
+}
+
+fn json(body: &impl Serialize) -> Vec<u8> {
+    // Messages of the wire schema have text keys only, so they always have a JSON form.
+    serde_json::to_vec(body).unwrap_or_default()
+}
+
+fn request(call: &WorkerCall) -> (String, Vec<u8>) {
+    match call {
+        WorkerCall::Lease {
+            token,
+            holder,
+            ttl_ms,
+        } => {
+            let body = json(&LeaseRequest {
+                token: token.0,
+                holder: holder.to_string(),
+                ttl_ms: ttl_ms.0,
+            });
+            ("/v1/lease".to_owned(), body)
+        }
+        WorkerCall::Start {
+            task,
+            token,
+            kind,
+            tenant,
+            reserved,
+            remaining_ms,
+            exclusive,
+            body,
+        } => {
+            let body = json(&StartTask {
+                task_id: task.to_string(),
+                token: token.0,
+                kind: kind.to_string(),
+                tenant: tenant.to_string(),
+                body: body.to_vec(),
+                resources: Some(reserved.into()),
+                remaining_ms: remaining_ms.0,
+                exclusive: *exclusive,
+            });
+            ("/v1/tasks".to_owned(), body)
+        }
+        WorkerCall::Stop { task, token } => command(task, "stop", *token),
+        WorkerCall::Checkpoint { task, token } => command(task, "checkpoint", *token),
+        WorkerCall::Throttle { task, token } => command(task, "throttle", *token),
+    }
+}
+
+fn command(task: &TaskId, name: &str, token: FencingToken) -> (String, Vec<u8>) {
+    let path = format!("/v1/tasks/{}/{name}", percent_encode(task.as_str()));
+    (path, json(&TaskCommand { token: token.0 }))
+}
+
+/// Encodes the one character of an identifier that separates path segments.
+fn percent_encode(id: &str) -> String {
+    id.replace('/', "%2F")
+}
+
+fn reply(call: &WorkerCall, status: StatusCode, body: &[u8]) -> WorkerReply {
+    match status {
+        StatusCode::OK if matches!(call, WorkerCall::Lease { .. }) => {
+            leased(body).unwrap_or(WorkerReply::Lost)
+        }
+        StatusCode::OK | StatusCode::ACCEPTED => WorkerReply::Accepted,
+        StatusCode::CONFLICT => match serde_json::from_slice::<StaleToken>(body) {
+            Ok(stale) => WorkerReply::StaleToken(FencingToken(stale.token)),
+            Err(_) => refused(status, body),
+        },
+        StatusCode::GONE => WorkerReply::Leaving,
+        StatusCode::TOO_MANY_REQUESTS => WorkerReply::NoRoom,
+        status if status.is_client_error() => refused(status, body),
+        _ => WorkerReply::Lost,
+    }
+}
+
+fn leased(body: &[u8]) -> Option<WorkerReply> {
+    let reply: LeaseReply = serde_json::from_slice(body).ok()?;
+    let tasks = reply.unacknowledged.iter();
+    Some(WorkerReply::Leased {
+        report: reply.report?.try_into().ok()?,
+        unacknowledged: tasks.map(|t| t.parse().ok()).collect::<Option<_>>()?,
+    })
+}
+
+fn refused(status: StatusCode, body: &[u8]) -> WorkerReply {
+    let text = serde_json::from_slice::<Value>(body).ok();
+    let text = text.as_ref().and_then(|value| value["error"].as_str());
+    WorkerReply::Refused(format!("{status}: {}", text.unwrap_or("no reason given")))
+}
