Convert messages, records and HTTP bodies with checks

Each message and durable record gets to_bytes and from_bytes; one DecodeError names message and field. Messages whose fields equal the fields of the type are converted by two macros, so that a field cannot be left out in one direction only. Members and ledger records that are out of order are refused, since both are searched by bisection.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod settings;
 
 pub use crate::{
+    codec::{CallBody, GroupIdError},
     command::{
         LedgerCommand, LedgerRecord, LedgerSnapshot, LedgerState, OperationOutcome, RequestKey,
         StartedOn, StartedTask, TablesCommand, TablesSnapshot,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,10 +1,19 @@
 //! Generated wire types and their checked conversions.
 //!
 //! Protobuf is used between daemons and in files, JSON for the HTTP bodies. Decoding allocates in
-//! proportion to the input, so callers bound the input only.
+//! proportion to the input, so it is enough that callers bound the input.
 
 pub mod base64_text;
+mod convert;
+mod error;
+mod field;
 mod generated;
+mod group_record;
 pub mod headers;
 
-pub use crate::generated::{consensus, http, node, types};
+pub use crate::{
+    error::{DecodeError, Fields, decode},
+    field::{Field, Nested},
+    generated::{consensus, http, node, types},
+    group_record::GroupRecord,
+};
