--- a/crates/acaciareeld/src/config.rs
+++ b/crates/acaciareeld/src/config.rs
@@ -16,7 +16,7 @@
 mod raw;
 mod reader;
 
-pub use raw::{ConfigError, Origin, RawConfig, Setting};
+pub use raw::{ConfigError, RawConfig, Setting};
 use reader::SectionReader;
 
 /// Address and failure domain of an entry VM.
@@ -142,7 +142,11 @@
                 writeln!(f, "[{}]", setting.section)?;
                 section = &setting.section;
             }
-            writeln!(f, "{} = {} ; {}", setting.key, setting.value, setting.origin)?;
+            writeln!(
+                f,
+                "{} = {} ; {}",
+                setting.key, setting.value, setting.origin
+            )?;
         }
         Ok(())
     }
@@ -260,8 +264,12 @@
     domains: &BTreeSet<FailureDomain>,
 ) -> Vec<VmId> {
     let most = if domains.len() >= 5 { 5 } else { 3 };
-    let first_of = |domain| vms.iter().find(|(_, vm)| vm.failure_domain == *domain);
-    let voters: Vec<_> = domains.iter().filter_map(first_of).map(|(id, _)| *id).collect();
+    let first_of = |domain: &FailureDomain| vms.iter().find(|(_, vm)| vm.failure_domain == *domain);
+    let voters: Vec<_> = domains
+        .iter()
+        .filter_map(first_of)
+        .map(|(id, _)| *id)
+        .collect();
     let spread: Vec<_> = voters.into_iter().take(most).collect();
     if spread.len() >= 3 {
         return spread;
@@ -319,38 +327,38 @@
 fn limits(raw: &RawConfig, settings: &mut Vec<Setting>) -> Result<LimitsConfig, ConfigError> {
     let mut reader = SectionReader::new(raw, "limits", LIMIT_KEYS, settings)?;
     Ok(LimitsConfig {
-        body_bytes: reader.in_range("body_bytes", 256 << 10, 1 << 10, 16 << 20)?,
-        header_bytes: reader.in_range("header_bytes", 16 << 10, 1 << 10, 256 << 10)?,
+        body_bytes: reader.in_range("body_bytes", 256 << 10, &(1 << 10), &(16 << 20))?,
+        header_bytes: reader.in_range("header_bytes", 16 << 10, &(1 << 10), &(256 << 10))?,
         header_timeout_ms: reader.in_range(
             "header_timeout_ms",
             Millis(10_000),
-            Millis(100),
-            Millis(600_000),
+            &Millis(100),
+            &Millis(600_000),
         )?,
-        connections: reader.in_range("connections", 1_024, 16, 65_536)?,
+        connections: reader.in_range("connections", 1_024, &16, &65_536)?,
         announcements: reader.in_range(
             "announcements_per_s",
             RatePerSecond(200),
-            RatePerSecond(1),
-            RatePerSecond(100_000),
+            &RatePerSecond(1),
+            &RatePerSecond(100_000),
         )?,
         worker_connect_ms: reader.in_range(
             "worker_connect_ms",
             Millis(500),
-            Millis(10),
-            Millis(60_000),
+            &Millis(10),
+            &Millis(60_000),
         )?,
         worker_reply_ms: reader.in_range(
             "worker_reply_ms",
             Millis(1_000),
-            Millis(10),
-            Millis(60_000),
+            &Millis(10),
+            &Millis(60_000),
         )?,
         stop_accept_ms: reader.in_range(
             "stop_accept_ms",
             Millis(5_000),
-            Millis(0),
-            Millis(600_000),
+            &Millis(0),
+            &Millis(600_000),
         )?,
     })
 }
--- a/crates/acaciareeld/src/config/raw.rs
+++ b/crates/acaciareeld/src/config/raw.rs
@@ -106,7 +106,8 @@
             enabled_escape: false,
             ..ParseOption::default()
         };
-        let ini = Ini::load_from_str_opt(text, options).map_err(|error| whole_file(file, &error))?;
+        let ini =
+            Ini::load_from_str_opt(text, options).map_err(|error| whole_file(file, &error))?;
         let mut sections = Vec::new();
         for (name, properties) in &ini {
             let name = name.unwrap_or("");
@@ -141,11 +142,15 @@
         for (i, section) in self.sections.iter().enumerate() {
             let name = section.name.as_str();
             let first = name.split(' ').next().unwrap_or("");
-            if !plain.contains(&name) && !(named.contains(&first) && name != first) {
+            let has_name = named.contains(&first) && name != first;
+            if !plain.contains(&name) && !has_name {
                 let known: Vec<_> = plain.iter().chain(named).map(|s| (*s).to_owned()).collect();
                 return Err(self.unknown(name, "", "section", first, &known));
             }
-            if self.sections[..i].iter().any(|earlier| earlier.name == name) {
+            if self.sections[..i]
+                .iter()
+                .any(|earlier| earlier.name == name)
+            {
                 return Err(self.error(name, "", "section appears twice"));
             }
         }
--- a/crates/acaciareeld/src/config/reader.rs
+++ b/crates/acaciareeld/src/config/reader.rs
@@ -89,12 +89,18 @@
         Ok(default)
     }
 
-    pub fn in_range<T>(&mut self, key: &str, default: T, least: T, most: T) -> Result<T, ConfigError>
+    pub fn in_range<T>(
+        &mut self,
+        key: &str,
+        default: T,
+        least: &T,
+        most: &T,
+    ) -> Result<T, ConfigError>
     where
         T: FromStr<Err: fmt::Display> + fmt::Display + PartialOrd,
     {
         let value = self.optional(key, default)?;
-        if value < least || value > most {
+        if value < *least || value > *most {
             return Err(self.error(key, format!("{value} is outside {least} to {most}")));
         }
         Ok(value)
--- a/crates/acaciareeld/src/http.rs
+++ b/crates/acaciareeld/src/http.rs
@@ -49,7 +49,6 @@
 use response::HttpError;
 
 /// What the handlers share.
-#[derive(Debug)]
 pub struct App {
     /// This VM.
     pub vm: VmId,
@@ -72,7 +71,6 @@
 }
 
 /// State of the server.
-#[derive(Debug)]
 struct Shared {
     app: Arc<App>,
     gates: Arc<Gates>,
@@ -140,7 +138,7 @@
 }
 
 /// Handler of one request.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 struct HttpHandler(Arc<Shared>);
 
 /// The state behind the handler is changed by complete steps only.
@@ -249,7 +247,7 @@
                     body,
                     access: &access,
                 };
-                let event = request::event(endpoint, connection, parts)?;
+                let event = request::event(endpoint, connection, &parts)?;
                 let reply = self.ask(connection, event).await?;
                 response::reply(reply, received.at.elapsed())
             }
@@ -291,7 +289,11 @@
             let reason = "the daemon is stopping";
             HttpError::new(StatusCode::SERVICE_UNAVAILABLE, reason.to_owned())
         };
-        self.app.inputs.send(input).await.map_err(|_| unavailable())?;
+        self.app
+            .inputs
+            .send(input)
+            .await
+            .map_err(|_| unavailable())?;
         let mut waiting = Waiting {
             connection,
             inputs: Some(&self.app.inputs),
@@ -305,7 +307,9 @@
         let connection = self.connection();
         let vms = self.ask(connection, Event::ShowVms { connection }).await?;
         let connection = self.connection();
-        let workers = self.ask(connection, Event::ShowWorkers { connection }).await?;
+        let workers = self
+            .ask(connection, Event::ShowWorkers { connection })
+            .await?;
         response::status(&self.app, &vms, &workers)
     }
 
--- a/crates/acaciareeld/src/http/auth.rs
+++ b/crates/acaciareeld/src/http/auth.rs
@@ -68,9 +68,7 @@
             (&config.callers, Role::Caller),
             (&config.workers, Role::Worker),
         ] {
-            read(file, role, &mut tokens)
-                .change_context(DaemonError::Start)
-                .attach_with(|| format!("token file {}", file.display()))?;
+            read(file, role, &mut tokens)?;
         }
         Ok(Self { tokens })
     }
@@ -111,22 +109,27 @@
     file: &Path,
     role: Role,
     tokens: &mut Vec<(String, Access)>,
-) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
+) -> Result<(), Report<DaemonError>> {
+    let wrong = || Report::new(DaemonError::Start).attach(format!("token file {}", file.display()));
     let before = tokens.len();
-    for line in fs::read_to_string(file)?.lines() {
+    let text = fs::read_to_string(file)
+        .change_context(DaemonError::Start)
+        .attach_with(|| format!("token file {}", file.display()))?;
+    for line in text.lines() {
         let mut words = line.split_whitespace();
         let Some(token) = words.next().filter(|word| !word.starts_with('#')) else {
             continue;
         };
         if token.len() < MIN_TOKEN_BYTES {
             let reason = format!("a token has fewer than {MIN_TOKEN_BYTES} characters");
-            return Err(reason.into());
+            return Err(wrong().attach(reason));
         }
-        let tenant = words.next().map(str::parse).transpose()?;
+        let tenant = words.next().map(str::parse::<TenantName>).transpose();
+        let tenant = tenant.map_err(|error| wrong().attach(error))?;
         tokens.push((token.to_owned(), Access { role, tenant }));
     }
     if tokens.len() == before {
-        return Err("the file holds no token".into());
+        return Err(wrong().attach("the file holds no token"));
     }
     Ok(())
 }
--- a/crates/acaciareeld/src/http/request.rs
+++ b/crates/acaciareeld/src/http/request.rs
@@ -25,19 +25,19 @@
 pub fn event(
     endpoint: Endpoint,
     connection: ConnectionId,
-    parts: Parts<'_>,
+    parts: &Parts<'_>,
 ) -> Result<Event, HttpError> {
     match endpoint {
         Endpoint::Submit(kind) => submit(kind, connection, parts),
-        Endpoint::State(key) => inquire(key, false, connection, &parts),
-        Endpoint::Cancel(key) => inquire(key, true, connection, &parts),
-        Endpoint::Apply => apply(connection, &parts),
+        Endpoint::State(key) => inquire(key, false, connection, parts),
+        Endpoint::Cancel(key) => inquire(key, true, connection, parts),
+        Endpoint::Apply => apply(connection, parts),
         Endpoint::Announce => {
             let report: types::WorkerReport = json(&parts.body)?;
             let report = report.try_into().map_err(HttpError::bad_request)?;
             Ok(Event::Announce { connection, report })
         }
-        Endpoint::TaskResult(task) => task_result(task, connection, &parts),
+        Endpoint::TaskResult(task) => task_result(task, connection, parts),
         Endpoint::Drain(worker) => Ok(Event::Drain { connection, worker }),
         Endpoint::Tables => Ok(Event::ShowTables { connection }),
         Endpoint::History => Ok(Event::ShowHistory { connection }),
@@ -49,12 +49,8 @@
     }
 }
 
-fn submit(
-    kind: KindName,
-    connection: ConnectionId,
-    parts: Parts<'_>,
-) -> Result<Event, HttpError> {
-    let tenant = tenant(&parts)?;
+fn submit(kind: KindName, connection: ConnectionId, parts: &Parts<'_>) -> Result<Event, HttpError> {
+    let tenant = tenant(parts)?;
     let request = Request {
         kind,
         tenant,
--- a/crates/acaciareeld/src/logging.rs
+++ b/crates/acaciareeld/src/logging.rs
@@ -64,7 +64,10 @@
     let time = now.format("%Y-%m-%dT%H:%M:%S%.3f%:z");
     let level = record.level().as_str().to_ascii_lowercase();
     write!(out, "time={time} level={level}")?;
-    let mut pairs = Pairs { out, result: Ok(()) };
+    let mut pairs = Pairs {
+        out,
+        result: Ok(()),
+    };
     let visited = record.key_values().visit(&mut pairs);
     pairs.result.and(visited.map_err(io::Error::other))?;
     let text = record.args().to_string();
--- a/crates/acaciareeld/src/metering.rs
+++ b/crates/acaciareeld/src/metering.rs
@@ -38,17 +38,38 @@
         .set_buckets(BUCKETS)
         .and_then(PrometheusBuilder::install_recorder)
         .change_context(DaemonError::Start)?;
-    describe_histogram!(WAIT, "Time from acceptance of a request to the start of its task");
+    describe_histogram!(
+        WAIT,
+        "Time from acceptance of a request to the start of its task"
+    );
     describe_histogram!(RUN, "Time from start to end of a task");
     describe_histogram!(TOTAL, "Time from receipt of a request to its answer");
     describe_counter!("acaciareel_answers_total", "Answers by verdict");
-    describe_counter!("acaciareel_refusals_total", "Answers other than `ran` by reason");
-    describe_gauge!("acaciareel_tables_version", "Version of the tables in force");
-    describe_gauge!("acaciareel_process_cpu_seconds", "Processor time used since the start");
+    describe_counter!(
+        "acaciareel_refusals_total",
+        "Answers other than `ran` by reason"
+    );
+    describe_gauge!(
+        "acaciareel_tables_version",
+        "Version of the tables in force"
+    );
+    describe_gauge!(
+        "acaciareel_process_cpu_seconds",
+        "Processor time used since the start"
+    );
     describe_gauge!("acaciareel_process_resident_bytes", "Resident memory");
-    describe_counter!("acaciareel_peer_sent_bytes_total", "UDP payload sent to a peer");
-    describe_counter!("acaciareel_peer_received_bytes_total", "UDP payload received");
-    describe_counter!("acaciareel_peer_dropped_total", "Messages dropped from a full queue");
+    describe_counter!(
+        "acaciareel_peer_sent_bytes_total",
+        "UDP payload sent to a peer"
+    );
+    describe_counter!(
+        "acaciareel_peer_received_bytes_total",
+        "UDP payload received"
+    );
+    describe_counter!(
+        "acaciareel_peer_dropped_total",
+        "Messages dropped from a full queue"
+    );
     Ok(handle)
 }
 
--- a/crates/acaciareeld/src/node_task.rs
+++ b/crates/acaciareeld/src/node_task.rs
@@ -14,9 +14,7 @@
 };
 
 use crate::{
-    metering::Observer,
-    storage_task::StorageTask,
-    transport::Transport,
+    metering::Observer, storage_task::StorageTask, transport::Transport,
     worker_client::WorkerClient,
 };
 
--- a/crates/acaciareeld/src/storage.rs
+++ b/crates/acaciareeld/src/storage.rs
@@ -275,7 +275,7 @@
 fn load(folder: &Path) -> Result<BTreeMap<GroupId, GroupState>, Report<StorageError>> {
     let mut groups = BTreeMap::new();
     for name in file_names(folder)? {
-        if name.starts_with("snapshot-") && !name.ends_with(".new") {
+        if name.starts_with("snapshot-") {
             let (group, snapshot) = read_snapshot(&folder.join(name))?;
             groups.insert(group, GroupState::new(Some(snapshot)));
         }
@@ -323,7 +323,10 @@
     snapshot: &Snapshot,
 ) -> Result<(), Report<StorageError>> {
     let mut bytes = frame::MAGIC.to_vec();
-    frame::append(&mut bytes, &encode(group, &Record::Snapshot(snapshot.clone())));
+    frame::append(
+        &mut bytes,
+        &encode(group, &Record::Snapshot(snapshot.clone())),
+    );
     // A failure domain may hold a slash, a file name may not.
     let name = format!("snapshot-{group}").replace('/', "%2F");
     install(folder, &name, &bytes)
@@ -348,7 +351,7 @@
 
 /// Writes a file so that either the old or the new content is found after a crash.
 fn install(folder: &Path, name: &str, bytes: &[u8]) -> Result<(), Report<StorageError>> {
-    let new = folder.join(format!("{name}.new"));
+    let new = folder.join(format!("new-{name}"));
     File::create(&new)
         .and_then(|mut file| file.write_all(bytes).and_then(|()| file.sync_all()))
         .and_then(|()| fs::rename(&new, folder.join(name)))
--- a/crates/acaciareeld/src/storage/replay.rs
+++ b/crates/acaciareeld/src/storage/replay.rs
@@ -26,6 +26,7 @@
     ///
     /// Fails if the log refers to a snapshot newer than the one that was found.
     pub fn apply(&mut self, record: Record) -> Result<(), String> {
+        let base = self.base().0;
         let entries = &mut self.restored.entries;
         match record {
             Record::Vote { term, voted_for } => {
@@ -35,7 +36,7 @@
             Record::Truncate { from } => entries.retain(|entry| entry.index < from),
             Record::Append(entry) => self.append(entry),
             Record::Snapshot(marker) => {
-                if marker.index > self.base().0 {
+                if marker.index > base {
                     return Err(format!("the snapshot of entry {} is missing", marker.index));
                 }
                 entries.retain(|e| e.index > marker.index && e.term >= marker.term);
--- a/crates/acaciareeld/src/storage/tests.rs
+++ b/crates/acaciareeld/src/storage/tests.rs
@@ -81,8 +81,18 @@
 fn a_restart_finds_what_was_synced() {
     let folder = folder();
     let mut opened = open(&folder);
-    write(&mut opened, vec![vote(1), append(1, 1), append(2, 1), append(3, 1)]);
-    write(&mut opened, vec![Record::Truncate { from: LogIndex(3) }, vote(2), append(3, 2)]);
+    write(
+        &mut opened,
+        vec![vote(1), append(1, 1), append(2, 1), append(3, 1)],
+    );
+    write(
+        &mut opened,
+        vec![
+            Record::Truncate { from: LogIndex(3) },
+            vote(2),
+            append(3, 2),
+        ],
+    );
     let first = opened.incarnation;
     drop(opened);
 
@@ -124,8 +134,11 @@
     let mut opened = open(&folder);
     write(&mut opened, vec![append(1, 1)]);
     drop(opened);
-    let wal = OpenOptions::new().append(true).open(folder.path().join("wal"));
-    wal.and_then(|mut wal| wal.write_all(&[0; 9])).expect("torn write");
+    let wal = OpenOptions::new()
+        .append(true)
+        .open(folder.path().join("wal"));
+    wal.and_then(|mut wal| wal.write_all(&[0; 9]))
+        .expect("torn write");
     let mut opened = open(&folder);
     write(&mut opened, vec![append(2, 1)]);
     drop(opened);
@@ -151,7 +164,10 @@
 
         let error = open_error(&folder);
 
-        assert!(matches!(error, StorageError::Damaged { .. }), "byte {offset}: {error}");
+        assert!(
+            matches!(error, StorageError::Damaged { .. }),
+            "byte {offset}: {error}"
+        );
         assert!(error.to_string().contains("--rejoin-as-new"));
         damage(&wal, offset);
     }
@@ -184,7 +200,10 @@
         let folder = folder();
         let wal = folder.path().join("wal");
         let mut opened = open(&folder);
-        write(&mut opened, vec![vote(1), append(1, 1), append(2, 1), append(3, 1)]);
+        write(
+            &mut opened,
+            vec![vote(1), append(1, 1), append(2, 1), append(3, 1)],
+        );
         let before = fs::read(&wal).expect("read file");
         write(&mut opened, vec![snapshot(2, 1)]);
         if crash_before_marker {
@@ -214,7 +233,9 @@
         }
     }
     write(&mut opened, vec![append(101, 1)]);
-    let wal_bytes = fs::metadata(folder.path().join("wal")).expect("metadata").len();
+    let wal_bytes = fs::metadata(folder.path().join("wal"))
+        .expect("metadata")
+        .len();
     drop(opened);
 
     let again = open(&folder);
@@ -234,7 +255,10 @@
     let other = Storage::open(folder.path(), VmId(2)).expect_err("other VM");
 
     assert!(matches!(in_use, StorageError::InUse { .. }));
-    assert!(matches!(other.current_context(), StorageError::OtherVm { .. }));
+    assert!(matches!(
+        other.current_context(),
+        StorageError::OtherVm { .. }
+    ));
 }
 
 /// Guards against a VM that keeps its old identity although its state was set aside.
--- a/crates/acaciareeld/src/transport.rs
+++ b/crates/acaciareeld/src/transport.rs
@@ -142,7 +142,10 @@
     /// Sends what is queued, for at most `limit`, and closes all connections.
     pub async fn close(&self, limit: Duration) {
         let deadline = Instant::now() + limit;
-        while self.peers.values().any(|peer| !lock(&peer.queue).is_empty())
+        while self
+            .peers
+            .values()
+            .any(|peer| !lock(&peer.queue).is_empty())
             && Instant::now() < deadline
         {
             time::sleep(Duration::from_millis(10)).await;
@@ -178,7 +181,9 @@
 
 /// Locks a mutex. A panic of another holder cannot leave these values half changed.
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    mutex
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
 /// Keeps a connection to one peer and sends its messages.
