--- /dev/null
+++ b/crates/node/src/entry.rs
@@ -0,0 +1,308 @@
+//! Entry role: callers that wait on this VM, and workers that reach the system through it.
+
+use acaciareel_types::{
+    Class, Effect as RunEffect, FailureDomain, IdempotencyKey, Incarnation, Millis, Reason,
+    Request, SortedVec, TaskId, Term, Verdict, VmId, WorkerId,
+};
+
+use crate::{
+    ConnectionId, NodeSettings, Observation, Reply, io::Io, node::Node,
+};
+
+mod forward;
+mod inquiry;
+mod workers;
+
+pub(crate) use inquiry::Inquiry;
+pub(crate) use workers::{CachedReport, PostedResult};
+
+/// Time without a ledger leader after which a home domain counts as unreachable. It covers an
+/// election, which takes about 1,200 ms.
+pub(crate) const NO_LEADER_MS: Millis = Millis(2_000);
+/// Retry-after time of refusals that have no better estimate.
+const RETRY_AFTER_MS: Millis = Millis(1_000);
+/// Cost of one retry in thousandths of a success: retries stay below a tenth of the successes.
+const RETRY_COST: u32 = 1_000;
+const RETRY_GAIN: u32 = 100;
+/// Most retries saved up, so that the failure of a placer with many requests can be bridged.
+const RETRY_BUDGET_MAX: u32 = 200 * RETRY_COST;
+
+/// A request that has been passed on.
+#[derive(Clone, Debug)]
+pub(crate) struct Forward {
+    pub to: VmId,
+    pub incarnation: Option<Incarnation>,
+    pub domain: FailureDomain,
+    pub term: Term,
+    pub submission: u64,
+    pub next_send_ms: Millis,
+    pub interval_ms: Millis,
+}
+
+/// A caller's request that has no verdict yet.
+#[derive(Debug)]
+pub(crate) struct Waiting {
+    pub connection: ConnectionId,
+    pub request: Request,
+    pub effect: RunEffect,
+    pub class: Class,
+    pub received_ms: Millis,
+    pub deadline_ms: Millis,
+    /// Where the request is now; `None` while no placer is known for it.
+    pub forward: Option<Forward>,
+    /// Whether an earlier placer may have run it.
+    pub unresolved: bool,
+    /// Domains that refused an idempotent request.
+    pub refused_by: Vec<FailureDomain>,
+}
+
+/// State of the entry role.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    /// Number of this life of the process, the upper half of submission numbers.
+    pub life: u64,
+    next_number: u64,
+    pub waiting: SortedVec<u64, Waiting>,
+    by_submission: SortedVec<u64, u64>,
+    by_connection: SortedVec<ConnectionId, u64>,
+    pub inquiries: SortedVec<u64, Inquiry>,
+    pub results: SortedVec<TaskId, PostedResult>,
+    pub reports: SortedVec<WorkerId, CachedReport>,
+    /// Workers that an operator drains, with the incarnation known then.
+    pub drains: SortedVec<WorkerId, Option<Incarnation>>,
+    /// Placers that have received this VM's worker reports.
+    told: SortedVec<FailureDomain, (VmId, Term)>,
+    /// When each domain's ledger leader was last known.
+    leader_seen_ms: SortedVec<FailureDomain, Millis>,
+    retry_budget: u32,
+    domains: Vec<FailureDomain>,
+}
+
+impl Entry {
+    pub fn new(settings: &NodeSettings, _now_ms: Millis) -> Self {
+        let mut domains: Vec<_> = settings
+            .vms
+            .values()
+            .map(|peer| peer.failure_domain.clone())
+            .collect();
+        domains.sort();
+        domains.dedup();
+        // The upper bits of a Fibonacci hash spread consecutive seeds; 31 bits keep it positive.
+        let life = settings.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33;
+        Self {
+            life,
+            next_number: 0,
+            waiting: SortedVec::new(),
+            by_submission: SortedVec::new(),
+            by_connection: SortedVec::new(),
+            inquiries: SortedVec::new(),
+            results: SortedVec::new(),
+            reports: SortedVec::new(),
+            drains: SortedVec::new(),
+            told: SortedVec::new(),
+            leader_seen_ms: SortedVec::new(),
+            retry_budget: RETRY_BUDGET_MAX / 2,
+            domains,
+        }
+    }
+
+    /// Returns a number that no other life of this VM uses.
+    fn number(&mut self) -> u64 {
+        self.next_number += 1;
+        (self.life << 32) | self.next_number
+    }
+
+    /// Returns the home of a key: the domain that it names, or one chosen by its hash.
+    pub fn home(&self, key: &IdempotencyKey) -> FailureDomain {
+        home_domain(&self.domains, key)
+    }
+
+    fn take_retry(&mut self) -> bool {
+        let allowed = self.retry_budget >= RETRY_COST;
+        if allowed {
+            self.retry_budget -= RETRY_COST;
+        }
+        allowed
+    }
+
+    fn earn_retry(&mut self) {
+        self.retry_budget = (self.retry_budget + RETRY_GAIN).min(RETRY_BUDGET_MAX);
+    }
+
+    /// Returns whether a domain has had no ledger leader for longer than an election takes.
+    fn home_unreachable(&self, now_ms: Millis, home: &FailureDomain) -> bool {
+        let seen_ms = self.leader_seen_ms.get(home);
+        seen_ms.is_none_or(|seen_ms| now_ms.saturating_sub(*seen_ms) > NO_LEADER_MS)
+    }
+}
+
+/// Returns the home of a key in a sorted list of domains.
+pub(crate) fn home_domain(domains: &[FailureDomain], key: &IdempotencyKey) -> FailureDomain {
+    let named = domains.iter().find(|domain| {
+        key.as_str()
+            .strip_prefix(domain.as_str())
+            .is_some_and(|rest| rest.starts_with('/'))
+    });
+    if let Some(domain) = named {
+        return domain.clone();
+    }
+    let count = u64::try_from(domains.len()).unwrap_or(u64::MAX).max(1);
+    let chosen = usize::try_from(key.stable_hash() % count).unwrap_or(0);
+    domains[chosen].clone()
+}
+
+pub(crate) fn not_run(reason: Reason) -> Verdict {
+    Verdict::NotRun {
+        reason,
+        retry_after_ms: RETRY_AFTER_MS,
+    }
+}
+
+impl Node {
+    /// Takes a caller's request.
+    pub(crate) fn submit(
+        &mut self,
+        connection: ConnectionId,
+        mut request: Request,
+        io: &mut Io<'_>,
+    ) {
+        let refusal = if self.stop.stopping() {
+            Some(Reason::Stopping)
+        } else if self.tables.version().0 == 0 {
+            Some(Reason::TablesUnavailable)
+        } else {
+            None
+        };
+        if let Some(reason) = refusal {
+            io.reply(connection, Reply::Verdict(not_run(reason)));
+            return;
+        }
+        let Some(route) = self.tables.tables().routes().get(&request.kind) else {
+            io.reply(connection, Reply::Verdict(not_run(Reason::UnknownKind)));
+            return;
+        };
+        if request.time_limit_ms == Millis(0) || request.time_limit_ms > route.time_limit_ms {
+            request.time_limit_ms = route.time_limit_ms;
+        }
+        let waiting = Waiting {
+            connection,
+            effect: route.effect,
+            class: route.class,
+            received_ms: io.now_ms,
+            deadline_ms: io.now_ms.saturating_add(request.time_limit_ms),
+            forward: None,
+            unresolved: false,
+            refused_by: Vec::new(),
+            request,
+        };
+        let id = self.entry.number();
+        self.entry.waiting.insert(id, waiting);
+        self.entry.by_connection.insert(connection, id);
+        self.dispatch(id, io);
+    }
+
+    /// Answers a caller and forgets the request.
+    pub(crate) fn answer_caller(&mut self, id: u64, verdict: Verdict, io: &mut Io<'_>) {
+        let Some(waiting) = self.entry.waiting.remove(&id) else {
+            return;
+        };
+        self.entry.by_connection.remove(&waiting.connection);
+        if let Some(forward) = &waiting.forward {
+            self.entry.by_submission.remove(&forward.submission);
+        }
+        let (name, reason) = match &verdict {
+            Verdict::Ran(_) => {
+                self.entry.earn_retry();
+                ("ran", None)
+            }
+            Verdict::NotRun { reason, .. } => ("not_run", Some(*reason)),
+            Verdict::MayHaveRun { reason } => ("may_have_run", Some(*reason)),
+        };
+        io.observe(Observation::Answered {
+            tenant: waiting.request.tenant,
+            class: waiting.class,
+            verdict: name,
+            reason,
+            total_ms: io.now_ms.saturating_sub(waiting.received_ms),
+        });
+        io.reply(waiting.connection, Reply::Verdict(verdict));
+    }
+
+    /// Forgets a connection that was closed from the other side.
+    pub(crate) fn connection_gone(&mut self, connection: ConnectionId, io: &mut Io<'_>) {
+        self.entry
+            .inquiries
+            .retain(|_, inquiry| inquiry.connection != connection);
+        self.entry
+            .results
+            .retain(|_, result| result.connection != connection);
+        self.operators.connection_gone(connection);
+        let Some(id) = self.entry.by_connection.remove(&connection) else {
+            return;
+        };
+        let Some(waiting) = self.entry.waiting.remove(&id) else {
+            return;
+        };
+        if let Some(forward) = waiting.forward {
+            self.entry.by_submission.remove(&forward.submission);
+            if waiting.effect == RunEffect::Idempotent {
+                // Nobody waits for the answer any more, so a queued request need not run.
+                let message = crate::PeerMessage::Inquire {
+                    inquiry: forward.submission,
+                    domain: forward.domain,
+                    tenant: waiting.request.tenant,
+                    key: waiting.request.key,
+                    cancel: true,
+                };
+                io.send(forward.to, message);
+            }
+        }
+    }
+
+    /// Resends, retries and answers at the time limit.
+    pub(crate) fn tick_entry(&mut self, io: &mut Io<'_>) {
+        for domain in self.entry.domains.clone() {
+            if self.peers.ledger_leader(io.now_ms, &domain).is_some() {
+                self.entry.leader_seen_ms.insert(domain, io.now_ms);
+            }
+        }
+        let ids: Vec<u64> = self.entry.waiting.keys().copied().collect();
+        for id in ids {
+            self.tick_waiting(id, io);
+        }
+        self.tick_inquiries(io);
+        self.tick_results(io);
+    }
+
+    fn tick_waiting(&mut self, id: u64, io: &mut Io<'_>) {
+        let Some(waiting) = self.entry.waiting.get(&id) else {
+            return;
+        };
+        if io.now_ms >= waiting.deadline_ms {
+            let verdict = overdue_verdict(waiting);
+            self.answer_caller(id, verdict, io);
+        } else if waiting.forward.is_some() {
+            self.check_forward(id, io);
+        } else {
+            self.dispatch(id, io);
+        }
+    }
+}
+
+/// Verdict on a request whose time limit has run out on its entry VM.
+fn overdue_verdict(waiting: &Waiting) -> Verdict {
+    if waiting.forward.is_some() || waiting.unresolved {
+        let reason = Reason::TimeLimit;
+        return Verdict::MayHaveRun { reason };
+    }
+    home_verdict(waiting, Reason::TimeLimit)
+}
+
+/// Verdict on a request that was passed on to nobody. An earlier attempt may have run.
+fn home_verdict(waiting: &Waiting, reason: Reason) -> Verdict {
+    if waiting.effect != RunEffect::Idempotent && waiting.request.attempt.0 > 1 {
+        Verdict::MayHaveRun { reason }
+    } else {
+        not_run(reason)
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/forward.rs
@@ -0,0 +1,288 @@
+//! Passing requests on to placers, and their replies.
+
+use acaciareel_types::{
+    Effect as RunEffect, FailureDomain, Millis, PoolName, Reason, Term, Verdict, VmId,
+};
+
+use super::{Forward, NO_LEADER_MS, home_verdict, not_run};
+use crate::{PeerMessage, PoolRoom, io::Io, node::Node};
+
+/// First time after which an unanswered submission is sent again; messages may be lost.
+const FIRST_RESEND_MS: Millis = Millis(1_000);
+const MAX_RESEND_MS: Millis = Millis(8_000);
+/// Time by which a placer's refusal at the time limit arrives before the entry VM gives up.
+const REPLY_MARGIN_MS: Millis = Millis(100);
+
+impl Node {
+    /// Passes a request on, or answers it where no placer can be reached.
+    pub(super) fn dispatch(&mut self, id: u64, io: &mut Io<'_>) {
+        let Some(waiting) = self.entry.waiting.get(&id) else {
+            return;
+        };
+        let (target, home) = if waiting.effect == RunEffect::Idempotent {
+            let target = self.idempotent_target(&waiting.request.kind, &waiting.refused_by, io);
+            (target, None)
+        } else {
+            let home = self.entry.home(&waiting.request.key);
+            let leader = self.peers.ledger_leader(io.now_ms, &home);
+            let target = leader.map(|(vm, term)| (home.clone(), vm, term));
+            (target, Some(home))
+        };
+        match target {
+            Some(target) => self.forward(id, target, io),
+            None => self.no_target(id, home.as_ref(), io),
+        }
+    }
+
+    /// Answers at once where nothing can be expected, otherwise lets the request wait.
+    fn no_target(&mut self, id: u64, home: Option<&FailureDomain>, io: &mut Io<'_>) {
+        let Some(waiting) = self.entry.waiting.get(&id) else {
+            return;
+        };
+        if waiting.unresolved {
+            return;
+        }
+        let hopeless = match home {
+            Some(home) => self.entry.home_unreachable(io.now_ms, home),
+            None => io.now_ms.saturating_sub(waiting.received_ms) > NO_LEADER_MS,
+        };
+        if hopeless {
+            let verdict = home_verdict(waiting, Reason::HomeUnreachable);
+            self.answer_caller(id, verdict, io);
+        }
+    }
+
+    /// Chooses the placer for an idempotent request: that of the own domain if it has room,
+    /// else the one with the most free slots, else one with workers.
+    fn idempotent_target(
+        &self,
+        kind: &acaciareel_types::KindName,
+        refused_by: &[FailureDomain],
+        io: &Io<'_>,
+    ) -> Option<(FailureDomain, VmId, Term)> {
+        let pool = &self.tables.tables().routes().get(kind)?.pool;
+        let own = &self.settings.failure_domain;
+        self.peers
+            .placings(io.now_ms)
+            .filter(|(vm, _)| self.peers.get(*vm).is_some_and(|peer| !peer.stopping))
+            .filter(|(_, placing)| !refused_by.contains(&placing.domain))
+            .max_by_key(|(_, placing)| {
+                let room = room_of(&placing.rooms, pool);
+                let free = room.map_or(0, |room| room.free_slots);
+                let workers = room.map_or(0, |room| room.workers);
+                let is_own = placing.domain == *own;
+                (is_own && free > 0, free, workers > 0, is_own, placing.term)
+            })
+            .map(|(vm, placing)| (placing.domain.clone(), vm, placing.term))
+    }
+
+    fn forward(&mut self, id: u64, target: (FailureDomain, VmId, Term), io: &mut Io<'_>) {
+        let (domain, to, term) = target;
+        let submission = self.entry.number();
+        let incarnation = self.peers.get(to).and_then(|peer| peer.incarnation);
+        let Some(waiting) = self.entry.waiting.get_mut(&id) else {
+            return;
+        };
+        waiting.forward = Some(Forward {
+            to,
+            incarnation,
+            domain,
+            term,
+            submission,
+            next_send_ms: io.now_ms,
+            interval_ms: FIRST_RESEND_MS,
+        });
+        self.entry.by_submission.insert(submission, id);
+        self.send_submission(id, io);
+    }
+
+    fn send_submission(&mut self, id: u64, io: &mut Io<'_>) {
+        let Some(waiting) = self.entry.waiting.get_mut(&id) else {
+            return;
+        };
+        let Some(forward) = &mut waiting.forward else {
+            return;
+        };
+        forward.next_send_ms = io.now_ms.saturating_add(forward.interval_ms);
+        forward.interval_ms = Millis(forward.interval_ms.0 * 2).min(MAX_RESEND_MS);
+        let left = waiting.deadline_ms.saturating_sub(io.now_ms);
+        let margin = REPLY_MARGIN_MS.min(Millis(left.0 / 10));
+        let mut request = waiting.request.clone();
+        request.time_limit_ms = left.saturating_sub(margin).max(Millis(1));
+        let message = PeerMessage::Submit {
+            submission: forward.submission,
+            domain: forward.domain.clone(),
+            term: forward.term,
+            request,
+        };
+        io.send(forward.to, message);
+    }
+
+    /// Resends a submission, or looks for another placer where its placer is gone.
+    pub(super) fn check_forward(&mut self, id: u64, io: &mut Io<'_>) {
+        let Some(waiting) = self.entry.waiting.get(&id) else {
+            return;
+        };
+        let Some(forward) = &waiting.forward else {
+            return;
+        };
+        let restarted = self
+            .peers
+            .get(forward.to)
+            .is_some_and(|peer| peer.incarnation != forward.incarnation);
+        let lost = restarted || self.peers.suspected(io.now_ms, forward.to);
+        if waiting.effect == RunEffect::Idempotent {
+            if lost {
+                self.retry_elsewhere(id, Reason::OwnerLost, io);
+            } else if io.now_ms >= forward.next_send_ms {
+                self.send_submission(id, io);
+            }
+            return;
+        }
+        let leader = self.peers.ledger_leader(io.now_ms, &forward.domain);
+        let replaced = leader.is_some_and(|leader| leader != (forward.to, forward.term));
+        if lost || replaced {
+            self.unforward(id, true);
+            self.dispatch(id, io);
+        } else if io.now_ms >= forward.next_send_ms {
+            self.send_submission(id, io);
+        }
+    }
+
+    /// Takes a request back from its placer, which may have run it if `unresolved` says so.
+    fn unforward(&mut self, id: u64, unresolved: bool) {
+        let Some(waiting) = self.entry.waiting.get_mut(&id) else {
+            return;
+        };
+        waiting.unresolved |= unresolved;
+        if let Some(forward) = waiting.forward.take() {
+            self.entry.by_submission.remove(&forward.submission);
+        }
+    }
+
+    /// Runs an idempotent request again, within the retry budget.
+    fn retry_elsewhere(&mut self, id: u64, reason: Reason, io: &mut Io<'_>) {
+        self.unforward(id, true);
+        if self.entry.take_retry() {
+            self.dispatch(id, io);
+        } else {
+            self.answer_caller(id, Verdict::MayHaveRun { reason }, io);
+        }
+    }
+
+    /// Takes a placer's verdict.
+    pub(crate) fn submit_answered(&mut self, submission: u64, verdict: Verdict, io: &mut Io<'_>) {
+        let Some(id) = self.entry.by_submission.get(&submission).copied() else {
+            return;
+        };
+        let Some(waiting) = self.entry.waiting.get(&id) else {
+            return;
+        };
+        let idempotent = waiting.effect == RunEffect::Idempotent;
+        match verdict {
+            Verdict::MayHaveRun { reason } if idempotent && reason != Reason::Cancelled => {
+                self.retry_elsewhere(id, reason, io);
+            }
+            Verdict::NotRun { reason, .. } if idempotent && worth_elsewhere(reason) => {
+                self.refused_here(id, verdict, io);
+            }
+            // A later leader's ledger holds each earlier `Admit` that will ever be committed, so a
+            // refused `once` request did not run. An `exclusive` one may have ended without an
+            // answer and been withdrawn by the earlier leader.
+            Verdict::NotRun { reason, .. }
+                if waiting.unresolved && waiting.effect != RunEffect::Once =>
+            {
+                self.answer_caller(id, Verdict::MayHaveRun { reason }, io);
+            }
+            verdict => self.answer_caller(id, verdict, io),
+        }
+    }
+
+    /// Tries another domain with room after a refusal; each domain is asked once.
+    fn refused_here(&mut self, id: u64, verdict: Verdict, io: &mut Io<'_>) {
+        let Some(waiting) = self.entry.waiting.get_mut(&id) else {
+            return;
+        };
+        if let Some(forward) = &waiting.forward {
+            waiting.refused_by.push(forward.domain.clone());
+        }
+        let kind = waiting.request.kind.clone();
+        let refused_by = waiting.refused_by.clone();
+        let unresolved = waiting.unresolved;
+        let pool = self.tables.tables().routes().get(&kind).map(|r| &r.pool);
+        let elsewhere = self
+            .idempotent_target(&kind, &refused_by, io)
+            .filter(|(domain, vm, _)| pool.is_some_and(|pool| self.has_room(*vm, domain, pool)));
+        match (elsewhere, verdict) {
+            (Some(target), _) => {
+                self.unforward(id, false);
+                self.forward(id, target, io);
+            }
+            (None, Verdict::NotRun { reason, .. }) if unresolved => {
+                self.answer_caller(id, Verdict::MayHaveRun { reason }, io);
+            }
+            (None, verdict) => self.answer_caller(id, verdict, io),
+        }
+    }
+
+    fn has_room(&self, vm: VmId, domain: &FailureDomain, pool: &PoolName) -> bool {
+        let placing = self.peers.get(vm).map(|peer| &peer.placing);
+        placing
+            .and_then(|placing| placing.iter().find(|p| p.domain == *domain))
+            .and_then(|placing| room_of(&placing.rooms, pool))
+            .is_some_and(|room| room.free_slots > 0)
+    }
+
+    /// The receiver is not the placer that was meant and has done nothing with the submission.
+    pub(crate) fn not_placer(&mut self, from: VmId, submission: u64, io: &mut Io<'_>) {
+        let Some(id) = self.entry.by_submission.get(&submission).copied() else {
+            return;
+        };
+        let Some(forward) = self
+            .entry
+            .waiting
+            .get(&id)
+            .and_then(|waiting| waiting.forward.clone())
+            .filter(|forward| forward.to == from)
+        else {
+            return;
+        };
+        if let Some(peer) = self.peers.get_mut(from) {
+            peer.placing
+                .retain(|p| p.domain != forward.domain || p.term != forward.term);
+        }
+        self.unforward(id, false);
+        self.dispatch(id, io);
+    }
+
+    /// Answers with a refusal everything that waits without having been passed on.
+    pub(crate) fn refuse_unforwarded(&mut self, reason: Reason, io: &mut Io<'_>) {
+        let ids: Vec<u64> = self
+            .entry
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| waiting.forward.is_none() && !waiting.unresolved)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ids {
+            self.answer_caller(id, not_run(reason), io);
+        }
+    }
+}
+
+/// Returns whether another domain may take what this one refused.
+fn worth_elsewhere(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::NoWorkers
+            | Reason::QueueFull
+            | Reason::PredictedWait
+            | Reason::NeverFits
+            | Reason::WorkerRefused
+            | Reason::Stopping
+    )
+}
+
+fn room_of<'a>(rooms: &'a [PoolRoom], pool: &PoolName) -> Option<&'a PoolRoom> {
+    rooms.iter().find(|room| room.pool == *pool)
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,13 +3,27 @@
 //! Drive a [`Node`] with [`Event`]s and carry out its [`Effect`]s in order. The node does no I/O and
 //! reads no clock, so many nodes can run in one process in virtual time.
 
+mod calls;
 mod codec;
 mod command;
 mod effect;
+mod entry;
 mod event;
+mod fallback;
+mod groups;
+mod io;
+mod ledger_state;
 mod message;
 mod node;
+mod operator;
+mod owner;
+mod peers;
+mod placer;
 mod settings;
+mod stop;
+mod submissions;
+mod tables_state;
+mod worker;
 
 pub use crate::{
     command::{
@@ -23,4 +37,5 @@
     message::{GroupId, PeerMessage, Placing, PoolRoom, TablesReply, WorkerCall},
     node::Node,
     settings::{NodeRestored, NodeSettings, PeerSettings, RestoredGroup},
+    worker::{Active, Draining, Joining, StartPermit, Worker},
 };
--- /dev/null
+++ b/crates/node/src/operator.rs
@@ -0,0 +1,256 @@
+//! Operators: changes of the tables, inquiries, drains.
+
+use acaciareel_consensus::Input;
+use acaciareel_types::{
+    Millis, OperationId, RawTables, SortedVec, TableVersion, Tables, VmId, WorkerId,
+};
+
+use crate::{
+    ConnectionId, Event, GroupId, OperatorReply, PeerMessage, Reply, TablesCommand, TablesReply,
+    VmStatus, io::Io, node::Node,
+};
+
+const RESEND_MS: Millis = Millis(500);
+/// Time after which an operator is told that the outcome is unknown; it covers several elections.
+const GIVE_UP_MS: Millis = Millis(10_000);
+
+/// A change that an operator on this VM waits for.
+#[derive(Debug)]
+struct WaitingApply {
+    connection: ConnectionId,
+    operation: OperationId,
+    expected_version: TableVersion,
+    tables: RawTables,
+    next_send_ms: Millis,
+    give_up_ms: Millis,
+}
+
+/// Changes on their way: of operators on this VM, and at the leader of other VMs.
+#[derive(Debug, Default)]
+pub(crate) struct Operators {
+    waiting: SortedVec<u64, WaitingApply>,
+    next: u64,
+    /// VMs that wait for the commit of an operation, with their numbers.
+    proposed: SortedVec<OperationId, Vec<(VmId, u64)>>,
+}
+
+impl Operators {
+    pub fn connection_gone(&mut self, connection: ConnectionId) {
+        self.waiting
+            .retain(|_, waiting| waiting.connection != connection);
+    }
+
+    pub fn is_idle(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
+
+impl Node {
+    pub(crate) fn operator_event(&mut self, event: Event, io: &mut Io<'_>) {
+        let (connection, reply) = match event {
+            Event::Apply {
+                connection,
+                operation,
+                expected_version,
+                tables,
+            } => {
+                return self.apply(connection, operation, expected_version, tables, io);
+            }
+            Event::ShowTables { connection } => {
+                let version = self.tables.version();
+                let tables = self.tables.tables().clone();
+                (connection, OperatorReply::Tables { version, tables })
+            }
+            Event::ShowHistory { connection } => {
+                (connection, OperatorReply::History(self.tables.history()))
+            }
+            Event::ShowVms { connection } => {
+                (connection, OperatorReply::Vms(self.vm_statuses(io.now_ms)))
+            }
+            Event::ShowWorkers { connection } => {
+                let workers = self.worker_statuses(io.now_ms);
+                (connection, OperatorReply::Workers(workers))
+            }
+            Event::Drain { connection, worker } => {
+                let known = self.drain(&worker, io);
+                (connection, OperatorReply::Drained(known))
+            }
+            _ => return,
+        };
+        io.reply(connection, Reply::Operator(reply));
+    }
+
+    fn vm_statuses(&self, now_ms: Millis) -> Vec<VmStatus> {
+        let statuses = self.peers.iter().map(|(vm, peer)| VmStatus {
+            vm,
+            failure_domain: peer.domain.clone(),
+            incarnation: peer.incarnation,
+            reachable: !self.peers.suspected(now_ms, vm),
+            stopping: peer.stopping,
+            tables_version: peer.tables_version,
+            placer: !peer.placing.is_empty(),
+        });
+        statuses.collect()
+    }
+
+    /// Takes a worker out of service on every VM, since each may become its placer.
+    fn drain(&mut self, worker: &WorkerId, io: &mut Io<'_>) -> bool {
+        let known = self.entry.reports.contains_key(worker)
+            || self.placers.values().any(|placer| placer.knows(worker));
+        for vm in self.peers.others() {
+            let worker = worker.clone();
+            io.send(vm, PeerMessage::Drain { worker });
+        }
+        self.drain_received(worker, io);
+        known
+    }
+
+    pub(crate) fn drain_received(&mut self, worker: &WorkerId, io: &mut Io<'_>) {
+        let cached = self.entry.reports.get(worker);
+        let incarnation = cached.map(|cached| cached.report.incarnation);
+        self.entry.drains.insert(worker.clone(), incarnation);
+        for domain in self.placer_domains() {
+            self.with_placer(&domain, io, |placer, site| placer.drain(site, worker));
+        }
+    }
+
+    /// Takes an operator's change; wrong tables are refused before they travel.
+    fn apply(
+        &mut self,
+        connection: ConnectionId,
+        operation: OperationId,
+        expected_version: TableVersion,
+        tables: RawTables,
+        io: &mut Io<'_>,
+    ) {
+        let refusal = match Tables::try_from(&tables) {
+            Err(error) => Some(TablesReply::Invalid(error.to_string())),
+            Ok(_) if self.stop.stopping() => Some(TablesReply::Unavailable),
+            Ok(_) => None,
+        };
+        if let Some(refusal) = refusal {
+            io.reply(connection, Reply::Operator(OperatorReply::Applied(refusal)));
+            return;
+        }
+        self.operators.next += 1;
+        let number = (self.entry.life << 32) | self.operators.next;
+        let waiting = WaitingApply {
+            connection,
+            operation,
+            expected_version,
+            tables,
+            next_send_ms: io.now_ms,
+            give_up_ms: io.now_ms.saturating_add(GIVE_UP_MS),
+        };
+        self.operators.waiting.insert(number, waiting);
+        self.send_apply(number, io);
+    }
+
+    /// Sends a change to the tables leader; a copy has the same operation and is harmless.
+    fn send_apply(&mut self, number: u64, io: &mut Io<'_>) {
+        let leader = self.groups.get(&GroupId::Tables);
+        let leader = leader.and_then(|group| group.replica.leader());
+        let Some(waiting) = self.operators.waiting.get_mut(&number) else {
+            return;
+        };
+        let Some(leader) = leader else {
+            return;
+        };
+        waiting.next_send_ms = io.now_ms.saturating_add(RESEND_MS);
+        let message = PeerMessage::Apply {
+            submission: number,
+            operation: waiting.operation.clone(),
+            expected_version: waiting.expected_version,
+            tables: waiting.tables.clone(),
+        };
+        io.send(leader, message);
+    }
+
+    /// Proposes a change as the tables leader. Other replicas stay silent: the sender tries again.
+    pub(crate) fn apply_received(
+        &mut self,
+        sender: (VmId, u64),
+        operation: OperationId,
+        expected_version: TableVersion,
+        tables: &RawTables,
+        io: &mut Io<'_>,
+    ) {
+        if !self.groups.leads(&GroupId::Tables) {
+            return;
+        }
+        if let Some(reply) = self.tables.answered(&operation) {
+            let submission = sender.1;
+            io.send(sender.0, PeerMessage::ApplyReply { submission, reply });
+            return;
+        }
+        let tables = match Tables::try_from(tables) {
+            Ok(tables) => tables,
+            Err(error) => {
+                let reply = TablesReply::Invalid(error.to_string());
+                let submission = sender.1;
+                io.send(sender.0, PeerMessage::ApplyReply { submission, reply });
+                return;
+            }
+        };
+        let proposed = self
+            .operators
+            .proposed
+            .get_or_insert_with(operation.clone(), Vec::new);
+        if !proposed.contains(&sender) {
+            proposed.push(sender);
+        }
+        let command = TablesCommand::Apply {
+            operation,
+            expected_version,
+            tables,
+        };
+        let command = command.to_bytes().into();
+        let events = self
+            .groups
+            .drive(&GroupId::Tables, Input::Propose { command }, io);
+        self.group_events(&GroupId::Tables, events, io);
+    }
+
+    /// Applies a committed change; the leader that proposed it answers.
+    pub(crate) fn tables_committed(&mut self, command: TablesCommand, io: &mut Io<'_>) {
+        let before = self.tables.version();
+        let (operation, reply) = self.tables.apply(command);
+        if self.tables.version() != before {
+            self.tables_in_force(io);
+        }
+        let waiting = self.operators.proposed.remove(&operation);
+        for (vm, submission) in waiting.unwrap_or_default() {
+            let reply = reply.clone();
+            io.send(vm, PeerMessage::ApplyReply { submission, reply });
+        }
+    }
+
+    pub(crate) fn apply_answered(&mut self, number: u64, reply: TablesReply, io: &mut Io<'_>) {
+        if let Some(waiting) = self.operators.waiting.remove(&number) {
+            let reply = Reply::Operator(OperatorReply::Applied(reply));
+            io.reply(waiting.connection, reply);
+        }
+    }
+
+    pub(crate) fn tick_operators(&mut self, io: &mut Io<'_>) {
+        if !self.groups.leads(&GroupId::Tables) {
+            // The senders ask the next leader, which knows the outcome or proposes again.
+            self.operators.proposed.clear();
+        }
+        let now_ms = io.now_ms;
+        let due: Vec<(u64, bool)> = self
+            .operators
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| now_ms >= waiting.next_send_ms)
+            .map(|(number, waiting)| (*number, now_ms >= waiting.give_up_ms))
+            .collect();
+        for (number, overdue) in due {
+            if overdue {
+                self.apply_answered(number, TablesReply::Unavailable, io);
+            } else {
+                self.send_apply(number, io);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner.rs
@@ -0,0 +1,44 @@
+//! Task identifiers and the owner that each one names.
+
+use acaciareel_types::{FailureDomain, Incarnation, TaskId, Term, VmId};
+
+/// Who records the result of a task.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum TaskOwner {
+    /// The ledger of a failure domain.
+    Ledger(FailureDomain),
+    /// One life of a VM, for idempotent requests.
+    Vm(VmId, Incarnation),
+}
+
+/// Returns the identifier of a ledgered task, or `None` where the domain's name is too long.
+pub(crate) fn ledger_task(
+    domain: &FailureDomain,
+    term: Term,
+    job: u64,
+    index: usize,
+) -> Option<TaskId> {
+    format!("l/{domain}/{term}-{job}-{index}").parse().ok()
+}
+
+/// Returns the identifier of a task of an idempotent request.
+pub(crate) fn vm_task(vm: VmId, incarnation: Incarnation, number: u64) -> TaskId {
+    format!("v/{}/{incarnation}/{number}", vm.0)
+        .parse()
+        .expect("digits and slashes form a valid identifier")
+}
+
+impl TaskOwner {
+    /// Reads the owner from a task identifier.
+    pub fn of(task: &TaskId) -> Option<Self> {
+        let text = task.as_str();
+        if let Some(rest) = text.strip_prefix("l/") {
+            let (domain, _) = rest.rsplit_once('/')?;
+            return domain.parse().ok().map(Self::Ledger);
+        }
+        let mut parts = text.strip_prefix("v/")?.split('/');
+        let vm = parts.next()?.parse().ok()?;
+        let incarnation = parts.next()?.parse().ok()?;
+        Some(Self::Vm(VmId(vm), Incarnation(incarnation)))
+    }
+}
--- /dev/null
+++ b/crates/node/src/placer/cancel.rs
@@ -0,0 +1,133 @@
+//! Inquiries after requests and their cancellation, at the placer.
+
+use acaciareel_scheduler::{Cancelled, JobId};
+use acaciareel_types::{FailureDomain, Millis, Reason, VmId};
+
+use super::{Mode, Owner, Placer, Site, Stage, TaskState};
+use crate::{
+    LedgerCommand, LedgerState, RequestKey, RequestState,
+    io::Io,
+    node::Node,
+    submissions::{Seen, Submitter},
+};
+
+impl Node {
+    /// Answers an inquiry as the placer of a domain. Others stay silent: the sender asks again.
+    pub(crate) fn inquiry_received(
+        &mut self,
+        (vm, inquiry): (VmId, u64),
+        domain: &FailureDomain,
+        key: &RequestKey,
+        cancel: bool,
+        io: &mut Io<'_>,
+    ) {
+        let submitter = Submitter {
+            vm,
+            submission: inquiry,
+        };
+        if let Seen::Pending(domain, job) = self.submissions.look_up(submitter) {
+            self.with_placer(&domain, io, |placer, site| placer.abandon(site, job));
+            return;
+        }
+        self.with_placer(domain, io, |placer, site| {
+            if matches!(placer.mode, Mode::Ledger { .. }) {
+                placer.inquired(site, (vm, inquiry), key, cancel);
+            }
+        });
+    }
+}
+
+impl Placer {
+    fn inquired(
+        &mut self,
+        site: &mut Site<'_, '_>,
+        inquirer: (VmId, u64),
+        key: &RequestKey,
+        cancel: bool,
+    ) {
+        let record = site.ledger.and_then(|ledger| ledger.get(key));
+        let job = self.by_key.get(key).copied();
+        let state = match record.map(|record| &record.state) {
+            Some(LedgerState::Finished { answer, .. }) => RequestState::Finished(answer.clone()),
+            Some(LedgerState::Lost { .. }) => RequestState::Lost,
+            Some(LedgerState::Running(_)) => RequestState::Running,
+            Some(LedgerState::Waiting) => RequestState::Waiting,
+            None if job.is_some() => RequestState::Waiting,
+            None => RequestState::Unknown,
+        };
+        match job.filter(|_| cancel) {
+            Some(job) => self.cancel_ledgered(site, inquirer, job),
+            None => site.answer_inquiry(inquirer, state),
+        }
+    }
+
+    fn cancel_ledgered(&mut self, site: &mut Site<'_, '_>, inquirer: (VmId, u64), id: JobId) {
+        let now_ms = site.now_ms();
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let Owner::Ledger { key, inquirers, .. } = &mut job.owner else {
+            return;
+        };
+        if !inquirers.contains(&inquirer) {
+            inquirers.push(inquirer);
+        }
+        let key = key.clone();
+        if job.cancelled {
+            return;
+        }
+        job.cancelled = true;
+        match job.stage {
+            Stage::Queued => {
+                if self.scheduler.cancel(now_ms, id) == Cancelled::Waiting {
+                    self.refuse_queued(site, id, Reason::Cancelled, Millis(0));
+                }
+            }
+            // `Return` leads to `Withdraw`, `Withdraw` and `Lose` end the job: all answer.
+            Stage::Ending => {}
+            Stage::Placed => {
+                let sent = job.tasks.iter().any(|task| {
+                    !matches!(
+                        task.state,
+                        TaskState::Committing | TaskState::Unsent | TaskState::NeverRan
+                    )
+                });
+                if sent {
+                    self.propose(site, LedgerCommand::Cancel { key });
+                    self.stop_running(site, id);
+                }
+            }
+        }
+    }
+
+    fn stop_running(&mut self, site: &mut Site<'_, '_>, id: JobId) {
+        let count = self.jobs.get(&id).map_or(0, |job| job.tasks.len());
+        for index in 0..count {
+            let state = self.jobs.get(&id).map(|job| job.tasks[index].state);
+            if matches!(
+                state,
+                Some(TaskState::Running { .. } | TaskState::Delegated)
+            ) {
+                self.stop_task(site, id, index);
+            }
+        }
+    }
+
+    /// The caller of an idempotent request is gone: a queued one need not run.
+    fn abandon(&mut self, site: &mut Site<'_, '_>, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if !matches!(job.owner, Owner::Direct(_)) {
+            return;
+        }
+        job.cancelled = true;
+        if job.stage == Stage::Queued
+            && self.scheduler.cancel(site.now_ms(), id) == Cancelled::Waiting
+        {
+            self.refuse_queued(site, id, Reason::Cancelled, Millis(0));
+        } else {
+            self.stop_running(site, id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/placer/lease.rs
@@ -0,0 +1,230 @@
+//! Placement leases: claims of workers with fencing tokens, their renewal and loss.
+
+use acaciareel_types::{FencingToken, Millis, TaskId, WorkerId, WorkerReport};
+
+use super::{Mode, Placer, Site};
+use crate::{
+    CallId, WorkerCall, WorkerReply,
+    calls::{Call, Purpose},
+    io::Io,
+    node::Node,
+    worker::AnyWorker,
+};
+
+/// Interval of renewals for up to 100 workers; beyond, it grows so that their number per second
+/// stays at 100.
+const RENEW_MS: u64 = 1_000;
+const MAX_RENEW_MS: u64 = 4_000;
+/// Length of a lease in renewal intervals.
+const LEASE_INTERVALS: u64 = 3;
+/// Time after which a claim without a reply is repeated.
+const CLAIM_TIMEOUT_MS: Millis = Millis(1_000);
+/// Silence after which a worker is not called any more, so that its task lease runs out.
+const SILENT_MS: Millis = Millis(5_000);
+/// A worker that hears from no placer for 10,000 ms stops its tasks; 2,000 ms more cover delays.
+pub(super) const TASKS_ENDED_MS: Millis = Millis(12_000);
+
+impl Node {
+    /// Takes a worker's reply to a call.
+    pub(crate) fn worker_replied(&mut self, id: CallId, reply: WorkerReply, io: &mut Io<'_>) {
+        let Some(call) = self.calls.take(id) else {
+            return;
+        };
+        let domain = call.domain.clone();
+        self.with_placer(&domain, io, |placer, site| {
+            if placer.life == call.life {
+                placer.replied(site, &call, reply);
+            }
+        });
+    }
+}
+
+impl Placer {
+    fn replied(&mut self, site: &mut Site<'_, '_>, call: &Call, reply: WorkerReply) {
+        match (&call.purpose, reply) {
+            (Purpose::Start(task), reply) => {
+                let task = task.clone();
+                self.start_replied(site, call, &task, reply);
+            }
+            (
+                Purpose::Lease,
+                WorkerReply::Leased {
+                    report,
+                    unacknowledged,
+                },
+            ) => self.leased(site, call, report, unacknowledged),
+            (Purpose::Lease, WorkerReply::StaleToken(held)) => {
+                self.claim_ended(&call.worker);
+                self.token_refused(&call.worker, held, site.now_ms());
+            }
+            (Purpose::Lease, _) => self.claim_ended(&call.worker),
+            (Purpose::Other, _) => {}
+        }
+    }
+
+    fn claim_ended(&mut self, worker: &WorkerId) {
+        if let Some(registered) = self.workers.get_mut(worker) {
+            registered.claim_sent_ms = None;
+        }
+    }
+
+    fn renew_ms(&self) -> u64 {
+        let workers = u64::try_from(self.workers.len()).unwrap_or(u64::MAX);
+        workers.saturating_mul(10).clamp(RENEW_MS, MAX_RENEW_MS)
+    }
+
+    /// Claims or renews one worker if that is due.
+    pub(super) fn claim_if_due(&mut self, site: &mut Site<'_, '_>, worker: &WorkerId) {
+        let leads = site.holds_lease || self.mode == Mode::Fallback;
+        let interval = self.renew_ms();
+        let Some(registered) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let now_ms = site.io.now_ms;
+        let outstanding = registered
+            .claim_sent_ms
+            .is_some_and(|sent_ms| now_ms.saturating_sub(sent_ms) < CLAIM_TIMEOUT_MS);
+        let silent = now_ms.saturating_sub(registered.heard_ms) > SILENT_MS;
+        if !leads || outstanding || silent || now_ms < registered.next_claim_ms {
+            return;
+        }
+        registered.next_claim_ms = now_ms.saturating_add(Millis(interval));
+        registered.claim_sent_ms = Some(now_ms);
+        registered.called_ms = now_ms;
+        let request = WorkerCall::Lease {
+            token: registered.token,
+            holder: site.vm,
+            ttl_ms: Millis(interval * LEASE_INTERVALS),
+        };
+        let address = registered.worker.report().address;
+        let call = site.calls.add(Call {
+            domain: self.domain.clone(),
+            life: self.life,
+            worker: worker.clone(),
+            token: registered.token,
+            sent_ms: now_ms,
+            purpose: Purpose::Lease,
+        });
+        site.io.call(call, worker, address, request);
+    }
+
+    /// Takes a worker's confirmation of a claim.
+    fn leased(
+        &mut self,
+        site: &mut Site<'_, '_>,
+        call: &Call,
+        report: WorkerReport,
+        unacknowledged: Vec<TaskId>,
+    ) {
+        let now_ms = site.now_ms();
+        let valid_ms = Millis(self.renew_ms() * LEASE_INTERVALS);
+        let valid_until_ms = call.sent_ms.saturating_add(valid_ms);
+        let Some(registered) = self.workers.get_mut(&call.worker) else {
+            return;
+        };
+        registered.claim_sent_ms = None;
+        let known = registered.worker.report();
+        let stale = report.incarnation == known.incarnation && report.sequence < known.sequence;
+        if call.token < registered.token || stale {
+            registered.next_claim_ms = now_ms;
+            return;
+        }
+        let restarted = report.incarnation != known.incarnation;
+        if restarted {
+            self.suspend(site, &call.worker);
+        }
+        let leaving = report.leaving || Self::is_drained(site.drains, &report);
+        let Some(registered) = self.workers.remove(&call.worker) else {
+            return;
+        };
+        let mut listed: Vec<TaskId> = report.running.iter().map(|r| r.task.clone()).collect();
+        listed.extend(unacknowledged);
+        let active = registered
+            .worker
+            .joining()
+            .confirm(report.clone(), call.token, valid_until_ms);
+        let registered = super::Registered {
+            worker: AnyWorker::Active(active),
+            heard_ms: now_ms,
+            listed,
+            confirmed: true,
+            ..registered
+        };
+        self.workers.insert(call.worker.clone(), registered);
+        self.reconcile(site, call, &report, restarted);
+        self.report_to_scheduler(site, &report);
+        if leaving {
+            self.worker_leaving(site, &call.worker);
+        }
+        self.due = true;
+    }
+
+    /// The worker refuses this placer's token.
+    pub(super) fn token_refused(&mut self, worker: &WorkerId, held: FencingToken, now_ms: Millis) {
+        let mode = self.mode;
+        let Some(registered) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let next = FencingToken(held.0.saturating_add(1));
+        match mode {
+            // A token of a later term belongs to another leader; this one is about to end.
+            Mode::Ledger { term } if held.0 >> 16 > term.0 => {
+                registered.next_claim_ms = now_ms.saturating_add(Millis(RENEW_MS));
+            }
+            Mode::Ledger { .. } | Mode::Fallback => {
+                registered.token = registered.token.max(next);
+                registered.next_claim_ms = registered.next_claim_ms.min(now_ms.saturating_add(Millis(200)));
+            }
+        }
+    }
+
+    /// Claims a worker anew with a higher token, which fences off calls of unknown fate.
+    pub(super) fn reclaim(&mut self, worker: &WorkerId, now_ms: Millis) {
+        if let Some(registered) = self.workers.get_mut(worker) {
+            registered.token = FencingToken(registered.token.0.saturating_add(1));
+            registered.claim_sent_ms = None;
+            registered.next_claim_ms = now_ms;
+        }
+    }
+
+    /// Renews leases, gives up those that ran out, and notices lost workers.
+    pub(super) fn tick_leases(&mut self, site: &mut Site<'_, '_>) {
+        let now_ms = site.now_ms();
+        let workers: Vec<WorkerId> = self.workers.keys().cloned().collect();
+        for worker in workers {
+            let Some(registered) = self.workers.get(&worker) else {
+                continue;
+            };
+            let confirmed = registered.worker.token().is_some();
+            let silent_ms = now_ms.saturating_sub(registered.heard_ms);
+            let uncalled_ms = now_ms.saturating_sub(registered.called_ms.max(self.ready_ms));
+            if confirmed && now_ms >= registered.worker.valid_until_ms() {
+                self.suspend(site, &worker);
+            }
+            if silent_ms > SILENT_MS && uncalled_ms >= TASKS_ENDED_MS {
+                self.worker_lost(site, &worker);
+            } else {
+                self.claim_if_due(site, &worker);
+            }
+        }
+        self.tick_recovering(site);
+    }
+
+    /// Gives up a worker's claim: its free capacity is unknown until it is confirmed again.
+    pub(super) fn suspend(&mut self, site: &mut Site<'_, '_>, worker: &WorkerId) {
+        let Some(registered) = self.workers.remove(worker) else {
+            return;
+        };
+        let scheduled = registered.scheduled;
+        let registered = super::Registered {
+            worker: AnyWorker::Joining(registered.worker.joining()),
+            scheduled: false,
+            ..registered
+        };
+        self.workers.insert(worker.clone(), registered);
+        if scheduled {
+            self.scheduler.forget_worker(site.now_ms(), worker);
+        }
+        self.tasks_unreachable(site, worker);
+    }
+}
--- /dev/null
+++ b/crates/node/src/placer/recovery.rs
@@ -0,0 +1,314 @@
+//! Fate of running tasks after a change of placer, a worker's restart or its loss.
+
+use acaciareel_scheduler::{EndKind, Job as QueuedJob, JobId, Placement};
+use acaciareel_types::{FencingToken, Incarnation, Resources, TaskId, WorkerId, WorkerReport};
+
+use super::{
+    Job, Location, Owner, Placer, Site, Stage, Task, TaskState, jobs::recorded_job,
+    lease::TASKS_ENDED_MS, task_key,
+};
+use crate::{LedgerRecord, LedgerState, RequestKey, StartedOn, calls::Call};
+
+impl Placer {
+    /// Takes over the records of the ledger.
+    pub(super) fn recover_records(&mut self, site: &mut Site<'_, '_>) {
+        let Some(ledger) = site.ledger else {
+            return;
+        };
+        if self.mode == super::Mode::Fallback {
+            return;
+        }
+        for (key, record) in ledger.iter() {
+            match &record.state {
+                LedgerState::Waiting | LedgerState::Running(_) => {
+                    self.recover_record(site, key, record);
+                }
+                LedgerState::Finished { .. } | LedgerState::Lost { .. } => {}
+            }
+        }
+    }
+
+    fn recover_record(
+        &mut self,
+        site: &mut Site<'_, '_>,
+        key: &RequestKey,
+        record: &LedgerRecord,
+    ) {
+        let mut job = recorded_job(site, key, record);
+        let id = job.id;
+        self.by_key.insert(key.clone(), id);
+        if let LedgerState::Running(tasks) = &record.state {
+            job.stage = Stage::Placed;
+            job.tasks = tasks
+                .iter()
+                .map(|started| recovering_task(site, started))
+                .collect();
+            for task in &job.tasks {
+                self.by_task.insert(task.id.clone(), id);
+            }
+            self.jobs.insert(id, job);
+            return;
+        }
+        let queued = self.queue(site, &job, true);
+        self.jobs.insert(id, job);
+        if let Err(refusal) = queued {
+            self.refuse_queued(site, id, refusal.reason, refusal.retry_after_ms);
+        }
+    }
+
+    /// Returns the unsettled tasks that run on a worker.
+    fn tasks_on(&self, worker: &WorkerId) -> Vec<(JobId, usize, Incarnation)> {
+        let mut found = Vec::new();
+        for (id, job) in self.jobs.iter() {
+            for (index, task) in job.tasks.iter().enumerate() {
+                if let Location::Worker {
+                    worker: on,
+                    incarnation,
+                } = &task.location
+                    && on == worker
+                    && !task.state.settled()
+                {
+                    found.push((*id, index, *incarnation));
+                }
+            }
+        }
+        found
+    }
+
+    /// Compares the recorded tasks with a worker's reply to a claim.
+    pub(super) fn reconcile(
+        &mut self,
+        site: &mut Site<'_, '_>,
+        call: &Call,
+        report: &WorkerReport,
+        restarted: bool,
+    ) {
+        if restarted {
+            self.worker_restarted(site, &call.worker);
+        }
+        for (id, index, incarnation) in self.tasks_on(&call.worker) {
+            if incarnation == report.incarnation {
+                self.reconcile_task(site, call, report, id, index);
+            } else {
+                self.fate_unknown(site, id, index);
+            }
+        }
+    }
+
+    fn reconcile_task(
+        &mut self,
+        site: &mut Site<'_, '_>,
+        call: &Call,
+        report: &WorkerReport,
+        id: JobId,
+        index: usize,
+    ) {
+        let Some(registered) = self.workers.get(&call.worker) else {
+            return;
+        };
+        let Some(task) = self.jobs.get(&id).map(|job| &job.tasks[index]) else {
+            return;
+        };
+        let listed = registered.listed.contains(&task.id);
+        let fenced = task.token < call.token;
+        match task.state {
+            TaskState::Recovering | TaskState::Uncertain if listed => {
+                self.set_running(site, id, index, call);
+                self.adopt(site, id, index, report);
+                self.stop_if_cancelled(site, id, index);
+            }
+            // The worker keeps each result until it is acknowledged, and each acknowledged result
+            // is in the ledger. So it never had this task, and refuses it from now on.
+            TaskState::Recovering | TaskState::Uncertain if fenced => {
+                self.never_ran(site, id, index);
+                self.settle(site, id);
+            }
+            TaskState::Running { .. } if listed => {
+                self.adopt(site, id, index, report);
+            }
+            TaskState::Running { accepted_ms } if accepted_ms < call.sent_ms => {
+                self.fate_unknown(site, id, index);
+            }
+            _ => {}
+        }
+    }
+
+    fn set_running(&mut self, site: &Site<'_, '_>, id: JobId, index: usize, call: &Call) {
+        let accepted_ms = site.now_ms();
+        if let Some(task) = self.task_mut(task_key(id, index)) {
+            task.state = TaskState::Running { accepted_ms };
+            task.token = call.token;
+        }
+    }
+
+    /// Lets the scheduler hold room for a task that a worker lists as running.
+    fn adopt(&mut self, site: &Site<'_, '_>, id: JobId, index: usize, report: &WorkerReport) {
+        let key = task_key(id, index);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        // The scheduler adopts whole jobs. The tasks of a gang hold room as reported ones.
+        let single = job.tasks.len() == 1;
+        let task = &mut job.tasks[index];
+        let running = report.running.iter().find(|run| run.task == task.id);
+        let Some(running) = running.filter(|_| !task.scheduled && single) else {
+            return;
+        };
+        task.scheduled = true;
+        task.reserved = running.reserved;
+        let placement = Placement {
+            task: key,
+            worker: report.worker.clone(),
+            reserved: running.reserved,
+        };
+        let queued = QueuedJob {
+            id,
+            kind: job.request.kind.clone(),
+            tenant: job.request.tenant.clone(),
+            deadline_ms: job.deadline_ms,
+            earlier_attempts: job.tries,
+            accepted: true,
+        };
+        self.scheduler.adopt(site.now_ms(), queued, vec![placement]);
+    }
+
+    /// Tells the scheduler of a worker, with the running tasks that it did not place itself.
+    pub(super) fn report_to_scheduler(&mut self, site: &Site<'_, '_>, report: &WorkerReport) {
+        let mut report = report.clone();
+        report.running.retain(|running| {
+            let job = self.by_task.get(&running.task);
+            let job = job.and_then(|id| self.jobs.get(id));
+            !job.is_some_and(|job| {
+                let mut tasks = job.tasks.iter();
+                tasks.any(|task| task.id == running.task && task.scheduled)
+            })
+        });
+        self.scheduler.report_worker(site.now_ms(), &report);
+        if let Some(registered) = self.workers.get_mut(&report.worker) {
+            registered.scheduled = true;
+        }
+    }
+
+    /// A worker has lost its tasks by a restart: what it ran has ended.
+    pub(super) fn worker_restarted(&mut self, site: &mut Site<'_, '_>, worker: &WorkerId) {
+        let now = self.incarnation_of(worker);
+        for (id, index, incarnation) in self.tasks_on(worker) {
+            if incarnation != now {
+                self.fate_unknown(site, id, index);
+            }
+        }
+    }
+
+    /// A worker's task lease has run out: what it ran has ended.
+    pub(super) fn worker_lost(&mut self, site: &mut Site<'_, '_>, worker: &WorkerId) {
+        self.suspend(site, worker);
+        self.workers.remove(worker);
+        for (id, index, _) in self.tasks_on(worker) {
+            self.fate_unknown(site, id, index);
+        }
+    }
+
+    /// A task has certainly ended, without an answer, and may have run.
+    fn fate_unknown(&mut self, site: &mut Site<'_, '_>, id: JobId, index: usize) {
+        let state = self.jobs.get(&id).map(|job| job.tasks[index].state);
+        match state {
+            Some(TaskState::Finishing | TaskState::Committing) | None => return,
+            Some(TaskState::Unsent) => self.never_ran(site, id, index),
+            Some(_) => self.end_task(site, id, index, TaskState::Gone, EndKind::Lost),
+        }
+        self.settle(site, id);
+    }
+
+    /// A worker cannot be reached now: idempotent work is run elsewhere at once.
+    pub(super) fn tasks_unreachable(&mut self, site: &mut Site<'_, '_>, worker: &WorkerId) {
+        for (id, index, _) in self.tasks_on(worker) {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            // The scheduler has forgotten the worker with all its tasks.
+            job.tasks[index].scheduled = false;
+            if matches!(job.owner, Owner::Direct(_)) {
+                self.fate_unknown(site, id, index);
+            }
+        }
+    }
+
+    /// Gives up recorded tasks on workers that never announced themselves to this placer.
+    pub(super) fn tick_recovering(&mut self, site: &mut Site<'_, '_>) {
+        if site.now_ms().saturating_sub(self.ready_ms) < TASKS_ENDED_MS {
+            return;
+        }
+        let unknown: Vec<(JobId, usize)> = self
+            .jobs
+            .iter()
+            .flat_map(|(id, job)| job.tasks.iter().enumerate().map(|(i, t)| (*id, i, t)))
+            .filter(|(_, _, task)| self.is_unclaimed(task))
+            .map(|(id, index, _)| (id, index))
+            .collect();
+        for (id, index) in unknown {
+            self.fate_unknown(site, id, index);
+        }
+    }
+
+    fn is_unclaimed(&self, task: &Task) -> bool {
+        match &task.location {
+            Location::Worker { worker, .. } => {
+                task.state == TaskState::Recovering && !self.workers.contains_key(worker)
+            }
+            Location::Domain { .. } => false,
+        }
+    }
+
+    pub(super) fn stop_if_cancelled(
+        &mut self,
+        site: &mut Site<'_, '_>,
+        id: JobId,
+        index: usize,
+    ) {
+        if self.jobs.get(&id).is_some_and(|job: &Job| job.cancelled) {
+            self.stop_task(site, id, index);
+        }
+    }
+}
+
+fn recovering_task(site: &Site<'_, '_>, started: &crate::StartedTask) -> Task {
+    let location = match &started.on {
+        StartedOn::Worker {
+            worker,
+            incarnation,
+        } => Location::Worker {
+            worker: worker.clone(),
+            incarnation: *incarnation,
+        },
+        StartedOn::Domain(domain) => Location::Domain {
+            domain: domain.clone(),
+            term: None,
+            next_send_ms: site.now_ms(),
+        },
+    };
+    let state = match (&started.answer, &location) {
+        (Some(_), _) => TaskState::Answered,
+        (None, Location::Worker { .. }) => TaskState::Recovering,
+        (None, Location::Domain { .. }) => TaskState::Delegated,
+    };
+    Task {
+        id: started.task.clone(),
+        location,
+        state,
+        reserved: Resources::default(),
+        token: FencingToken(0),
+        placed_ms: site.now_ms(),
+        scheduled: false,
+        stopped: false,
+        acks: Vec::new(),
+        answer: started.answer.clone(),
+    }
+}
+
+/// Returns whether a task is listed by some confirmed worker.
+pub(super) fn is_listed(placer: &Placer, task: &TaskId) -> bool {
+    placer
+        .workers
+        .values()
+        .any(|registered| registered.listed.contains(task))
+}
--- /dev/null
+++ b/crates/node/src/placer/remote.rs
@@ -0,0 +1,223 @@
+//! Delegation of a ledgered task to another domain's placer, seen from its home.
+
+use acaciareel_scheduler::{Cancelled, EndKind, JobId};
+use acaciareel_types::{FailureDomain, Millis, TaskId, Term, VmId};
+
+use super::{Job, Location, Owner, Placer, Site, Stage, TaskState, task_key};
+use crate::{PeerMessage, io::Io, node::Node};
+
+const RESEND_MS: Millis = Millis(1_000);
+/// Interval of inquiries after a task that the other placer has acknowledged.
+const CHECK_MS: Millis = Millis(5_000);
+/// Time in the home's queue after which room elsewhere is used.
+const WAIT_BEFORE_DELEGATION_MS: Millis = Millis(500);
+
+impl Node {
+    /// Handles the messages of delegated tasks.
+    pub(crate) fn place_message(&mut self, vm: VmId, message: PeerMessage, io: &mut Io<'_>) {
+        match message {
+            PeerMessage::Place {
+                task,
+                term,
+                request,
+            } => self.place_received(vm, task, term, request, io),
+            PeerMessage::PlaceCheck { task } => self.place_checked(vm, &task, io),
+            PeerMessage::PlaceStop { task } => self.place_stopped(&task, io),
+            PeerMessage::PlaceKnown { task } => {
+                self.place_answered(&task, TaskState::Delegated, io);
+            }
+            PeerMessage::PlaceRefused { task, .. } => {
+                self.place_answered(&task, TaskState::NeverRan, io);
+            }
+            PeerMessage::PlaceLost { task } => self.place_answered(&task, TaskState::Gone, io),
+            _ => {}
+        }
+    }
+
+    fn place_answered(&mut self, task: &TaskId, state: TaskState, io: &mut Io<'_>) {
+        for domain in self.placer_domains() {
+            self.with_placer(&domain, io, |placer, site| {
+                placer.remote_news(site, task, state);
+            });
+        }
+    }
+}
+
+impl Job {
+    /// Remembers that a domain refused the job, so that it is not asked again at once.
+    pub(super) fn request_refused_by(&mut self, domain: &FailureDomain) {
+        if !self.refused_by.contains(domain) {
+            self.refused_by.push(domain.clone());
+        }
+    }
+}
+
+impl Placer {
+    /// Chooses another domain with room for a ledgered job of one task.
+    pub(super) fn remote_target(
+        &self,
+        site: &Site<'_, '_>,
+        job: &Job,
+    ) -> Option<(FailureDomain, Term)> {
+        let route = site.tables.tables().routes().get(&job.request.kind)?;
+        if route.tasks != 1 {
+            return None;
+        }
+        site.peers
+            .placings(site.io.now_ms)
+            .filter(|(_, placing)| placing.term > Term(0) && placing.domain != self.domain)
+            .filter(|(_, placing)| !job.refused_by.contains(&placing.domain))
+            .filter_map(|(_, placing)| {
+                let room = placing.rooms.iter().find(|room| room.pool == route.pool)?;
+                (room.free_slots > 0).then_some((room.free_slots, placing))
+            })
+            .max_by_key(|(free_slots, _)| *free_slots)
+            .map(|(_, placing)| (placing.domain.clone(), placing.term))
+    }
+
+    /// Starts an attempt on another domain; returns whether one has room.
+    pub(super) fn delegate(&mut self, site: &mut Site<'_, '_>, id: JobId) -> bool {
+        let target = self
+            .jobs
+            .get(&id)
+            .and_then(|job| self.remote_target(site, job));
+        let Some((domain, term)) = target else {
+            return false;
+        };
+        let location = Location::Domain {
+            domain,
+            term: Some(term),
+            next_send_ms: site.now_ms(),
+        };
+        self.place_remotely(site, id, location);
+        true
+    }
+
+    /// Delegates queued jobs that the home has no room for.
+    pub(super) fn delegate_waiting(&mut self, site: &mut Site<'_, '_>) {
+        let now_ms = site.now_ms();
+        let waiting: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| self.may_go_elsewhere(site, job))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in waiting {
+            if self.scheduler.cancel(now_ms, id) == Cancelled::Waiting {
+                self.delegate(site, id);
+            }
+        }
+    }
+
+    fn may_go_elsewhere(&self, site: &Site<'_, '_>, job: &Job) -> bool {
+        let waited_ms = site.io.now_ms.saturating_sub(job.accepted_ms);
+        let pool = site.tables.tables().routes().get(&job.request.kind);
+        let pool = pool.map(|route| &route.pool);
+        let home_has_room = self
+            .rooms
+            .iter()
+            .any(|room| Some(&room.pool) == pool && room.free_slots > 0);
+        job.stage == Stage::Queued
+            && matches!(job.owner, Owner::Ledger { .. })
+            && waited_ms >= WAIT_BEFORE_DELEGATION_MS
+            && !home_has_room
+            && self.remote_target(site, job).is_some()
+    }
+
+    /// Sends a task to the placer of its domain, or asks after it.
+    pub(super) fn send_place(&mut self, site: &mut Site<'_, '_>, id: JobId, index: usize) {
+        let now_ms = site.now_ms();
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let mut request = job.request.clone();
+        request.time_limit_ms = job.deadline_ms.saturating_sub(now_ms).max(Millis(1));
+        let task = &mut job.tasks[index];
+        let Location::Domain {
+            domain,
+            term,
+            next_send_ms,
+        } = &mut task.location
+        else {
+            return;
+        };
+        if now_ms < *next_send_ms {
+            return;
+        }
+        *next_send_ms = now_ms.saturating_add(RESEND_MS);
+        let placer = site.peers.ledger_leader(now_ms, domain);
+        let Some((vm, present)) = placer else {
+            return;
+        };
+        let id = task.id.clone();
+        let message = if *term == Some(present) && task.state == TaskState::Unsent {
+            PeerMessage::Place {
+                task: id,
+                term: present,
+                request,
+            }
+        } else {
+            PeerMessage::PlaceCheck { task: id }
+        };
+        site.io.send(vm, message);
+    }
+
+    /// Resends and inquires after delegated tasks.
+    pub(super) fn tick_remote(&mut self, site: &mut Site<'_, '_>) {
+        self.delegate_waiting(site);
+        let delegated: Vec<(JobId, usize)> = self
+            .jobs
+            .iter()
+            .flat_map(|(id, job)| job.tasks.iter().enumerate().map(|(i, t)| (*id, i, t)))
+            .filter(|(_, _, task)| {
+                task.state == TaskState::Delegated
+                    && matches!(task.location, Location::Domain { .. })
+            })
+            .map(|(id, index, _)| (id, index))
+            .collect();
+        for (id, index) in delegated {
+            self.send_place(site, id, index);
+        }
+    }
+
+    /// Takes the other placer's word on a task.
+    fn remote_news(&mut self, site: &mut Site<'_, '_>, task: &TaskId, news: TaskState) {
+        let Some(id) = self.by_task.get(task).copied() else {
+            return;
+        };
+        let Some(index) = self.index_of(id, task) else {
+            return;
+        };
+        let now_ms = site.now_ms();
+        let Some(task) = self.task_mut(task_key(id, index)) else {
+            return;
+        };
+        let Location::Domain { next_send_ms, .. } = &mut task.location else {
+            return;
+        };
+        if !matches!(task.state, TaskState::Unsent | TaskState::Delegated) {
+            return;
+        }
+        match news {
+            TaskState::Delegated => {
+                *next_send_ms = now_ms.saturating_add(CHECK_MS);
+                task.state = TaskState::Delegated;
+                self.stop_if_cancelled(site, id, index);
+            }
+            TaskState::NeverRan => self.never_ran(site, id, index),
+            _ => self.end_task(site, id, index, TaskState::Gone, EndKind::Lost),
+        }
+        self.settle(site, id);
+    }
+
+    pub(super) fn stop_remote(
+        &mut self,
+        site: &mut Site<'_, '_>,
+        domain: &FailureDomain,
+        task: TaskId,
+    ) {
+        if let Some((vm, _)) = site.peers.ledger_leader(site.io.now_ms, domain) {
+            site.io.send(vm, PeerMessage::PlaceStop { task });
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/placer/results.rs
@@ -0,0 +1,142 @@
+//! Results of tasks at their owner.
+
+use acaciareel_scheduler::{EndKind, JobId};
+use acaciareel_types::{Answer, Resources, TaskId, Verdict, VmId, WorkerId};
+
+use super::{Mode, Owner, Placer, Site, Stage, TaskState, task_key};
+use crate::{
+    LedgerCommand, Observation, PeerMessage, io::Io, node::Node, owner::TaskOwner,
+};
+
+impl Node {
+    /// Takes a result as the owner of its task, or as the placer whose room it frees.
+    pub(crate) fn result_received(
+        &mut self,
+        from: VmId,
+        task: &TaskId,
+        _worker: &WorkerId,
+        answer: &Answer,
+        used: Resources,
+        io: &mut Io<'_>,
+    ) {
+        let ledger = match TaskOwner::of(task) {
+            Some(TaskOwner::Ledger(domain)) => Some(domain),
+            _ => None,
+        };
+        for domain in self.placer_domains() {
+            self.with_placer(&domain, io, |placer, site| {
+                placer.task_result(site, from, task, answer, used);
+            });
+        }
+        match ledger {
+            Some(domain) => {
+                let owned = self.placers.get(&domain).is_some_and(|placer| {
+                    matches!(placer.mode, Mode::Ledger { .. }) && !placer.owns(task)
+                });
+                if owned {
+                    // The ledger knows no such running task: its attempt has ended.
+                    io.send(from, PeerMessage::ResultAck { task: task.clone() });
+                }
+            }
+            None => {
+                if let Some(submitter) = self.orphans.remove(task) {
+                    let verdict = Verdict::Ran(answer.clone());
+                    self.submissions.done(submitter, Some(&verdict));
+                    let submission = submitter.submission;
+                    let message = PeerMessage::SubmitReply {
+                        submission,
+                        verdict,
+                    };
+                    io.send(submitter.vm, message);
+                }
+                io.send(from, PeerMessage::ResultAck { task: task.clone() });
+            }
+        }
+    }
+}
+
+impl Placer {
+    /// Returns whether a task of this placer's own ledger is unfinished.
+    fn owns(&self, task: &TaskId) -> bool {
+        let job = self.by_task.get(task).and_then(|id| self.jobs.get(id));
+        job.is_some_and(|job| matches!(job.owner, Owner::Ledger { .. }))
+    }
+
+    fn task_result(
+        &mut self,
+        site: &mut Site<'_, '_>,
+        from: VmId,
+        task: &TaskId,
+        answer: &Answer,
+        used: Resources,
+    ) {
+        let Some(id) = self.by_task.get(task).copied() else {
+            return;
+        };
+        let Some(index) = self.index_of(id, task) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let now_ms = site.io.now_ms;
+        let task = &mut job.tasks[index];
+        if !task.state.settled() && task.state != TaskState::Finishing {
+            site.io.observe(Observation::Ended {
+                tenant: job.request.tenant.clone(),
+                class: job.class,
+                ran_ms: now_ms.saturating_sub(task.placed_ms),
+            });
+        }
+        let kind = match (answer.ok, task.stopped) {
+            (true, _) => EndKind::Succeeded,
+            (false, true) => EndKind::Stopped,
+            (false, false) => EndKind::Failed,
+        };
+        self.free_room(site, task_key(id, index), kind, Some(used));
+        self.record_result(site, id, index, from, answer);
+    }
+
+    fn record_result(
+        &mut self,
+        site: &mut Site<'_, '_>,
+        id: JobId,
+        index: usize,
+        from: VmId,
+        answer: &Answer,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let task = &mut job.tasks[index];
+        let Owner::Ledger { key, .. } = &job.owner else {
+            task.state = TaskState::Answered;
+            task.answer = Some(answer.clone());
+            self.settle(site, id);
+            return;
+        };
+        if task.state == TaskState::Answered {
+            let task = task.id.clone();
+            site.io.send(from, PeerMessage::ResultAck { task });
+            return;
+        }
+        task.acks.push(from);
+        if task.state == TaskState::Finishing || job.stage != Stage::Placed {
+            return;
+        }
+        // A task that was stopped to make room has no answer. A cancelled one gets its failure.
+        if task.stopped && !answer.ok && !job.cancelled {
+            task.state = TaskState::Gone;
+            self.settle(site, id);
+            return;
+        }
+        task.state = TaskState::Finishing;
+        let finish = LedgerCommand::Finish {
+            key: key.clone(),
+            attempt: job.attempt,
+            task: task.id.clone(),
+            answer: answer.clone(),
+        };
+        self.propose(site, finish);
+    }
+}
--- /dev/null
+++ b/crates/node/src/tables_state.rs
@@ -0,0 +1,81 @@
+//! State machine of the tables group: compare-and-set with operation identifiers.
+
+use acaciareel_types::{OperationId, TableVersion, Tables};
+
+use crate::{OperationOutcome, TablesCommand, TablesReply, TablesSnapshot};
+
+/// Outcomes kept for resends; a day at the target rate has 7,400 changes, so this covers 6 hours.
+const KEPT_OUTCOMES: usize = 2_000;
+
+/// Tables in force and the outcomes of the latest operations.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TablesState {
+    pub snapshot: TablesSnapshot,
+}
+
+impl TablesState {
+    pub fn version(&self) -> TableVersion {
+        self.snapshot.version
+    }
+
+    pub fn tables(&self) -> &Tables {
+        &self.snapshot.tables
+    }
+
+    /// Returns the first answer to an operation that was seen before.
+    pub fn answered(&self, operation: &OperationId) -> Option<TablesReply> {
+        self.snapshot
+            .outcomes
+            .iter()
+            .rev()
+            .find(|outcome| outcome.operation == *operation)
+            .map(reply)
+    }
+
+    /// Applies a committed command and returns the operation with its answer.
+    pub fn apply(&mut self, command: TablesCommand) -> (OperationId, TablesReply) {
+        let TablesCommand::Apply {
+            operation,
+            expected_version,
+            tables,
+        } = command;
+        if let Some(first) = self.answered(&operation) {
+            return (operation, first);
+        }
+        let state = &mut self.snapshot;
+        let accepted = expected_version == state.version;
+        if accepted {
+            state.version = TableVersion(state.version.0 + 1);
+            state.tables = tables;
+        }
+        let outcome = OperationOutcome {
+            operation: operation.clone(),
+            accepted,
+            version: state.version,
+        };
+        let answer = reply(&outcome);
+        state.outcomes.push(outcome);
+        if state.outcomes.len() > KEPT_OUTCOMES {
+            state.outcomes.remove(0);
+        }
+        (operation, answer)
+    }
+
+    /// Returns version and operation of the latest changes, oldest first.
+    pub fn history(&self) -> Vec<(TableVersion, String)> {
+        self.snapshot
+            .outcomes
+            .iter()
+            .filter(|outcome| outcome.accepted)
+            .map(|outcome| (outcome.version, outcome.operation.to_string()))
+            .collect()
+    }
+}
+
+fn reply(outcome: &OperationOutcome) -> TablesReply {
+    if outcome.accepted {
+        TablesReply::Accepted(outcome.version)
+    } else {
+        TablesReply::Conflict(outcome.version)
+    }
+}
--- /dev/null
+++ b/crates/node/src/worker.rs
@@ -0,0 +1,230 @@
+//! Life cycle of a registered worker: joining, active, draining.
+//!
+//! Only a worker that has confirmed this placer's claim can hand out a [`StartPermit`], and only
+//! while its lease is valid and it is not leaving. Starting a task needs a permit.
+
+use std::net::SocketAddr;
+
+use acaciareel_types::{FencingToken, Incarnation, Millis, WorkerId, WorkerReport};
+
+/// The claim is not confirmed: free capacity is unknown, hence zero.
+#[derive(Clone, Copy, Debug)]
+pub struct Joining;
+
+/// The claim is confirmed; tasks may be started while the lease is valid.
+#[derive(Clone, Copy, Debug)]
+pub struct Active {
+    token: FencingToken,
+    valid_until_ms: Millis,
+}
+
+/// The claim is confirmed, but the worker is leaving or drained.
+#[derive(Clone, Copy, Debug)]
+pub struct Draining {
+    token: FencingToken,
+    valid_until_ms: Millis,
+}
+
+/// Worker in one state of its life cycle.
+///
+/// A joining worker gives no permit:
+///
+/// ```compile_fail
+/// use acaciareel_node::{Joining, Worker};
+/// fn start(worker: &Worker<Joining>) {
+///     worker.permit(acaciareel_types::Millis(0));
+/// }
+/// ```
+///
+/// Neither does a draining one, and draining has no way back to active:
+///
+/// ```compile_fail
+/// use acaciareel_node::{Draining, Worker};
+/// fn start(worker: &Worker<Draining>) {
+///     worker.permit(acaciareel_types::Millis(0));
+/// }
+/// ```
+///
+/// An active one does:
+///
+/// ```
+/// use acaciareel_node::{Active, Worker};
+/// fn start(worker: &Worker<Active>) {
+///     worker.permit(acaciareel_types::Millis(0));
+/// }
+/// ```
+#[derive(Clone, Debug)]
+pub struct Worker<S> {
+    report: WorkerReport,
+    state: S,
+}
+
+/// Proof that a task may be started on a worker now.
+#[derive(Debug)]
+pub struct StartPermit {
+    /// Worker.
+    pub(crate) worker: WorkerId,
+    /// Incarnation that confirmed the claim.
+    pub(crate) incarnation: Incarnation,
+    /// Address for the call.
+    pub(crate) address: SocketAddr,
+    /// Token that the worker has confirmed.
+    pub(crate) token: FencingToken,
+}
+
+impl<S> Worker<S> {
+    /// Returns the last report.
+    #[must_use]
+    pub fn report(&self) -> &WorkerReport {
+        &self.report
+    }
+
+    fn into_joining(self) -> Worker<Joining> {
+        Worker {
+            report: self.report,
+            state: Joining,
+        }
+    }
+}
+
+impl Worker<Joining> {
+    /// Registers a worker that announced itself.
+    #[must_use]
+    pub fn announced(report: WorkerReport) -> Self {
+        Self {
+            report,
+            state: Joining,
+        }
+    }
+
+    /// Takes the worker's confirmation of a claim that is valid until the given time.
+    #[must_use]
+    pub fn confirm(
+        self,
+        report: WorkerReport,
+        token: FencingToken,
+        valid_until_ms: Millis,
+    ) -> Worker<Active> {
+        Worker {
+            report,
+            state: Active {
+                token,
+                valid_until_ms,
+            },
+        }
+    }
+}
+
+impl Worker<Active> {
+    /// Returns the right to start a task now, if the lease is valid.
+    #[must_use]
+    pub fn permit(&self, now_ms: Millis) -> Option<StartPermit> {
+        (now_ms < self.state.valid_until_ms && !self.report.leaving).then(|| StartPermit {
+            worker: self.report.worker.clone(),
+            incarnation: self.report.incarnation,
+            address: self.report.address,
+            token: self.state.token,
+        })
+    }
+
+    /// Stops new tasks for good.
+    #[must_use]
+    pub fn drain(self) -> Worker<Draining> {
+        Worker {
+            report: self.report,
+            state: Draining {
+                token: self.state.token,
+                valid_until_ms: self.state.valid_until_ms,
+            },
+        }
+    }
+
+    /// Gives up the claim, for example because the lease ran out.
+    #[must_use]
+    pub fn suspend(self) -> Worker<Joining> {
+        self.into_joining()
+    }
+}
+
+impl Worker<Draining> {
+    /// Gives up the claim. When it is confirmed again, the worker must be drained again.
+    #[must_use]
+    pub fn suspend(self) -> Worker<Joining> {
+        self.into_joining()
+    }
+}
+
+/// Worker in any state, as the registry stores it.
+#[derive(Clone, Debug)]
+pub(crate) enum AnyWorker {
+    Joining(Worker<Joining>),
+    Active(Worker<Active>),
+    Draining(Worker<Draining>),
+}
+
+impl AnyWorker {
+    pub fn report(&self) -> &WorkerReport {
+        match self {
+            Self::Joining(worker) => worker.report(),
+            Self::Active(worker) => worker.report(),
+            Self::Draining(worker) => worker.report(),
+        }
+    }
+
+    /// Replaces the report within the same state.
+    pub fn set_report(&mut self, report: WorkerReport) {
+        match self {
+            Self::Joining(worker) => worker.report = report,
+            Self::Active(worker) => worker.report = report,
+            Self::Draining(worker) => worker.report = report,
+        }
+    }
+
+    /// Returns the confirmed token, valid or not.
+    pub fn token(&self) -> Option<FencingToken> {
+        match self {
+            Self::Joining(_) => None,
+            Self::Active(worker) => Some(worker.state.token),
+            Self::Draining(worker) => Some(worker.state.token),
+        }
+    }
+
+    pub fn valid_until_ms(&self) -> Millis {
+        match self {
+            Self::Joining(_) => Millis(0),
+            Self::Active(worker) => worker.state.valid_until_ms,
+            Self::Draining(worker) => worker.state.valid_until_ms,
+        }
+    }
+
+    pub fn permit(&self, now_ms: Millis) -> Option<StartPermit> {
+        match self {
+            Self::Active(worker) => worker.permit(now_ms),
+            Self::Joining(_) | Self::Draining(_) => None,
+        }
+    }
+
+    pub fn joining(self) -> Worker<Joining> {
+        match self {
+            Self::Joining(worker) => worker,
+            Self::Active(worker) => worker.suspend(),
+            Self::Draining(worker) => worker.suspend(),
+        }
+    }
+
+    /// Moves an active worker to draining; a joining one is drained once its claim is confirmed.
+    pub fn drained(self) -> Self {
+        match self {
+            Self::Active(worker) => Self::Draining(worker.drain()),
+            other => other,
+        }
+    }
+
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Joining(_) => "joining",
+            Self::Active(_) => "active",
+            Self::Draining(_) => "draining",
+        }
+    }
+}
