--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -69,8 +69,12 @@
 /// Message between replicas of one group.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Message {
-    /// An unformed replica tells the others that it holds no state for the group.
-    Unformed,
+    /// The founder asks whether the receiver holds no state for the group, or the receiver
+    /// answers that it holds none.
+    Unformed {
+        /// In an answer, the incarnation of the founder that asked; `None` in the question.
+        asked_by: Option<Incarnation>,
+    },
     /// Asks the leader to be added, as a learner first, under the sender's incarnation.
     Join,
     /// Asks for a vote.
