--- a/crates/node/src/codec.rs
+++ b/crates/node/src/codec.rs
@@ -5,7 +5,7 @@
 mod peer;
 mod tables;
 
-use acaciareel_wire::{DecodeError, decode, node as wire};
+use acaciareel_wire::{DecodeError, commands, decode, node};
 use prost::Message;
 
 use crate::{LedgerCommand, LedgerSnapshot, PeerMessage, TablesCommand, TablesSnapshot};
@@ -13,12 +13,12 @@
 pub use self::{http::CallBody, peer::GroupIdError};
 
 macro_rules! bytes {
-    ($($name:ident)*) => {
+    ($($module:ident::$name:ident)*) => {
         $(impl $name {
             /// Encodes the value as protobuf.
             #[must_use]
             pub fn to_bytes(&self) -> Vec<u8> {
-                wire::$name::from(self).encode_to_vec()
+                $module::$name::from(self).encode_to_vec()
             }
 
             /// Decodes a value from protobuf.
@@ -27,10 +27,16 @@
             ///
             /// Fails where the bytes are not such a message or a field of it is wrong.
             pub fn from_bytes(bytes: &[u8]) -> Result<Self, DecodeError> {
-                decode::<wire::$name, Self>(stringify!($name), bytes)
+                decode::<$module::$name, Self>(stringify!($name), bytes)
             }
         })*
     };
 }
 
-bytes!(PeerMessage LedgerCommand LedgerSnapshot TablesCommand TablesSnapshot);
+bytes! {
+    node::PeerMessage
+    commands::LedgerCommand
+    commands::LedgerSnapshot
+    commands::TablesCommand
+    commands::TablesSnapshot
+}
--- a/crates/node/src/codec/ledger.rs
+++ b/crates/node/src/codec/ledger.rs
@@ -2,11 +2,12 @@
 
 use acaciareel_types::LogIndex;
 use acaciareel_wire::{
-    DecodeError, Field, Fields, consensus, message_enum, message_struct,
-    node::{
+    DecodeError, Field, Fields,
+    commands::{
         self as wire, ledger_command::Command as CommandChoice,
         ledger_record::State as StateChoice, started_task::On as OnChoice,
     },
+    consensus, message_enum, message_struct,
 };
 
 use crate::{
--- a/crates/node/src/codec/tables.rs
+++ b/crates/node/src/codec/tables.rs
@@ -1,8 +1,9 @@
 //! Conversions of the commands and the state of the tables group.
 
 use acaciareel_wire::{
-    DecodeError, Field, Fields, message_struct,
-    node::{self as wire, tables_command::Command as CommandChoice},
+    DecodeError, Field, Fields,
+    commands::{self as wire, tables_command::Command as CommandChoice},
+    message_struct,
 };
 
 use crate::{OperationOutcome, TablesCommand, TablesSnapshot};
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -4,13 +4,16 @@
 
 #![allow(clippy::pedantic)]
 
+/// Commands and states of the replicated state machines.
+#[rustfmt::skip]
+pub mod commands;
 /// Messages and durable records of consensus groups.
 #[rustfmt::skip]
 pub mod consensus;
 /// JSON bodies of the HTTP interface.
 #[rustfmt::skip]
 pub mod http;
-/// Messages between nodes, commands and states.
+/// Messages between nodes.
 #[rustfmt::skip]
 pub mod node;
 /// Identifiers, sizes, tables and verdicts.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,6 +14,6 @@
 pub use crate::{
     error::{DecodeError, Fields, decode},
     field::{Field, Nested},
-    generated::{consensus, http, node, types},
+    generated::{commands, consensus, http, node, types},
     group_record::GroupRecord,
 };
--- a/crates/wire/tests/generated.rs
+++ b/crates/wire/tests/generated.rs
@@ -1,10 +1,13 @@
 //! Keeps the committed code equal to what the schemas generate.
+//!
+//! To change a schema, run this test with `UPDATE_GENERATED=1` before the code that uses the new
+//! messages is written, since the test is built together with the package.
 
 use std::{env, fs, path::Path};
 
 use prost_build::Config;
 
-const SCHEMAS: &[&str] = &["types", "consensus", "node", "http"];
+const SCHEMAS: &[&str] = &["types", "consensus", "commands", "node", "http"];
 
 /// Fields with bytes that also travel inside JSON.
 const BASE64_FIELDS: &[&str] = &[
