Read and write tables files in one package

The daemon and the client both read INI files, so the reader has a package of its own. rust-ini joins a line without = with the next line, drops it at the end of the file, and takes an indented comment for a key; such lines are refused or trimmed before it sees them. Errors name file, section, key and reason.

--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,13 @@
+//! Reader and writer of INI files for the daemon and the client.
+
+mod error;
+mod nearest;
+mod sections;
+mod tables;
+
+pub use crate::{
+    error::SettingsError,
+    nearest::nearest,
+    sections::{IniFile, Section},
+    tables::{TablesFile, write_tables},
+};
