--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,6 +26,7 @@
 mod worker;
 
 pub use crate::{
+    codec::{CallBody, GroupIdError},
     command::{
         LedgerCommand, LedgerRecord, LedgerSnapshot, LedgerState, OperationOutcome, RequestKey,
         StartedOn, StartedTask, TablesCommand, TablesSnapshot,
