Place, admit, preempt and account for room in the scheduler

Cause: the scheduler interface had no behaviour, and other packages build on it.

Change: worker registry with a capacity index, placement for the policies service, batch and gang, corrected sizes, queue order, admission, quotas, preemption, retry budgets, concurrency limits, quarantine and blame. Room of own tasks is freed by task_ended and forget_worker only, since a report may be older than a placement; other tasks follow the newest report.

Added to the interface: identify_task (reports name tasks by TaskId, the scheduler by TaskKey), task_throttled, check_admission, last_cost, worker_summaries, Backoff, RetryBudget, RetryBudgets, ConcurrencyLimit.

--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -1,12 +1,34 @@
 //! Placement, admission, limits and retries without I/O.
+//!
+//! [`Scheduler`] decides for the workers of one failure domain. Every input carries the time, and
+//! all state lives in ordered collections, so the same events always give the same decisions.
 
+mod amounts;
+mod blame;
+mod concurrency;
+mod index;
+mod jobs;
+mod kinds;
+mod max_tree;
 mod model;
+mod placement;
+mod pool;
+mod quarantine;
+mod queue;
+mod random;
+mod rate;
+mod registry;
+mod retry;
 mod scheduler;
+mod sizes;
+mod worker;
 
 pub use crate::{
+    concurrency::ConcurrencyLimit,
     model::{
-        Cancelled, Decision, EndKind, Job, JobId, Placement, PoolSummary, PreemptMode, Refusal,
-        SchedulerSettings, TaskEnd, TaskKey,
+        Cancelled, Decision, DecisionCost, EndKind, Job, JobId, Placement, PoolSummary,
+        PreemptMode, Refusal, SchedulerSettings, TaskEnd, TaskKey, WorkerSummary,
     },
+    retry::{Backoff, RetryBudget, RetryBudgets},
     scheduler::Scheduler,
 };
--- a/crates/scheduler/src/model.rs
+++ b/crates/scheduler/src/model.rs
@@ -153,3 +153,31 @@
     /// Predicted wait of a job that arrives now.
     pub predicted_wait_ms: Millis,
 }
+
+/// State of one worker as the scheduler sees it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WorkerSummary {
+    /// Worker.
+    pub worker: WorkerId,
+    /// Capacity of the last report.
+    pub capacity: Resources,
+    /// Resources held by tasks.
+    pub held: Resources,
+    /// Whether the worker may get new work at all: it reported, and is neither leaving nor drained.
+    pub in_service: bool,
+    /// Whether the worker is in quarantine.
+    pub quarantined: bool,
+    /// Number of tasks that it may run at once.
+    pub concurrency_limit: u32,
+}
+
+/// Cost of the last call of `decide`.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct DecisionCost {
+    /// Tasks for which a worker was sought.
+    pub tasks: u32,
+    /// Workers and index nodes looked at.
+    pub examined: u32,
+    /// Workers and index nodes looked at for the costliest task.
+    pub most_examined: u32,
+}
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -1,67 +1,221 @@
 //! The scheduler of one failure domain.
 
-use acaciareel_types::{Millis, Tables, WorkerId, WorkerReport};
+use std::collections::{BTreeMap, BTreeSet};
+
+use acaciareel_types::{Millis, Resources, Tables, TaskId, WorkerId, WorkerReport};
 
 use crate::{
-    Cancelled, Decision, Job, JobId, Placement, PoolSummary, Refusal, SchedulerSettings, TaskEnd,
-    TaskKey,
+    Backoff, Cancelled, Decision, DecisionCost, Job, JobId, Placement, PoolSummary, Refusal,
+    RetryBudgets, SchedulerSettings, TaskEnd, TaskKey, WorkerSummary,
+    amounts::{Amounts, add, resources},
+    index::WorkerIndex,
+    jobs::{Running, Waiting},
+    kinds::{Kinds, Tenants},
+    pool::Pool,
+    registry::Registry,
 };
 
+mod ends;
+mod pass;
+mod preemption;
+mod reservations;
+mod submission;
+mod tables;
+mod workers;
+
+/// Delay before the second attempt of an accepted job.
+const RETRY_BASE_MS: Millis = Millis(50);
+/// Longest delay between attempts of an accepted job.
+const RETRY_CAP_MS: Millis = Millis(10_000);
+
 /// Decides where and when work runs on the workers of one failure domain.
 #[derive(Debug)]
 pub struct Scheduler {
     settings: SchedulerSettings,
+    tables: Tables,
+    kinds: Kinds,
+    tenants: Tenants,
+    workers: Registry,
+    pools: Vec<Pool>,
+    waiting: BTreeMap<JobId, Waiting>,
+    running: BTreeMap<JobId, Running>,
+    /// Deadlines of waiting jobs.
+    deadlines: BTreeSet<(Millis, JobId)>,
+    /// Jobs that enter the queue after a backoff.
+    delayed: BTreeSet<(Millis, JobId)>,
+    /// Times at which a worker's room may change by itself.
+    timers: BTreeSet<(Millis, WorkerIndex)>,
+    /// Refusals that follow from new tables.
+    refused: Vec<(JobId, Refusal)>,
+    retries: RetryBudgets,
+    sequence: u64,
+    cost: DecisionCost,
 }
 
 impl Scheduler {
     /// Creates a scheduler without tables and workers.
     #[must_use]
     pub fn new(settings: SchedulerSettings) -> Self {
-        Self { settings }
+        Self {
+            settings,
+            tables: Tables::default(),
+            kinds: Kinds::default(),
+            tenants: Tenants::default(),
+            workers: Registry::default(),
+            pools: Vec::new(),
+            waiting: BTreeMap::new(),
+            running: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            delayed: BTreeSet::new(),
+            timers: BTreeSet::new(),
+            refused: Vec::new(),
+            retries: RetryBudgets::new(),
+            sequence: 0,
+            cost: DecisionCost::default(),
+        }
     }
 
     /// Takes new tables; waiting work follows its route.
-    pub fn set_tables(&mut self, _now_ms: Millis, _tables: &Tables) {}
+    ///
+    /// A waiting job whose kind has no route any more is refused by the next `decide`, except
+    /// that an accepted job keeps its last route.
+    pub fn set_tables(&mut self, now_ms: Millis, tables: &Tables) {
+        self.apply_tables(now_ms, tables);
+    }
 
     /// Takes a worker's report: capacity, usage, leaving. Reported tasks that the scheduler did
     /// not place hold room too, until a later report of the worker omits them.
-    pub fn report_worker(&mut self, _now_ms: Millis, _report: &WorkerReport) {}
+    ///
+    /// Reports are ordered by incarnation, then sequence; one that is not newer than the last is
+    /// ignored. A task that the scheduler placed or adopted holds its room whether or not a report
+    /// lists it, since the report may have been made before the task started: only `task_ended`
+    /// and `forget_worker` free it, also after a new incarnation. The scheduler tells its own
+    /// tasks from others by [`Scheduler::identify_task`]; a task that is not identified holds its
+    /// room twice once a report lists it.
+    pub fn report_worker(&mut self, now_ms: Millis, report: &WorkerReport) {
+        self.take_report(now_ms, report);
+    }
+
+    /// Tells under which identifier a worker's reports list a placed or adopted task.
+    pub fn identify_task(&mut self, task: TaskKey, id: &TaskId) {
+        self.identify(task, id);
+    }
+
+    /// Takes a worker's consent to `PreemptMode::Throttle` and the resources that the task keeps.
+    pub fn task_throttled(&mut self, now_ms: Millis, task: TaskKey, reserved: Resources) {
+        self.throttled(now_ms, task, reserved);
+    }
 
     /// Stops new work on a worker until it reports that it is not leaving under a new incarnation.
-    pub fn drain_worker(&mut self, _now_ms: Millis, _worker: &WorkerId) {}
+    pub fn drain_worker(&mut self, now_ms: Millis, worker: &WorkerId) {
+        self.drain(now_ms, worker);
+    }
 
-    /// Forgets a lost worker and returns the tasks that ran there.
-    pub fn forget_worker(&mut self, _now_ms: Millis, _worker: &WorkerId) -> Vec<TaskKey> {
-        Vec::new()
+    /// Forgets a lost worker and returns the tasks that ran there. They have left the scheduler;
+    /// `task_ended` need not be called for them.
+    pub fn forget_worker(&mut self, now_ms: Millis, worker: &WorkerId) -> Vec<TaskKey> {
+        self.forget(now_ms, worker)
     }
 
     /// Admits a job to the queue or refuses it at once.
     ///
+    /// A job that waits already stays as it is. A job whose earlier attempt still runs is placed
+    /// after all tasks of that attempt have ended.
+    ///
     /// # Errors
     ///
     /// Returns the reason and the time after which a resend may succeed.
-    pub fn submit(&mut self, _now_ms: Millis, _job: Job) -> Result<(), Refusal> {
-        Ok(())
+    pub fn submit(&mut self, now_ms: Millis, job: Job) -> Result<(), Refusal> {
+        self.admit(now_ms, job)
+    }
+
+    /// Returns whether `submit` would admit a job now, without a change of state. A retry budget
+    /// is not checked.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason and the time after which a resend may succeed.
+    pub fn check_admission(&mut self, now_ms: Millis, job: &Job) -> Result<(), Refusal> {
+        self.check(now_ms, job)
     }
 
     /// Takes a job that already runs, known from the ledger and a worker's report.
-    pub fn adopt(&mut self, _now_ms: Millis, _job: Job, _placements: Vec<Placement>) {}
+    pub fn adopt(&mut self, now_ms: Millis, job: Job, placements: Vec<Placement>) {
+        self.take_running(now_ms, job, placements);
+    }
 
     /// Cancels a job.
-    pub fn cancel(&mut self, _now_ms: Millis, _job: JobId) -> Cancelled {
-        Cancelled::Unknown
+    pub fn cancel(&mut self, now_ms: Millis, job: JobId) -> Cancelled {
+        self.cancel_job(now_ms, job)
     }
 
-    /// Takes the end of a placed task.
-    pub fn task_ended(&mut self, _now_ms: Millis, _end: &TaskEnd) {}
+    /// Takes the end of a placed task. An unknown task is ignored.
+    pub fn task_ended(&mut self, now_ms: Millis, end: &TaskEnd) {
+        self.end_task(now_ms, end);
+    }
 
     /// Appends the decisions that are due now.
-    pub fn decide(&mut self, _now_ms: Millis, _out: &mut Vec<Decision>) {}
+    ///
+    /// Besides after events, it must be called at least every 100 ms while jobs wait, since
+    /// deadlines, backoffs and probes fall due by time alone.
+    pub fn decide(&mut self, now_ms: Millis, out: &mut Vec<Decision>) {
+        self.decide_all(now_ms, out);
+    }
+
+    /// Returns the cost of the last call of `decide`.
+    #[must_use]
+    pub fn last_cost(&self) -> DecisionCost {
+        self.cost
+    }
 
     /// Returns the state of each pool.
     #[must_use]
     pub fn pool_summaries(&self) -> Vec<PoolSummary> {
-        let _ = &self.settings;
-        Vec::new()
+        let mut summaries: Vec<PoolSummary> = self
+            .pools
+            .iter()
+            .filter(|pool| pool.settings.is_some())
+            .map(Self::summary)
+            .collect();
+        summaries.sort_by(|a, b| a.pool.cmp(&b.pool));
+        summaries
+    }
+
+    fn summary(pool: &Pool) -> PoolSummary {
+        let mut free = Amounts::default();
+        let mut workers = 0;
+        for entry in pool.index.entries() {
+            add(&mut free, &entry.room);
+            workers += u32::from(entry.capacity != Resources::default());
+        }
+        PoolSummary {
+            pool: pool.name.clone(),
+            workers,
+            free: resources(&free),
+            capacity: resources(&pool.capacity),
+            waiting: u32::try_from(pool.queue.len()).unwrap_or(u32::MAX),
+            predicted_wait_ms: Self::general_wait_ms(pool),
+        }
+    }
+
+    /// Returns the state of each worker.
+    #[must_use]
+    pub fn worker_summaries(&self) -> Vec<WorkerSummary> {
+        let workers = self.workers.indices().into_iter();
+        workers
+            .filter_map(|index| self.workers.get(index))
+            .map(|worker| WorkerSummary {
+                worker: worker.id.clone(),
+                capacity: worker.capacity,
+                held: worker.held,
+                in_service: worker.in_service(),
+                quarantined: !worker.health.trusted(),
+                concurrency_limit: worker.limit.current(),
+            })
+            .collect()
+    }
+
+    fn retry_backoff(&self) -> Backoff {
+        Backoff::new(self.settings.seed, RETRY_BASE_MS, RETRY_CAP_MS)
     }
 }
--- /dev/null
+++ b/crates/scheduler/src/scheduler/tables.rs
@@ -0,0 +1,104 @@
+//! Change of tables.
+
+use acaciareel_types::{Millis, PoolName, Reason, Tables};
+
+use crate::{Refusal, jobs::Stage, pool::Pool, scheduler::Scheduler};
+
+impl Scheduler {
+    pub(super) fn apply_tables(&mut self, now_ms: Millis, tables: &Tables) {
+        if self.tables == *tables {
+            return;
+        }
+        self.unqueue_all();
+        self.tables = tables.clone();
+        self.tenants.set_quotas(tables.quotas());
+        self.set_pools(now_ms);
+        self.set_routes();
+        for worker in self.workers.indices() {
+            self.settle_worker(now_ms, worker);
+        }
+        self.refresh_demands();
+        self.requeue_all(now_ms);
+    }
+
+    fn set_pools(&mut self, now_ms: Millis) {
+        for pool in &mut self.pools {
+            pool.settings = self.tables.pools().get(&pool.name).cloned();
+            pool.dirty = true;
+        }
+        let names: Vec<PoolName> = self.tables.pools().keys().cloned().collect();
+        for name in names {
+            if self.pool_id(&name).is_none() {
+                let mut pool = Pool::new(now_ms, name.clone());
+                pool.settings = self.tables.pools().get(&name).cloned();
+                match self.pools.iter().position(Pool::unused) {
+                    Some(unused) => self.replace_pool(now_ms, unused, pool),
+                    None => self.pools.push(pool),
+                }
+            }
+        }
+    }
+
+    /// Puts a new pool in the place of an unused one, whose workers settle elsewhere afterwards.
+    fn replace_pool(&mut self, now_ms: Millis, unused: usize, pool: Pool) {
+        self.drop_reservation(now_ms, unused);
+        for index in self.workers.indices() {
+            if let Some(worker) = self.workers.get_mut(index)
+                && worker.place.is_some_and(|place| place.pool == unused)
+            {
+                worker.place = None;
+                worker.counted = None;
+            }
+        }
+        self.pools[unused] = pool;
+    }
+
+    fn set_routes(&mut self) {
+        for (name, _) in self.tables.routes().iter() {
+            self.kinds.intern(name);
+        }
+        for kind in self.kinds.iter_mut() {
+            let route = self.tables.routes().get(&kind.name);
+            kind.retired = route.is_none();
+            if let Some(route) = route {
+                kind.route = Some(route.clone());
+            }
+            let mut pools = self.pools.iter();
+            kind.pool = kind.route.as_ref().and_then(|route| {
+                pools.position(|pool| pool.settings.is_some() && pool.name == route.pool)
+            });
+        }
+    }
+
+    pub(super) fn pool_id(&self, name: &PoolName) -> Option<usize> {
+        self.pools.iter().position(|pool| pool.name == *name)
+    }
+
+    fn unqueue_all(&mut self) {
+        for waiting in self.waiting.values() {
+            if let Stage::Queued(pool) = waiting.stage {
+                let weight = self.tenants.get(waiting.queued.tenant).weight();
+                self.pools[pool].queue.remove(&waiting.queued, weight);
+            }
+        }
+    }
+
+    fn requeue_all(&mut self, now_ms: Millis) {
+        let jobs: Vec<_> = self.waiting.keys().copied().collect();
+        for job in jobs {
+            let Some(waiting) = self.waiting.get(&job) else {
+                continue;
+            };
+            if self.kinds.get(waiting.queued.kind).retired && !waiting.job.accepted {
+                self.forget_waiting(now_ms, job);
+                let refusal = Refusal {
+                    reason: Reason::UnknownKind,
+                    retry_after_ms: super::submission::LATER_MS,
+                };
+                self.refused.push((job, refusal));
+            } else if matches!(waiting.stage, Stage::Queued(_) | Stage::Unrouted) {
+                self.enqueue(now_ms, job);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -0,0 +1,4 @@
+//! Behaviour of the scheduler in virtual time.
+
+mod room;
+mod support;
