--- a/crates/acaciareeld/src/config.rs
+++ b/crates/acaciareeld/src/config.rs
@@ -1,6 +1,6 @@
 //! Checked settings of the daemon.
 //!
-//! [`RawConfig`] is the INI file as it was read; [`Config`] is made from it by `TryFrom` and is
+//! [`IniFile`] is the file as it was read; [`Config`] is made from it by `TryFrom` and is
 //! consistent. Each value that was looked up is kept with its origin for `--print-config`.
 
 use std::{
@@ -11,12 +11,13 @@
 };
 
 use acaciareel_node::GroupId;
+use acaciareel_settings::{IniFile, SettingsError};
 use acaciareel_types::{FailureDomain, Millis, RatePerSecond, SortedVec, VmId};
 
-mod raw;
 mod reader;
+mod sections;
 
-pub use raw::{ConfigError, RawConfig, Setting};
+pub use reader::Setting;
 use reader::SectionReader;
 
 /// Address and failure domain of an entry VM.
@@ -128,8 +129,8 @@
     /// # Errors
     ///
     /// Fails if the file cannot be read or a setting is wrong.
-    pub fn load(file: &Path) -> Result<Self, ConfigError> {
-        Self::try_from(RawConfig::read(file)?)
+    pub fn load(file: &Path) -> Result<Self, SettingsError> {
+        Self::try_from(IniFile::read(file)?)
     }
 }
 
@@ -155,11 +156,11 @@
 const SECTIONS: &[&str] = &["vm", "listen", "keys", "tokens", "limits", "logs"];
 const NAMED_SECTIONS: &[&str] = &["peer", "group"];
 
-impl TryFrom<RawConfig> for Config {
-    type Error = ConfigError;
+impl TryFrom<IniFile> for Config {
+    type Error = SettingsError;
 
-    fn try_from(raw: RawConfig) -> Result<Self, ConfigError> {
-        raw.check_sections(SECTIONS, NAMED_SECTIONS)?;
+    fn try_from(raw: IniFile) -> Result<Self, SettingsError> {
+        sections::check(&raw, SECTIONS, NAMED_SECTIONS)?;
         let mut settings = Vec::new();
         let known = ["id", "failure_domain", "seed", "data_folder"];
         let mut vm = SectionReader::new(&raw, "vm", &known, &mut settings)?;
@@ -196,13 +197,13 @@
 /// Reads the sections `[peer vm-N]`. The section of this VM may be present, so that all VMs can
 /// share one list.
 fn vms(
-    raw: &RawConfig,
+    raw: &IniFile,
     me: VmId,
     my_config: PeerConfig,
     settings: &mut Vec<Setting>,
-) -> Result<SortedVec<VmId, PeerConfig>, ConfigError> {
+) -> Result<SortedVec<VmId, PeerConfig>, SettingsError> {
     let mut vms = SortedVec::new();
-    for name in raw.named("peer") {
+    for name in sections::named(raw, "peer") {
         let section = format!("peer {name}");
         let known = ["address", "failure_domain"];
         let mut reader = SectionReader::new(raw, &section, &known, settings)?;
@@ -224,10 +225,10 @@
 
 /// Reads the sections `[group NAME]` and fills in the groups that have none.
 fn groups(
-    raw: &RawConfig,
+    raw: &IniFile,
     vms: &SortedVec<VmId, PeerConfig>,
     settings: &mut Vec<Setting>,
-) -> Result<SortedVec<GroupId, Vec<VmId>>, ConfigError> {
+) -> Result<SortedVec<GroupId, Vec<VmId>>, SettingsError> {
     let domains: BTreeSet<_> = vms.values().map(|vm| vm.failure_domain.clone()).collect();
     let mut groups = SortedVec::new();
     groups.insert(GroupId::Tables, default_tables_voters(vms, &domains));
@@ -249,9 +250,11 @@
         }
     }
     let known: Vec<_> = groups.keys().map(ToString::to_string).collect();
-    for name in raw.named("group") {
+    for name in sections::named(raw, "group") {
         if !known.contains(&name) {
-            return Err(raw.unknown(&format!("group {name}"), "", "group", &name, &known));
+            let known: Vec<&str> = known.iter().map(String::as_str).collect();
+            let section = format!("group {name}");
+            return Err(sections::unknown(raw, &section, "", "group", &name, &known));
         }
     }
     Ok(groups)
@@ -293,7 +296,7 @@
     voters
 }
 
-fn keys(raw: &RawConfig, settings: &mut Vec<Setting>) -> Result<KeysConfig, ConfigError> {
+fn keys(raw: &IniFile, settings: &mut Vec<Setting>) -> Result<KeysConfig, SettingsError> {
     let known = ["authority", "certificate", "private_key"];
     let mut reader = SectionReader::new(raw, "keys", &known, settings)?;
     Ok(KeysConfig {
@@ -303,7 +306,7 @@
     })
 }
 
-fn tokens(raw: &RawConfig, settings: &mut Vec<Setting>) -> Result<TokensConfig, ConfigError> {
+fn tokens(raw: &IniFile, settings: &mut Vec<Setting>) -> Result<TokensConfig, SettingsError> {
     let known = ["operators", "callers", "workers"];
     let mut reader = SectionReader::new(raw, "tokens", &known, settings)?;
     Ok(TokensConfig {
@@ -324,7 +327,7 @@
     "stop_accept_ms",
 ];
 
-fn limits(raw: &RawConfig, settings: &mut Vec<Setting>) -> Result<LimitsConfig, ConfigError> {
+fn limits(raw: &IniFile, settings: &mut Vec<Setting>) -> Result<LimitsConfig, SettingsError> {
     let mut reader = SectionReader::new(raw, "limits", LIMIT_KEYS, settings)?;
     Ok(LimitsConfig {
         body_bytes: reader.in_range("body_bytes", 256 << 10, &(1 << 10), &(16 << 20))?,
@@ -363,7 +366,7 @@
     })
 }
 
-fn logs(raw: &RawConfig, settings: &mut Vec<Setting>) -> Result<LogsConfig, ConfigError> {
+fn logs(raw: &IniFile, settings: &mut Vec<Setting>) -> Result<LogsConfig, SettingsError> {
     let known = ["format", "level", "folder"];
     let mut reader = SectionReader::new(raw, "logs", &known, settings)?;
     let format = match reader.optional("format", "keyvalue".to_owned())?.as_str() {
--- a/crates/acaciareeld/src/config/reader.rs
+++ b/crates/acaciareeld/src/config/reader.rs
@@ -2,11 +2,44 @@
 
 use std::{fmt, path::PathBuf, str::FromStr};
 
-use crate::config::raw::{ConfigError, Origin, RawConfig, Setting};
+use acaciareel_settings::{IniFile, SettingsError};
+
+use crate::config::sections;
+
+/// Where a value came from.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Origin {
+    /// The settings file.
+    File(PathBuf),
+    /// No value is set.
+    Default,
+}
+
+impl fmt::Display for Origin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::File(file) => write!(f, "{}", file.display()),
+            Self::Default => f.write_str("default"),
+        }
+    }
+}
+
+/// A setting that was looked up.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Setting {
+    /// Section.
+    pub section: String,
+    /// Key.
+    pub key: String,
+    /// Value, empty for an absent optional setting.
+    pub value: String,
+    /// Where the value came from.
+    pub origin: Origin,
+}
 
 /// Reads the keys of one section, refuses unknown ones and keeps what it looked up.
 pub struct SectionReader<'a> {
-    raw: &'a RawConfig,
+    raw: &'a IniFile,
     section: String,
     values: &'a [(String, String)],
     settings: &'a mut Vec<Setting>,
@@ -14,20 +47,19 @@
 
 impl<'a> SectionReader<'a> {
     pub fn new(
-        raw: &'a RawConfig,
+        raw: &'a IniFile,
         section: &str,
         known: &[&str],
         settings: &'a mut Vec<Setting>,
-    ) -> Result<Self, ConfigError> {
+    ) -> Result<Self, SettingsError> {
         let found = raw.sections.iter().find(|s| s.name == section);
         let values = found.map_or(&[][..], |found| &found.settings);
         for (i, (key, _)) in values.iter().enumerate() {
             if !known.contains(&key.as_str()) {
-                let known: Vec<_> = known.iter().map(|key| (*key).to_owned()).collect();
-                return Err(raw.unknown(section, key, "key", key, &known));
+                return Err(sections::unknown(raw, section, key, "key", key, known));
             }
             if values[..i].iter().any(|(earlier, _)| earlier == key) {
-                return Err(raw.error(section, key, "key is set twice"));
+                return Err(sections::error(raw, section, key, "key is set twice"));
             }
         }
         Ok(Self {
@@ -38,11 +70,11 @@
         })
     }
 
-    pub fn error(&self, key: &str, reason: impl fmt::Display) -> ConfigError {
-        self.raw.error(&self.section, key, reason)
+    pub fn error(&self, key: &str, reason: impl fmt::Display) -> SettingsError {
+        sections::error(self.raw, &self.section, key, reason)
     }
 
-    pub fn parse_name<T: FromStr<Err: fmt::Display>>(&self, name: &str) -> Result<T, ConfigError> {
+    pub fn parse_name<T: FromStr<Err: fmt::Display>>(&self, name: &str) -> Result<T, SettingsError> {
         name.parse().map_err(|error| self.error("", error))
     }
 
@@ -64,7 +96,7 @@
         Origin::File(self.raw.file.clone())
     }
 
-    pub fn required<T>(&mut self, key: &str) -> Result<T, ConfigError>
+    pub fn required<T>(&mut self, key: &str) -> Result<T, SettingsError>
     where
         T: FromStr<Err: fmt::Display>,
     {
@@ -78,7 +110,7 @@
         Ok(value)
     }
 
-    pub fn optional<T>(&mut self, key: &str, default: T) -> Result<T, ConfigError>
+    pub fn optional<T>(&mut self, key: &str, default: T) -> Result<T, SettingsError>
     where
         T: FromStr<Err: fmt::Display> + fmt::Display,
     {
@@ -95,7 +127,7 @@
         default: T,
         least: &T,
         most: &T,
-    ) -> Result<T, ConfigError>
+    ) -> Result<T, SettingsError>
     where
         T: FromStr<Err: fmt::Display> + fmt::Display + PartialOrd,
     {
@@ -107,7 +139,7 @@
     }
 
     /// Reads a comma-separated list.
-    pub fn list<T>(&mut self, key: &str, default: &[T]) -> Result<Vec<T>, ConfigError>
+    pub fn list<T>(&mut self, key: &str, default: &[T]) -> Result<Vec<T>, SettingsError>
     where
         T: FromStr<Err: fmt::Display> + fmt::Display + Clone,
     {
@@ -126,7 +158,7 @@
     }
 
     /// Reads a path; a relative one starts at the folder of the settings file.
-    pub fn path(&mut self, key: &str) -> Result<Option<PathBuf>, ConfigError> {
+    pub fn path(&mut self, key: &str) -> Result<Option<PathBuf>, SettingsError> {
         if self.text(key).is_none() {
             self.keep(key, "", Origin::Default);
             return Ok(None);
@@ -134,7 +166,7 @@
         self.required_path(key).map(Some)
     }
 
-    pub fn required_path(&mut self, key: &str) -> Result<PathBuf, ConfigError> {
+    pub fn required_path(&mut self, key: &str) -> Result<PathBuf, SettingsError> {
         let text: String = self.required(key)?;
         let folder = self.raw.file.parent().map(PathBuf::from);
         Ok(folder.unwrap_or_default().join(text))
--- a/crates/acaciareeld/src/config/tests.rs
+++ b/crates/acaciareeld/src/config/tests.rs
@@ -2,7 +2,9 @@
 
 use std::path::Path;
 
-use crate::config::{Config, ConfigError, RawConfig};
+use acaciareel_settings::{IniFile, SettingsError};
+
+use crate::config::Config;
 
 const VALID: &str = "[vm]\nid = vm-1\nfailure_domain = east\n\
     [listen]\nhttp = 127.0.0.1:7101\npeers = 127.0.0.1:7201\n\
@@ -11,8 +13,8 @@
     [keys]\nauthority = ca.pem\ncertificate = vm-1.pem\nprivate_key = vm-1.key\n\
     [tokens]\noperators = operators\ncallers = callers\nworkers = workers\n";
 
-fn check(text: &str) -> Result<Config, ConfigError> {
-    Config::try_from(RawConfig::parse(Path::new("/etc/vm-1.ini"), text)?)
+fn check(text: &str) -> Result<Config, SettingsError> {
+    Config::try_from(IniFile::parse(Path::new("/etc/vm-1.ini"), text)?)
 }
 
 /// Guards against defaults that leave a group without a majority outside one failure domain.
--- /dev/null
+++ b/crates/acaciareeld/tests/end_to_end.rs
@@ -0,0 +1,244 @@
+//! Real daemons and stand-in workers on loopback, with faults of real processes.
+
+use std::{fs, sync::Arc};
+
+use tokio::task::JoinSet;
+
+#[path = "end_to_end/client.rs"]
+mod client;
+#[path = "end_to_end/env.rs"]
+mod env;
+
+use crate::env::{CALLER, Domain, OPERATOR, TestEnv, WORKER};
+
+const ONE_DOMAIN: &[Domain] = &[Domain {
+    name: "east",
+    vms: 3,
+    workers: 2,
+}];
+
+/// Guards against answers that reach another caller when they come late and in another order.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_and_reordered_answers_reach_their_own_callers() {
+    let options = ["--run-spread-ms", "50", "--late-ms", "200"];
+    let env = Arc::new(TestEnv::start(ONE_DOMAIN, &options).await);
+    let mut callers = JoinSet::new();
+
+    for number in 0..60 {
+        let env = Arc::clone(&env);
+        callers.spawn(async move {
+            let kind = ["lookup", "verify", "credit"][number % 3];
+            let body = format!("bird-{number}");
+            let key = format!("key-{number}");
+            let response = env.submit_until_ran(&[0, 1, 2], kind, &key, &body).await;
+            (format!("{kind}:{body}"), response.text())
+        });
+    }
+
+    for (expected, answered) in callers.join_all().await {
+        assert_eq!(answered, expected);
+    }
+    for number in (0..60).filter(|number| number % 3 != 0) {
+        assert_eq!(env.starts(&format!("bird-{number}")), 1, "bird-{number}");
+    }
+}
+
+/// Guards against an exclusive request that is lost or runs twice when its entry VM fails.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resend_through_another_vm_finds_the_request_of_a_killed_entry_vm() {
+    let mut env = TestEnv::start(ONE_DOMAIN, &[]).await;
+    let placer = env.placer("east").await;
+    let (entry, other) = ((placer + 1) % 3, (placer + 2) % 3);
+    let body = "gate=killed;result-7";
+    {
+        let first = env.submit(entry, "verify", "race-7", 1, body);
+        tokio::pin!(first);
+        tokio::select! {
+            answered = &mut first => panic!("answered before the gate opened: {answered:?}"),
+            () = env.wait_for("the task starts", async || env.starts(body) == 1) => {}
+        }
+    }
+
+    env.kill(entry);
+    env.open_gate("killed");
+    let response = env
+        .submit_until_ran(&[other], "verify", "race-7", body)
+        .await;
+
+    assert_eq!(response.text(), format!("verify:{body}"));
+    assert_eq!(env.starts(body), 1);
+}
+
+/// Guards against a paused placer that places or answers something after its lease has expired.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_placer_that_resumes_after_its_lease_places_nothing() {
+    let env = TestEnv::start(ONE_DOMAIN, &[]).await;
+    let paused = env.placer("east").await;
+    let others: Vec<usize> = (0..3).filter(|vm| *vm != paused).collect();
+
+    env.signal(paused, "STOP");
+    env.wait_for("another VM places work", async || {
+        for vm in &others {
+            if env.status(*vm).await["placer"] == true {
+                return true;
+            }
+        }
+        false
+    })
+    .await;
+    let during = env
+        .submit_until_ran(&others, "credit", "loft-1", "loft-1")
+        .await;
+    env.signal(paused, "CONT");
+    let after = env
+        .submit_until_ran(&[paused], "credit", "loft-2", "loft-2")
+        .await;
+    let again = env
+        .submit_until_ran(&[paused], "credit", "loft-1", "loft-1")
+        .await;
+
+    assert_eq!(during.text(), "credit:loft-1");
+    assert_eq!(after.text(), "credit:loft-2");
+    assert_eq!(again.text(), "credit:loft-1");
+    assert_eq!((env.starts("loft-1"), env.starts("loft-2")), (1, 1));
+}
+
+/// Guards against a planned stop that breaks connections or loses requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_under_load_ends_no_request() {
+    let mut env = TestEnv::start(ONE_DOMAIN, &["--run-ms", "100"]).await;
+    let stopping = env.placer("east").await;
+    let body = "gate=stop;";
+    let client = env.client.clone();
+    let url = env.url(stopping, "/v1/requests/verify");
+    let mut callers = JoinSet::new();
+    for number in 0..8 {
+        let (client, url) = (client.clone(), url.clone());
+        callers.spawn(async move {
+            let headers = [
+                ("acaciareel-tenant", "tests".to_owned()),
+                ("idempotency-key", format!("stop-{number}")),
+                ("acaciareel-time-limit-ms", "60000".to_owned()),
+            ];
+            let body = format!("{body}{number}").into_bytes();
+            client.send("POST", &url, CALLER, &headers, body).await
+        });
+    }
+    env.wait_for("all tasks have started", async || {
+        (0..8).all(|number| env.starts(&format!("{body}{number}")) == 1)
+    })
+    .await;
+
+    env.signal(stopping, "TERM");
+    env.wait_for("the VM reports that it is stopping", async || {
+        let health = env
+            .client
+            .json("GET", &env.url(stopping, "/healthz"), "", &0.into());
+        health.await.map_or(true, |response| response.status == 503)
+    })
+    .await;
+    env.open_gate("stop");
+    let answers = callers.join_all().await;
+    let status = env.wait_for_exit(stopping).await;
+
+    for answer in answers {
+        let answer = answer.expect("unbroken connection");
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    assert!(status.success(), "{status}");
+    for number in 0..8 {
+        assert_eq!(env.starts(&format!("{body}{number}")), 1);
+    }
+}
+
+/// Guards against a VM with a lost disk that votes with a state it no longer has, or that never
+/// takes part again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_with_a_lost_data_folder_rejoins() {
+    let mut env = TestEnv::start(ONE_DOMAIN, &[]).await;
+    let first = env
+        .submit_until_ran(&[0, 1, 2], "credit", "loft-1", "loft-1")
+        .await;
+    let lost = (env.placer("east").await + 1) % 3;
+    let other = 3 - lost - env.placer("east").await;
+
+    env.kill(lost);
+    fs::remove_dir_all(&env.vms[lost].data).expect("removed data folder");
+    env.start_vm(lost);
+    env.wait_for("the VM has the tables again", async || {
+        env.status(lost).await["tables_version"].as_u64() >= Some(1)
+    })
+    .await;
+    // The group keeps its majority only if the returned VM has become a voter again.
+    env.wait_for("the VM votes again", async || {
+        env.log(lost).contains("promoted")
+    })
+    .await;
+    env.kill(other);
+    let remaining: Vec<usize> = (0..3).filter(|vm| *vm != other).collect();
+    let again = env
+        .submit_until_ran(&remaining, "credit", "loft-1", "loft-1")
+        .await;
+    let second = env
+        .submit_until_ran(&remaining, "credit", "loft-2", "loft-2")
+        .await;
+
+    assert_eq!(again.text(), first.text());
+    assert_eq!(second.text(), "credit:loft-2");
+    assert_eq!((env.starts("loft-1"), env.starts("loft-2")), (1, 1));
+}
+
+/// Guards against a token that opens a part of the interface that is not its own, and against bad
+/// input that is answered without a reason.
+#[tokio::test(flavor = "multi_thread")]
+async fn wrong_requests_get_their_status_and_a_reason() {
+    let env = TestEnv::start(ONE_DOMAIN, &[]).await;
+    let large = "x".repeat((256 << 10) + 1);
+    let header = "x".repeat(17 << 10);
+    let no_headers: &[(&str, String)] = &[];
+    let tenant = [("acaciareel-tenant", "tests".to_owned())];
+    let head = [("x-large", header)];
+    let cases = [
+        ("GET", "/v1/tables", "", no_headers, "", 401),
+        ("GET", "/v1/tables", CALLER, no_headers, "", 403),
+        ("GET", "/metrics", WORKER, no_headers, "", 403),
+        ("POST", "/v1/requests/verify", OPERATOR, no_headers, "", 403),
+        ("POST", "/v1/requests/verify", CALLER, no_headers, "", 400),
+        ("POST", "/v1/requests/verify", CALLER, &tenant, "", 400),
+        ("POST", "/v1/requests/verify", CALLER, &tenant, &large, 413),
+        ("GET", "/v1/requests/none", CALLER, &tenant, "", 404),
+        ("PUT", "/v1/tables", OPERATOR, no_headers, "{", 400),
+        (
+            "POST",
+            "/v1/workers/announce",
+            WORKER,
+            no_headers,
+            "{}",
+            400,
+        ),
+        ("POST", "/v1/vms", OPERATOR, no_headers, "", 405),
+        ("GET", "/v1/nowhere", OPERATOR, no_headers, "", 404),
+        ("GET", "/v1/tables", OPERATOR, &head, "", 431),
+        ("PUT", "/v1/log-level", OPERATOR, no_headers, "loud", 400),
+        ("PUT", "/v1/log-level", OPERATOR, no_headers, "debug", 204),
+    ];
+
+    for (method, path, token, headers, body, expected) in cases {
+        let url = env.url(0, path);
+        let body = body.as_bytes().to_vec();
+        let response = env.client.send(method, &url, token, headers, body).await;
+        let response = response.expect("response");
+
+        assert_eq!(
+            response.status,
+            expected,
+            "{method} {path}: {}",
+            response.text()
+        );
+        if expected >= 400 && path != "/v1/requests/none" {
+            let reason = response.json()["error"].as_str().map(str::len);
+            assert!(reason > Some(0), "{method} {path}: {}", response.text());
+            assert_eq!(response.header("acaciareel-verdict"), "not_run");
+        }
+    }
+}
--- /dev/null
+++ b/crates/acaciareeld/tests/end_to_end/env.rs
@@ -0,0 +1,439 @@
+//! A deployment of real processes on loopback addresses, in a temporary folder.
+
+use std::{
+    fmt::Write as _,
+    fs,
+    net::{SocketAddr, TcpListener, UdpSocket},
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+    time::{Duration, Instant},
+};
+
+use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::time;
+
+use crate::client::{Client, Response};
+
+/// Give-up limit of every wait. A test whose condition holds earlier ends earlier.
+const GIVE_UP: Duration = Duration::from_secs(60);
+const POLL: Duration = Duration::from_millis(20);
+
+pub const OPERATOR: &str = "operator-token-0123456789";
+pub const CALLER: &str = "caller-token-0123456789";
+pub const WORKER: &str = "worker-token-0123456789";
+
+/// One failure domain of a deployment.
+#[derive(Clone, Copy, Debug)]
+pub struct Domain {
+    pub name: &'static str,
+    pub vms: usize,
+    pub workers: usize,
+}
+
+/// One daemon.
+#[derive(Debug)]
+pub struct Vm {
+    pub domain: &'static str,
+    pub http: SocketAddr,
+    pub data: PathBuf,
+    peers: SocketAddr,
+    settings: PathBuf,
+    process: Option<Child>,
+}
+
+/// A deployment.
+#[derive(Debug)]
+pub struct TestEnv {
+    pub vms: Vec<Vm>,
+    pub client: Client,
+    workers: Vec<Child>,
+    folder: TempDir,
+}
+
+/// Returns a port that is free for TCP and UDP now.
+fn free_address() -> SocketAddr {
+    loop {
+        let tcp = TcpListener::bind("127.0.0.1:0").expect("free port");
+        let address = tcp.local_addr().expect("local address");
+        if UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+fn daemon_binary() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_acaciareeld"))
+}
+
+/// `cargo test` builds the examples; with `--test NAME` it does not.
+fn worker_binary() -> PathBuf {
+    let folder = daemon_binary().parent().expect("target folder");
+    let path = folder.join("examples/standin_worker");
+    assert!(
+        path.exists(),
+        "run `cargo build --examples -p acaciareeld` first"
+    );
+    path
+}
+
+/// Sends a signal to a process of this test.
+fn signal(child: &Child, name: &str) {
+    let status = Command::new("kill")
+        .args([format!("-{name}"), child.id().to_string()])
+        .status();
+    assert!(status.expect("kill").success());
+}
+
+fn write_keys(folder: &Path, vms: usize) {
+    let mut authority = CertificateParams::new(Vec::new()).expect("parameters");
+    authority.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    let key = KeyPair::generate().expect("key");
+    let certificate = authority.self_signed(&key).expect("certificate");
+    fs::write(folder.join("ca.pem"), certificate.pem()).expect("written file");
+    let issuer = Issuer::new(authority, key);
+    for vm in 1..=vms {
+        let key = KeyPair::generate().expect("key");
+        let names = vec![format!("vm-{vm}")];
+        let params = CertificateParams::new(names).expect("parameters");
+        let certificate = params.signed_by(&key, &issuer).expect("certificate");
+        fs::write(folder.join(format!("vm-{vm}.pem")), certificate.pem()).expect("written file");
+        fs::write(folder.join(format!("vm-{vm}.key")), key.serialize_pem()).expect("written file");
+    }
+}
+
+impl TestEnv {
+    /// Starts a deployment and waits until the tables are in force everywhere and every domain has
+    /// its workers.
+    pub async fn start(domains: &[Domain], worker_options: &[&str]) -> Self {
+        let folder = tempfile::tempdir().expect("temporary folder");
+        let mut vms = Vec::new();
+        for domain in domains {
+            for _ in 0..domain.vms {
+                let name = format!("vm-{}", vms.len() + 1);
+                vms.push(Vm {
+                    domain: domain.name,
+                    http: free_address(),
+                    peers: free_address(),
+                    settings: folder.path().join(format!("{name}.ini")),
+                    data: folder.path().join(format!("{name}.data")),
+                    process: None,
+                });
+            }
+        }
+        write_keys(folder.path(), vms.len());
+        for (file, token) in [
+            ("operators", OPERATOR),
+            ("callers", CALLER),
+            ("workers", WORKER),
+        ] {
+            fs::write(folder.path().join(file), token).expect("written file");
+        }
+        let mut env = Self {
+            vms,
+            client: Client::default(),
+            workers: Vec::new(),
+            folder,
+        };
+        for vm in 0..env.vms.len() {
+            env.write_settings(vm);
+            env.start_vm(vm);
+        }
+        for domain in domains {
+            for number in 0..domain.workers {
+                env.start_worker(domain.name, number, worker_options);
+            }
+        }
+        env.apply_tables().await;
+        env.wait_until_ready(domains).await;
+        env
+    }
+
+    fn write_settings(&self, index: usize) {
+        let mut peers = String::new();
+        for (i, vm) in self.vms.iter().enumerate() {
+            let (id, address, domain) = (i + 1, vm.peers, vm.domain);
+            write!(
+                peers,
+                "[peer vm-{id}]\naddress = {address}\nfailure_domain = {domain}\n"
+            )
+            .expect("formatted text");
+        }
+        let (id, vm) = (index + 1, &self.vms[index]);
+        let text = format!(
+            "[vm]\nid = vm-{id}\nfailure_domain = {}\ndata_folder = vm-{id}.data\n\
+             [listen]\nhttp = {}\npeers = {}\n{peers}\
+             [keys]\nauthority = ca.pem\ncertificate = vm-{id}.pem\nprivate_key = vm-{id}.key\n\
+             [tokens]\noperators = operators\ncallers = callers\nworkers = workers\n\
+             [limits]\nstop_accept_ms = 200\n",
+            vm.domain, vm.http, vm.peers
+        );
+        fs::write(&vm.settings, text).expect("written file");
+    }
+
+    /// Starts a daemon; its log goes to a file in the temporary folder.
+    pub fn start_vm(&mut self, index: usize) {
+        let vm = &mut self.vms[index];
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(vm.settings.with_extension("log"));
+        let process = Command::new(daemon_binary())
+            .arg("--config")
+            .arg(&vm.settings)
+            .stdin(Stdio::null())
+            .stderr(log.expect("log file"))
+            .spawn();
+        vm.process = Some(process.expect("started daemon"));
+    }
+
+    fn start_worker(&mut self, domain: &str, number: usize, options: &[&str]) {
+        let entries = self.vms.iter().filter(|vm| vm.domain == domain);
+        let entries: Vec<_> = entries.map(|vm| vm.http.to_string()).collect();
+        let process = Command::new(worker_binary())
+            .args(["--id", &format!("{domain}-w{number}")])
+            .args(["--listen", "127.0.0.1:0"])
+            .args(["--entry", &entries.join(",")])
+            .args(["--failure-domain", domain])
+            .args(["--rack", &format!("{domain}-r{}", number % 2)])
+            .args(["--group", "main"])
+            .args(["--seed", &(number + 1).to_string()])
+            .arg("--token-file")
+            .arg(self.folder.path().join("workers"))
+            .arg("--task-log")
+            .arg(self.task_log_file())
+            .arg("--gate-folder")
+            .arg(self.folder.path())
+            .args(options)
+            .stdin(Stdio::null())
+            .spawn();
+        self.workers.push(process.expect("started worker"));
+    }
+
+    /// Applies the tables with the kinds `lookup`, `verify` and `credit`, until it is accepted.
+    async fn apply_tables(&self) {
+        let row = |name: &str, settings: &[(&str, &str)]| {
+            let settings: Vec<Value> = settings
+                .iter()
+                .map(|(key, value)| json!({"key": key, "value": value}))
+                .collect();
+            json!({"name": name, "settings": settings})
+        };
+        let route = |name: &str, effect: &str| {
+            row(
+                name,
+                &[
+                    ("pool", "main"),
+                    ("effect", effect),
+                    ("cpu_millicores", "1000"),
+                    ("memory_bytes", "1000000"),
+                    ("time_limit_ms", "120000"),
+                    ("run_time_ms", "100"),
+                ],
+            )
+        };
+        let body = json!({
+            "operation_id": "first",
+            "expected_version": 0,
+            "tables": {
+                "routes": [
+                    route("lookup", "idempotent"),
+                    route("verify", "exclusive"),
+                    route("credit", "once"),
+                ],
+                "pools": [row("main", &[("groups", "main"), ("policy", "service")])],
+            },
+        });
+        let deadline = Instant::now() + GIVE_UP;
+        loop {
+            let url = self.url(0, "/v1/tables");
+            let applied = self.client.json("PUT", &url, OPERATOR, &body).await;
+            if applied
+                .as_ref()
+                .is_ok_and(|response| response.status == 200)
+            {
+                return;
+            }
+            assert!(
+                Instant::now() < deadline,
+                "tables are not accepted: {applied:?}"
+            );
+            time::sleep(POLL).await;
+        }
+    }
+
+    async fn wait_until_ready(&self, domains: &[Domain]) {
+        for vm in 0..self.vms.len() {
+            self.wait_for("the tables are in force", async || {
+                let status = self.status(vm).await;
+                status["tables_version"].as_u64() >= Some(1)
+            })
+            .await;
+        }
+        for domain in domains.iter().filter(|domain| domain.workers > 0) {
+            self.wait_for("the workers are active", async || {
+                for (vm, settings) in self.vms.iter().enumerate() {
+                    if settings.domain == domain.name && settings.process.is_some() {
+                        let status = self.status(vm).await;
+                        let active = status["active_workers"].as_u64();
+                        if status["placer"] == true && active == Some(domain.workers as u64) {
+                            return true;
+                        }
+                    }
+                }
+                false
+            })
+            .await;
+        }
+    }
+
+    /// Waits until a condition holds; fails with the logs after the give-up limit.
+    pub async fn wait_for(&self, what: &str, mut condition: impl AsyncFnMut() -> bool) {
+        let deadline = Instant::now() + GIVE_UP;
+        while !condition().await {
+            if Instant::now() >= deadline {
+                for vm in &self.vms {
+                    let log = fs::read_to_string(vm.settings.with_extension("log"));
+                    eprintln!("{}:\n{}", vm.settings.display(), log.unwrap_or_default());
+                }
+                eprintln!("tasks: {:#?}", self.task_log());
+                panic!("gave up waiting until {what}");
+            }
+            time::sleep(POLL).await;
+        }
+    }
+
+    pub fn url(&self, vm: usize, path: &str) -> String {
+        format!("http://{}{path}", self.vms[vm].http)
+    }
+
+    /// Returns the status of a VM, or null while it does not answer.
+    pub async fn status(&self, vm: usize) -> Value {
+        let url = self.url(vm, "/v1/status");
+        let response = self.client.json("GET", &url, OPERATOR, &json!({})).await;
+        response.map_or(Value::Null, |response| response.json())
+    }
+
+    /// Returns the VM of a domain that places work on its workers.
+    pub async fn placer(&self, domain: &str) -> usize {
+        let mut placer = None;
+        self.wait_for("the domain has a placer", async || {
+            for (vm, settings) in self.vms.iter().enumerate() {
+                if settings.domain == domain && self.status(vm).await["placer"] == true {
+                    placer = Some(vm);
+                    return true;
+                }
+            }
+            false
+        })
+        .await;
+        placer.expect("placer")
+    }
+
+    /// Submits a request and waits for its verdict, as long as the connection holds.
+    pub async fn submit(
+        &self,
+        vm: usize,
+        kind: &str,
+        key: &str,
+        attempt: u32,
+        body: &str,
+    ) -> Result<Response, String> {
+        let url = self.url(vm, &format!("/v1/requests/{kind}"));
+        let headers = [
+            ("acaciareel-tenant", "tests".to_owned()),
+            ("idempotency-key", key.to_owned()),
+            ("acaciareel-attempt", attempt.to_string()),
+            ("acaciareel-time-limit-ms", "60000".to_owned()),
+        ];
+        let body = body.as_bytes().to_vec();
+        self.client.send("POST", &url, CALLER, &headers, body).await
+    }
+
+    /// Submits and resends, as a caller does, until the request ran.
+    pub async fn submit_until_ran(
+        &self,
+        vms: &[usize],
+        kind: &str,
+        key: &str,
+        body: &str,
+    ) -> Response {
+        let deadline = Instant::now() + GIVE_UP;
+        let mut attempt = 1;
+        loop {
+            let vm = vms[attempt as usize % vms.len()];
+            let result = self.submit(vm, kind, key, attempt, body).await;
+            if let Ok(response) = &result
+                && response.status == 200
+            {
+                return response.clone();
+            }
+            assert!(Instant::now() < deadline, "{key} did not run: {result:?}");
+            attempt += 1;
+            time::sleep(POLL).await;
+        }
+    }
+
+    pub fn open_gate(&self, name: &str) {
+        fs::write(self.folder.path().join(name), "").expect("written file");
+    }
+
+    fn task_log_file(&self) -> PathBuf {
+        self.folder.path().join("tasks.log")
+    }
+
+    /// Returns the lines of the task log.
+    pub fn task_log(&self) -> Vec<String> {
+        let text = fs::read_to_string(self.task_log_file()).unwrap_or_default();
+        text.lines().map(str::to_owned).collect()
+    }
+
+    /// Counts the starts of the request with this body.
+    pub fn starts(&self, body: &str) -> usize {
+        let lines = self.task_log();
+        let starts = lines.iter().filter(|line| line.starts_with("start "));
+        starts
+            .filter(|line| line.split(' ').nth(3) == Some(body))
+            .count()
+    }
+
+    /// Returns the log of a daemon.
+    pub fn log(&self, vm: usize) -> String {
+        fs::read_to_string(self.vms[vm].settings.with_extension("log")).unwrap_or_default()
+    }
+
+    pub fn signal(&self, vm: usize, name: &str) {
+        signal(self.vms[vm].process.as_ref().expect("running daemon"), name);
+    }
+
+    /// Ends a daemon without warning.
+    pub fn kill(&mut self, vm: usize) {
+        let mut process = self.vms[vm].process.take().expect("running daemon");
+        process.kill().expect("killed daemon");
+        process.wait().expect("ended daemon");
+    }
+
+    /// Waits until a daemon has ended by itself.
+    pub async fn wait_for_exit(&mut self, vm: usize) -> ExitStatus {
+        let mut process = self.vms[vm].process.take().expect("running daemon");
+        let deadline = Instant::now() + GIVE_UP;
+        loop {
+            if let Some(status) = process.try_wait().expect("status of daemon") {
+                return status;
+            }
+            assert!(Instant::now() < deadline, "the daemon does not stop");
+            time::sleep(POLL).await;
+        }
+    }
+}
+
+impl Drop for TestEnv {
+    fn drop(&mut self) {
+        let vms = self.vms.iter_mut().filter_map(|vm| vm.process.as_mut());
+        for process in vms.chain(self.workers.iter_mut()) {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+    }
+}
