--- a/crates/node/src/codec/peer.rs
+++ b/crates/node/src/codec/peer.rs
@@ -12,7 +12,7 @@
     text_fields,
 };
 
-use crate::{GroupId, PeerMessage, PoolRoom, RequestState, TablesReply};
+use crate::{GroupId, PeerMessage, Placing, PoolRoom, RequestState, TablesReply};
 
 /// Name of the tables group.
 const TABLES_GROUP: &str = "tables";
@@ -54,15 +54,21 @@
 
 message_struct!(PoolRoom => wire::PoolRoom { pool, workers, free_slots, predicted_wait_ms });
 
+message_struct!(Placing => wire::Placing { domain, term, rooms });
+
 message_enum!(PeerMessage => wire::PeerMessage, message = PeerChoice {
-    Heartbeat { tables_version, stopping, placer, rooms }
+    Heartbeat { tables_version, stopping, placing }
     Group { group, message }
-    Submit { submission, domain, request }
+    Submit { submission, domain, term, request }
     SubmitReply { submission, verdict }
     NotPlacer { submission, placer }
     Inquire { inquiry, domain, tenant, key, cancel }
     InquireReply { inquiry, state }
-    Place { task, request }
+    Place { task, term, request }
+    PlaceKnown { task }
+    PlaceCheck { task }
+    PlaceLost { task }
+    PlaceStop { task }
     PlaceRefused { task, retry_after_ms }
     Announce { report }
     TaskResult { task, worker, answer, used }
--- a/crates/node/src/placer/roster.rs
+++ b/crates/node/src/placer/roster.rs
@@ -100,7 +100,12 @@
         match self.mode {
             Mode::Ledger { term } => {
                 let first = (term.0 << 16) | 1;
-                FencingToken(first.max(report.token.0.saturating_add(1)))
+                // A token of a later term belongs to the next leader and must not be exceeded.
+                if report.token.0 >> 16 == term.0 {
+                    FencingToken(report.token.0.saturating_add(1))
+                } else {
+                    FencingToken(first)
+                }
             }
             Mode::Fallback => FencingToken(report.token.0.saturating_add(1)),
         }
--- a/crates/node/tests/codec.rs
+++ b/crates/node/tests/codec.rs
@@ -6,12 +6,12 @@
 use acaciareel_consensus::Message;
 use acaciareel_node::{
     ConnectionId, Event, GroupId, LedgerCommand, LedgerRecord, LedgerSnapshot, LedgerState,
-    OperationOutcome, PeerMessage, PoolRoom, RequestKey, RequestState, StartedOn, StartedTask,
+    OperationOutcome, PeerMessage, Placing, PoolRoom, RequestKey, RequestState, StartedOn, StartedTask,
     TablesCommand, TablesReply, TablesSnapshot,
 };
 use acaciareel_types::{
     Answer, Attempt, BodyDigest, FailureDomain, Incarnation, LogIndex, Millis, RawTables, Request,
-    Resources, SortedVec, TableVersion, TaskId, Verdict, VmId, WorkerReport,
+    Resources, SortedVec, TableVersion, TaskId, Term, Verdict, VmId, WorkerReport,
 };
 use acaciareel_wire::http;
 use proptest::{collection::vec, option, prelude::*};
@@ -196,6 +196,7 @@
         0 => PeerMessage::Submit {
             submission,
             domain,
+            term: Term(p.numbers.3),
             request: p.request,
         },
         1 => PeerMessage::SubmitReply {
@@ -219,6 +220,7 @@
         },
         5 => PeerMessage::Place {
             task,
+            term: Term(p.numbers.3),
             request: p.request,
         },
         6 => PeerMessage::PlaceRefused {
@@ -239,12 +241,15 @@
         8 => PeerMessage::Heartbeat {
             tables_version: version,
             stopping: p.numbers.4,
-            placer: p.numbers.5,
-            rooms: vec![PoolRoom {
-                pool: "audits".parse().expect("pool"),
-                workers: p.numbers.1,
-                free_slots: p.numbers.2,
-                predicted_wait_ms: Millis(p.numbers.0),
+            placing: vec![Placing {
+                domain: p.report.failure_domain,
+                term: Term(p.numbers.3),
+                rooms: vec![PoolRoom {
+                    pool: "audits".parse().expect("pool"),
+                    workers: p.numbers.1,
+                    free_slots: p.numbers.2,
+                    predicted_wait_ms: Millis(p.numbers.0),
+                }],
             }],
         },
         9 => PeerMessage::Announce { report: p.report },
@@ -268,6 +273,10 @@
         14 => PeerMessage::Drain {
             worker: p.report.worker,
         },
+        15 => PeerMessage::PlaceKnown { task },
+        16 => PeerMessage::PlaceCheck { task },
+        17 => PeerMessage::PlaceLost { task },
+        18 => PeerMessage::PlaceStop { task },
         _ => PeerMessage::Group {
             group: GroupId::Tables,
             message: p.message,
@@ -276,7 +285,7 @@
 }
 
 fn peer_message() -> impl Strategy<Value = PeerMessage> {
-    (0..16_u8, parts()).prop_map(|(variant, parts)| match variant {
+    (0..20_u8, parts()).prop_map(|(variant, parts)| match variant {
         0..8 => requests(variant, parts),
         _ => others(variant, parts),
     })
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -28,7 +28,7 @@
 message_struct!(Snapshot => wire::Snapshot { index, term, members, state });
 
 message_enum!(Message => wire::Message, message = MessageChoice {
-    Unformed {}
+    Unformed { asked_by }
     Join {}
     RequestVote { term, pre_vote, last_index, last_term, transfer }
     Vote { term, pre_vote, granted }
