--- a/crates/acaciareeld/src/config.rs
+++ b/crates/acaciareeld/src/config.rs
@@ -14,11 +14,13 @@
 use acaciareel_settings::{IniFile, SettingsError};
 use acaciareel_types::{FailureDomain, Millis, RatePerSecond, SortedVec, VmId};
 
+use crate::logging;
+
 mod reader;
 mod sections;
 
-pub use reader::Setting;
 use reader::SectionReader;
+pub use reader::Setting;
 
 /// Address and failure domain of an entry VM.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -280,20 +282,28 @@
     vms.keys().copied().take(most).collect()
 }
 
-/// Chooses two VMs of the domain and one outside it, as the design page states.
+/// Chooses two VMs of the domain and one outside it, or the nearest to it that the VMs allow.
 fn default_ledger_voters(vms: &SortedVec<VmId, PeerConfig>, domain: &FailureDomain) -> Vec<VmId> {
-    let inside = vms.iter().filter(|(_, vm)| vm.failure_domain == *domain);
-    let mut voters: Vec<_> = inside.map(|(id, _)| *id).take(2).collect();
-    let last = voters.last().copied().unwrap_or(VmId(0));
-    let outside: Vec<_> = vms
-        .iter()
-        .filter(|(_, vm)| vm.failure_domain != *domain)
-        .map(|(id, _)| *id)
-        .collect();
-    // The next VM in the order of ids, so that the outside votes are spread over the VMs.
-    let next = outside.iter().find(|id| **id > last).or(outside.first());
-    voters.extend(next.copied());
-    voters
+    let (mut inside, mut outside) = (Vec::new(), Vec::new());
+    for (id, vm) in vms.iter() {
+        if vm.failure_domain == *domain {
+            inside.push(*id);
+        } else {
+            outside.push(*id);
+        }
+    }
+    // Starts after the domain's own VMs, so that the outside votes are spread over all VMs.
+    let first = outside.iter().position(|id| inside.last() < Some(id));
+    outside.rotate_left(first.unwrap_or(0));
+    let rest = inside.split_off(inside.len().min(2));
+    let needed = if inside.len() < 2 { 2 } else { 1 };
+    let outside = outside.into_iter().take(needed);
+    inside
+        .into_iter()
+        .chain(outside)
+        .chain(rest)
+        .take(3)
+        .collect()
 }
 
 fn keys(raw: &IniFile, settings: &mut Vec<Setting>) -> Result<KeysConfig, SettingsError> {
@@ -378,7 +388,7 @@
         }
     };
     let level: String = reader.optional("level", "info".to_owned())?;
-    if let Err(error) = flexi_logger::LogSpecification::parse(&level) {
+    if let Err(error) = logging::parse_level(&level) {
         return Err(reader.error("level", error));
     }
     Ok(LogsConfig {
--- a/crates/acaciareeld/src/config/reader.rs
+++ b/crates/acaciareeld/src/config/reader.rs
@@ -74,7 +74,10 @@
         sections::error(self.raw, &self.section, key, reason)
     }
 
-    pub fn parse_name<T: FromStr<Err: fmt::Display>>(&self, name: &str) -> Result<T, SettingsError> {
+    pub fn parse_name<T: FromStr<Err: fmt::Display>>(
+        &self,
+        name: &str,
+    ) -> Result<T, SettingsError> {
         name.parse().map_err(|error| self.error("", error))
     }
 
--- a/crates/acaciareeld/src/config/sections.rs
+++ b/crates/acaciareeld/src/config/sections.rs
@@ -53,5 +53,10 @@
         Some(nearest) => format!("did you mean {nearest:?}?"),
         None => format!("known are {}", known.join(", ")),
     };
-    error(ini, section, key, format!("unknown {what} {name:?}; {hint}"))
+    error(
+        ini,
+        section,
+        key,
+        format!("unknown {what} {name:?}; {hint}"),
+    )
 }
--- a/crates/acaciareeld/src/http.rs
+++ b/crates/acaciareeld/src/http.rs
@@ -15,7 +15,7 @@
 use acaciareel_types::{FailureDomain, Incarnation, VmId};
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
-use flexi_logger::{LogSpecification, LoggerHandle};
+use flexi_logger::LoggerHandle;
 use futures_util::future;
 use gotham::{
     anyhow,
@@ -33,7 +33,7 @@
     time,
 };
 
-use crate::{config::LimitsConfig, error::DaemonError, node_task::Input};
+use crate::{config::LimitsConfig, error::DaemonError, logging, node_task::Input};
 
 mod auth;
 mod connection;
@@ -324,7 +324,7 @@
     fn set_log_level(&self, body: &Bytes) -> Result<Response<Body>, HttpError> {
         let text = std::str::from_utf8(body)
             .map_err(|_| HttpError::bad_request("the level is not text".to_owned()))?;
-        let level = LogSpecification::parse(text.trim())
+        let level = logging::parse_level(text.trim())
             .map_err(|error| HttpError::bad_request(format!("level: {error}")))?;
         self.app.logger.set_new_spec(level);
         log::info!(event = "log_level_changed", level = text.trim(); "");
--- a/crates/acaciareeld/src/http/connection.rs
+++ b/crates/acaciareeld/src/http/connection.rs
@@ -200,11 +200,10 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let allowance = ready!(self.poll_allowance(cx))?;
-        let mut part = buffer.take(allowance);
+        let length = allowance.min(buffer.remaining());
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(length));
         ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
         let read = part.filled().len();
-        // `part` shares the memory of `buffer`, whose new bytes are therefore initialised.
-        buffer.initialize_unfilled_to(read);
         buffer.advance(read);
         let mut state = lock(&self.gate.state);
         if state.in_flight == 0 {
--- a/crates/acaciareeld/src/logging.rs
+++ b/crates/acaciareeld/src/logging.rs
@@ -4,9 +4,9 @@
 
 use acaciareel_node::LogLevel;
 use error_stack::{Report, ResultExt};
-use flexi_logger::{DeferredNow, FileSpec, FormatFunction, Logger, LoggerHandle};
+use flexi_logger::{DeferredNow, FileSpec, FormatFunction, LogSpecification, Logger, LoggerHandle};
 use log::{
-    Level, Record,
+    Level, LevelFilter, Record,
     kv::{Error, Key, Value, VisitSource},
 };
 
@@ -35,6 +35,22 @@
     logger.start().change_context(DaemonError::Start)
 }
 
+/// Checks a level, such as `info`, or levels by module, such as `info, quinn=warn`.
+///
+/// # Errors
+///
+/// Fails if a level is unknown; the library would take such a word for the name of a module.
+pub fn parse_level(text: &str) -> Result<LogSpecification, String> {
+    for part in text.split(',') {
+        let level = part.rsplit('=').next().unwrap_or("").trim();
+        if level.parse::<LevelFilter>().is_err() {
+            let known = "off, error, warn, info, debug, trace";
+            return Err(format!("{level:?} is not one of {known}"));
+        }
+    }
+    LogSpecification::parse(text).map_err(|error| error.to_string())
+}
+
 /// Logs an event of the node.
 pub fn node_event(level: LogLevel, event: &str, fields: &[(&'static str, String)]) {
     let level = match level {
