--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -5,9 +5,7 @@
     Request, SortedVec, TaskId, Term, Verdict, VmId, WorkerId,
 };
 
-use crate::{
-    ConnectionId, NodeSettings, Observation, Reply, io::Io, node::Node,
-};
+use crate::{ConnectionId, NodeSettings, Observation, Reply, io::Io, node::Node};
 
 mod forward;
 mod inquiry;
--- a/crates/node/src/fallback.rs
+++ b/crates/node/src/fallback.rs
@@ -2,11 +2,7 @@
 
 use acaciareel_types::{Millis, Term};
 
-use crate::{
-    io::Io,
-    node::Node,
-    placer::{Mode},
-};
+use crate::{io::Io, node::Node, placer::Mode};
 
 /// Time without a ledger leader after which a fallback placer takes over.
 const NO_LEADER_MS: Millis = Millis(2_000);
--- a/crates/node/src/groups.rs
+++ b/crates/node/src/groups.rs
@@ -18,20 +18,10 @@
 /// What a replica tells its state machine.
 #[derive(Debug)]
 pub(crate) enum GroupEvent {
-    Commit {
-        index: LogIndex,
-        command: Arc<[u8]>,
-    },
-    Restore {
-        state: Arc<[u8]>,
-    },
-    RoleChanged {
-        role: Role,
-        term: Term,
-    },
-    Ready {
-        term: Term,
-    },
+    Commit { index: LogIndex, command: Arc<[u8]> },
+    Restore { state: Arc<[u8]> },
+    RoleChanged { role: Role, term: Term },
+    Ready { term: Term },
 }
 
 /// Replica of one group with the entries applied since the last snapshot.
@@ -83,7 +73,8 @@
                     lease_ms: LEASE_MS,
                     seed: group_seed(settings.seed, group, settings.vm),
                 };
-                let replica = Replica::new(group_settings, restored.remove(group), now_ms);
+                let mut replica = Replica::new(group_settings, restored.remove(group), now_ms);
+                replica.set_contacts(&settings.vms.keys().copied().collect::<Vec<_>>());
                 let group_state = Group {
                     replica,
                     ready: None,
@@ -255,7 +246,8 @@
 fn group_seed(seed: u64, group: &GroupId, vm: VmId) -> u64 {
     const PRIME: u64 = 0x0000_0100_0000_01b3;
     let text = format!("{group}/{vm}");
-    text.bytes().fold(seed ^ 0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
-    })
+    text.bytes()
+        .fold(seed ^ 0xcbf2_9ce4_8422_2325, |hash, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+        })
 }
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -4,9 +4,7 @@
 
 use acaciareel_types::{Millis, VmId, WorkerId};
 
-use crate::{
-    CallId, ConnectionId, Effect, LogLevel, Observation, PeerMessage, Reply, WorkerCall,
-};
+use crate::{CallId, ConnectionId, Effect, LogLevel, Observation, PeerMessage, Reply, WorkerCall};
 
 /// Output of one call of the reducer.
 #[derive(Debug)]
--- a/crates/node/src/ledger_state.rs
+++ b/crates/node/src/ledger_state.rs
@@ -2,9 +2,7 @@
 
 use acaciareel_types::{Answer, Attempt, Body, LogIndex, SortedVec, TaskId};
 
-use crate::{
-    LedgerCommand, LedgerRecord, LedgerSnapshot, LedgerState, RequestKey, StartedTask,
-};
+use crate::{LedgerCommand, LedgerRecord, LedgerSnapshot, LedgerState, RequestKey, StartedTask};
 
 /// Effect of a committed command on the record of its key.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -385,15 +385,16 @@
     }
 
     /// Becomes the placer of a domain and announces it.
-    pub(crate) fn take_placer_role(
-        &mut self,
-        domain: &FailureDomain,
-        mode: Mode,
-        io: &mut Io<'_>,
-    ) {
+    pub(crate) fn take_placer_role(&mut self, domain: &FailureDomain, mode: Mode, io: &mut Io<'_>) {
         self.drop_placer_role(domain, io);
         self.placer_lives += 1;
-        let placer = Placer::new(domain.clone(), mode, self.placer_lives, self.settings.seed, io.now_ms);
+        let placer = Placer::new(
+            domain.clone(),
+            mode,
+            self.placer_lives,
+            self.settings.seed,
+            io.now_ms,
+        );
         self.placers.insert(domain.clone(), placer);
         let fields = vec![
             ("domain", domain.to_string()),
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -18,25 +18,25 @@
     job: u64,
     index: usize,
 ) -> Option<TaskId> {
-    format!("l/{domain}/{term}-{job}-{index}").parse().ok()
+    format!("l:{domain}:{term}-{job}-{index}").parse().ok()
 }
 
 /// Returns the identifier of a task of an idempotent request.
 pub(crate) fn vm_task(vm: VmId, incarnation: Incarnation, number: u64) -> TaskId {
-    format!("v/{}/{incarnation}/{number}", vm.0)
+    format!("v:{}:{incarnation}:{number}", vm.0)
         .parse()
-        .expect("digits and slashes form a valid identifier")
+        .expect("digits and colons form a valid identifier")
 }
 
 impl TaskOwner {
     /// Reads the owner from a task identifier.
     pub fn of(task: &TaskId) -> Option<Self> {
         let text = task.as_str();
-        if let Some(rest) = text.strip_prefix("l/") {
-            let (domain, _) = rest.rsplit_once('/')?;
+        if let Some(rest) = text.strip_prefix("l:") {
+            let (domain, _) = rest.rsplit_once(':')?;
             return domain.parse().ok().map(Self::Ledger);
         }
-        let mut parts = text.strip_prefix("v/")?.split('/');
+        let mut parts = text.strip_prefix("v:")?.split(':');
         let vm = parts.next()?.parse().ok()?;
         let incarnation = parts.next()?.parse().ok()?;
         Some(Self::Vm(VmId(vm), Incarnation(incarnation)))
--- a/crates/node/src/placer.rs
+++ b/crates/node/src/placer.rs
@@ -2,8 +2,8 @@
 
 use acaciareel_scheduler::{Decision, JobId, Scheduler, SchedulerSettings, TaskKey};
 use acaciareel_types::{
-    Answer, Attempt, Class, Effect as RunEffect, FailureDomain, Incarnation, Millis,
-    Reason, Request, Resources, SortedVec, TaskId, Term, Verdict, VmId, WorkerId,
+    Answer, Attempt, Class, Effect as RunEffect, FailureDomain, Incarnation, Millis, Reason,
+    Request, Resources, SortedVec, TaskId, Term, Verdict, VmId, WorkerId,
 };
 
 use crate::{
--- a/crates/node/src/placer/foreign.rs
+++ b/crates/node/src/placer/foreign.rs
@@ -137,12 +137,7 @@
         site.io.send(home, message);
     }
 
-    fn answer_from_tombstone(
-        &self,
-        site: &mut Site<'_, '_>,
-        home: VmId,
-        task: &TaskId,
-    ) -> bool {
+    fn answer_from_tombstone(&self, site: &mut Site<'_, '_>, home: VmId, task: &TaskId) -> bool {
         let Some(fate) = self.foreign_ended.fates.get(task) else {
             return false;
         };
--- a/crates/node/src/placer/jobs.rs
+++ b/crates/node/src/placer/jobs.rs
@@ -30,9 +30,8 @@
 impl RefusedKeys {
     fn remember(&mut self, now_ms: Millis, key: RequestKey, attempt: Attempt) {
         if self.attempts.len() >= KEPT_REFUSALS {
-            self.attempts.retain(|_, (_, at_ms)| {
-                now_ms.saturating_sub(*at_ms) < REFUSAL_KEPT_MS
-            });
+            self.attempts
+                .retain(|_, (_, at_ms)| now_ms.saturating_sub(*at_ms) < REFUSAL_KEPT_MS);
         }
         if self.attempts.len() < KEPT_REFUSALS {
             self.attempts.insert(key, (attempt, now_ms));
--- a/crates/node/src/placer/lease.rs
+++ b/crates/node/src/placer/lease.rs
@@ -139,10 +139,11 @@
         };
         let mut listed: Vec<TaskId> = report.running.iter().map(|r| r.task.clone()).collect();
         listed.extend(unacknowledged);
-        let active = registered
-            .worker
-            .joining()
-            .confirm(report.clone(), call.token, valid_until_ms);
+        let active =
+            registered
+                .worker
+                .joining()
+                .confirm(report.clone(), call.token, valid_until_ms);
         let registered = super::Registered {
             worker: AnyWorker::Active(active),
             heard_ms: now_ms,
@@ -173,7 +174,9 @@
             }
             Mode::Ledger { .. } | Mode::Fallback => {
                 registered.token = registered.token.max(next);
-                registered.next_claim_ms = registered.next_claim_ms.min(now_ms.saturating_add(Millis(200)));
+                registered.next_claim_ms = registered
+                    .next_claim_ms
+                    .min(now_ms.saturating_add(Millis(200)));
             }
         }
     }
--- a/crates/node/src/placer/recovery.rs
+++ b/crates/node/src/placer/recovery.rs
@@ -28,12 +28,7 @@
         }
     }
 
-    fn recover_record(
-        &mut self,
-        site: &mut Site<'_, '_>,
-        key: &RequestKey,
-        record: &LedgerRecord,
-    ) {
+    fn recover_record(&mut self, site: &mut Site<'_, '_>, key: &RequestKey, record: &LedgerRecord) {
         let mut job = recorded_job(site, key, record);
         let id = job.id;
         self.by_key.insert(key.clone(), id);
@@ -259,12 +254,7 @@
         }
     }
 
-    pub(super) fn stop_if_cancelled(
-        &mut self,
-        site: &mut Site<'_, '_>,
-        id: JobId,
-        index: usize,
-    ) {
+    pub(super) fn stop_if_cancelled(&mut self, site: &mut Site<'_, '_>, id: JobId, index: usize) {
         if self.jobs.get(&id).is_some_and(|job: &Job| job.cancelled) {
             self.stop_task(site, id, index);
         }
--- a/crates/node/src/placer/results.rs
+++ b/crates/node/src/placer/results.rs
@@ -4,9 +4,7 @@
 use acaciareel_types::{Answer, Resources, TaskId, Verdict, VmId, WorkerId};
 
 use super::{Mode, Owner, Placer, Site, Stage, TaskState, task_key};
-use crate::{
-    LedgerCommand, Observation, PeerMessage, io::Io, node::Node, owner::TaskOwner,
-};
+use crate::{LedgerCommand, Observation, PeerMessage, io::Io, node::Node, owner::TaskOwner};
 
 impl Node {
     /// Takes a result as the owner of its task, or as the placer whose room it frees.
--- a/crates/node/src/placer/roster.rs
+++ b/crates/node/src/placer/roster.rs
@@ -1,9 +1,16 @@
 //! Registry of the workers of a placer's domain.
 
-use acaciareel_types::{FencingToken, Incarnation, Millis, SortedVec, TaskId, WorkerId, WorkerReport};
+use acaciareel_types::{
+    FencingToken, Incarnation, Millis, SortedVec, TaskId, WorkerId, WorkerReport,
+};
 
 use super::{Mode, Placer, Site};
-use crate::{WorkerStatus, io::Io, node::Node, worker::{AnyWorker, Worker}};
+use crate::{
+    WorkerStatus,
+    io::Io,
+    node::Node,
+    worker::{AnyWorker, Worker},
+};
 
 /// A worker with what the placer needs to claim it.
 #[derive(Debug)]
--- a/crates/node/src/placer/start.rs
+++ b/crates/node/src/placer/start.rs
@@ -3,9 +3,7 @@
 use acaciareel_scheduler::{EndKind, JobId, Placement, PreemptMode, TaskEnd, TaskKey};
 use acaciareel_types::{Attempt, Effect as RunEffect, FencingToken, Millis, Resources, WorkerId};
 
-use super::{
-    Job, Location, Mode, Owner, Placer, Site, Stage, Task, TaskState, task_key,
-};
+use super::{Job, Location, Mode, Owner, Placer, Site, Stage, Task, TaskState, task_key};
 use crate::{
     LedgerCommand, Observation, StartedOn, StartedTask, WorkerCall, WorkerReply,
     calls::{Call, Purpose},
@@ -17,12 +15,7 @@
 
 impl Placer {
     /// Carries out a placement.
-    pub(super) fn place(
-        &mut self,
-        site: &mut Site<'_, '_>,
-        id: JobId,
-        placements: Vec<Placement>,
-    ) {
+    pub(super) fn place(&mut self, site: &mut Site<'_, '_>, id: JobId, placements: Vec<Placement>) {
         let mut tasks = Vec::new();
         for placement in placements {
             let incarnation = self.incarnation_of(&placement.worker);
@@ -198,8 +191,7 @@
         if let Some(registered) = self.workers.get_mut(&permit.worker) {
             registered.called_ms = site.io.now_ms;
         }
-        site.io
-            .call(call, &permit.worker, permit.address, request);
+        site.io.call(call, &permit.worker, permit.address, request);
     }
 
     /// Takes a worker's reply to a start.
@@ -379,9 +371,7 @@
 }
 
 fn has_unsent(job: &Job) -> bool {
-    job.tasks
-        .iter()
-        .any(|task| task.state == TaskState::Unsent)
+    job.tasks.iter().any(|task| task.state == TaskState::Unsent)
 }
 
 fn started(task: &Task) -> StartedTask {
--- /dev/null
+++ b/crates/node/tests/cluster/main.rs
@@ -0,0 +1,6 @@
+//! Several nodes in one process under the faults of the design page, section 1.5.
+
+mod checks;
+mod path;
+mod sim;
+mod worker;
--- /dev/null
+++ b/crates/node/tests/cluster/worker.rs
@@ -0,0 +1,226 @@
+//! Stand-in for a worker: leases, capacity, task lease, results kept until acknowledged.
+
+use std::collections::BTreeMap;
+
+use acaciareel_node::{WorkerCall, WorkerReply};
+use acaciareel_types::{
+    Answer, FencingToken, Incarnation, Resources, RunningTask, TaskId, VmId, WorkerReport,
+};
+
+/// Time without a placer after which a worker stops its exclusive tasks.
+const TASK_LEASE_MS: u64 = 10_000;
+
+/// One run of a request's body, for the checks.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub body: String,
+    pub exclusive: bool,
+    pub start_ms: u64,
+    pub end_ms: Option<u64>,
+}
+
+struct Task {
+    run: usize,
+    body: Vec<u8>,
+    reserved: Resources,
+    end_ms: u64,
+    exclusive: bool,
+}
+
+pub struct FakeWorker {
+    pub report: WorkerReport,
+    holder: Option<VmId>,
+    lease_until_ms: u64,
+    heard_ms: u64,
+    running: BTreeMap<TaskId, Task>,
+    pub unacknowledged: BTreeMap<TaskId, Answer>,
+    pub up: bool,
+    /// Time at which some VM has confirmed the announcement of leaving.
+    pub leaving_known_ms: Option<u64>,
+    pub next_announce_ms: u64,
+    pub next_post_ms: u64,
+    /// Whether calls arrive but replies are lost.
+    pub mute: bool,
+    pub fails_everything: bool,
+    pub violations: Vec<String>,
+}
+
+impl FakeWorker {
+    pub fn new(report: WorkerReport, now_ms: u64) -> Self {
+        Self {
+            report,
+            holder: None,
+            lease_until_ms: 0,
+            heard_ms: now_ms,
+            running: BTreeMap::new(),
+            unacknowledged: BTreeMap::new(),
+            up: true,
+            leaving_known_ms: None,
+            next_announce_ms: now_ms,
+            next_post_ms: now_ms,
+            mute: false,
+            fails_everything: false,
+            violations: Vec::new(),
+        }
+    }
+
+    /// Ends all tasks without a trace, as a crash does.
+    pub fn restart(&mut self, now_ms: u64, runs: &mut [Run]) {
+        for task in std::mem::take(&mut self.running).into_values() {
+            runs[task.run].end_ms = Some(now_ms);
+        }
+        self.unacknowledged.clear();
+        self.report.incarnation = Incarnation(self.report.incarnation.0 + 1);
+        self.report.token = FencingToken(0);
+        self.report.leaving = false;
+        self.leaving_known_ms = None;
+        (self.holder, self.lease_until_ms) = (None, 0);
+        (self.heard_ms, self.next_announce_ms) = (now_ms, now_ms);
+        self.up = true;
+    }
+
+    pub fn current_report(&mut self) -> WorkerReport {
+        self.report.sequence += 1;
+        self.report.running = self
+            .running
+            .iter()
+            .map(|(task, running)| RunningTask {
+                task: task.clone(),
+                reserved: running.reserved,
+                used: running.reserved,
+            })
+            .collect();
+        self.report.clone()
+    }
+
+    pub fn call(&mut self, now_ms: u64, request: WorkerCall, runs: &mut Vec<Run>) -> WorkerReply {
+        match request {
+            WorkerCall::Lease {
+                token,
+                holder,
+                ttl_ms,
+            } => self.lease(now_ms, token, holder, ttl_ms.0),
+            WorkerCall::Start { token, .. } if token != self.report.token => self.stale(),
+            WorkerCall::Start { .. } => self.start(now_ms, request, runs),
+            WorkerCall::Stop { token, .. } | WorkerCall::Checkpoint { token, .. }
+                if token != self.report.token =>
+            {
+                self.stale()
+            }
+            WorkerCall::Stop { task, .. } | WorkerCall::Checkpoint { task, .. } => {
+                self.heard_ms = now_ms;
+                self.end(now_ms, &task, false, b"stopped", runs);
+                WorkerReply::Accepted
+            }
+            WorkerCall::Throttle { .. } => WorkerReply::Accepted,
+        }
+    }
+
+    fn stale(&self) -> WorkerReply {
+        WorkerReply::StaleToken(self.report.token)
+    }
+
+    fn lease(&mut self, now_ms: u64, token: FencingToken, holder: VmId, ttl: u64) -> WorkerReply {
+        let held = self.report.token;
+        let renewed = token == held && self.holder == Some(holder);
+        let free = now_ms >= self.lease_until_ms || self.holder == Some(holder);
+        if !(token.0 >> 16 > held.0 >> 16 || (token > held && free) || renewed) {
+            return self.stale();
+        }
+        self.report.token = token;
+        self.holder = Some(holder);
+        self.lease_until_ms = now_ms + ttl;
+        self.heard_ms = now_ms;
+        WorkerReply::Leased {
+            report: self.current_report(),
+            unacknowledged: self.unacknowledged.keys().cloned().collect(),
+        }
+    }
+
+    fn start(&mut self, now_ms: u64, request: WorkerCall, runs: &mut Vec<Run>) -> WorkerReply {
+        let WorkerCall::Start {
+            task,
+            reserved,
+            exclusive,
+            body,
+            ..
+        } = request
+        else {
+            unreachable!("only starts arrive here");
+        };
+        self.heard_ms = now_ms;
+        if self.leaving_known_ms.is_some_and(|at| now_ms > at + 2_000) {
+            let text = format!("I6: {task} sent at {now_ms} to a leaving worker");
+            self.violations.push(text);
+        }
+        if self.report.leaving {
+            return WorkerReply::Leaving;
+        }
+        if self.running.contains_key(&task) || self.unacknowledged.contains_key(&task) {
+            return WorkerReply::Accepted;
+        }
+        let held = self.running.values().map(|running| running.reserved);
+        let wanted = held.fold(reserved, |sum, held| sum.plus(&held));
+        if !wanted.fits_in(&self.report.capacity) {
+            let worker = &self.report.worker;
+            let text = format!("I1: {task} assigned to full {worker} at {now_ms}");
+            self.violations.push(text);
+            return WorkerReply::NoRoom;
+        }
+        let text = String::from_utf8_lossy(&body).into_owned();
+        let run_ms = run_time_ms(&text);
+        runs.push(Run {
+            body: text,
+            exclusive,
+            start_ms: now_ms,
+            end_ms: None,
+        });
+        let running = Task {
+            run: runs.len() - 1,
+            body: body.to_vec(),
+            reserved,
+            end_ms: now_ms + run_ms,
+            exclusive,
+        };
+        self.running.insert(task, running);
+        WorkerReply::Accepted
+    }
+
+    fn end(&mut self, now_ms: u64, task: &TaskId, ok: bool, body: &[u8], runs: &mut [Run]) {
+        let Some(ended) = self.running.remove(task) else {
+            return;
+        };
+        runs[ended.run].end_ms = Some(now_ms);
+        let body = body.into();
+        self.unacknowledged
+            .insert(task.clone(), Answer { ok, body });
+        self.next_post_ms = now_ms;
+    }
+
+    /// Ends tasks that are done, and exclusive ones when no placer was heard for too long.
+    pub fn tick(&mut self, now_ms: u64, runs: &mut [Run]) {
+        let alone = now_ms >= self.heard_ms + TASK_LEASE_MS;
+        let due: Vec<(TaskId, bool)> = self
+            .running
+            .iter()
+            .filter(|(_, task)| now_ms >= task.end_ms || (alone && task.exclusive))
+            .map(|(id, task)| (id.clone(), now_ms >= task.end_ms))
+            .collect();
+        for (task, done) in due {
+            let body = self.running[&task].body.clone();
+            let answer = [b"answer to ".as_slice(), &body].concat();
+            let ok = done && !self.fails_everything;
+            self.end(now_ms, &task, ok, &answer, runs);
+        }
+    }
+
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+}
+
+/// Reads the run time from a body such as `key-7 run=250`.
+fn run_time_ms(body: &str) -> u64 {
+    let (_, run) = body.rsplit_once("run=").unwrap_or(("", "50"));
+    run.parse().unwrap_or(50)
+}
--- a/crates/node/tests/codec.rs
+++ b/crates/node/tests/codec.rs
@@ -6,8 +6,8 @@
 use acaciareel_consensus::Message;
 use acaciareel_node::{
     ConnectionId, Event, GroupId, LedgerCommand, LedgerRecord, LedgerSnapshot, LedgerState,
-    OperationOutcome, PeerMessage, Placing, PoolRoom, RequestKey, RequestState, StartedOn, StartedTask,
-    TablesCommand, TablesReply, TablesSnapshot,
+    OperationOutcome, PeerMessage, Placing, PoolRoom, RequestKey, RequestState, StartedOn,
+    StartedTask, TablesCommand, TablesReply, TablesSnapshot,
 };
 use acaciareel_types::{
     Answer, Attempt, BodyDigest, FailureDomain, Incarnation, LogIndex, Millis, RawTables, Request,
--- a/crates/wire/tests/support/strategies.rs
+++ b/crates/wire/tests/support/strategies.rs
@@ -212,7 +212,9 @@
         let (term, index, sent_ms) = (Term(n.0), LogIndex(n.1), Millis(n.2));
         let (pre_vote, granted) = (n.6, n.7);
         match variant {
-            0 => Message::Unformed { asked_by: granted.then_some(Incarnation(7)) },
+            0 => Message::Unformed {
+                asked_by: granted.then_some(Incarnation(7)),
+            },
             1 => Message::Join,
             2 => Message::RequestVote {
                 term,
