--- a/crates/consensus/tests/replica/network.rs
+++ b/crates/consensus/tests/replica/network.rs
@@ -198,9 +198,13 @@
         self.forget_first_entry();
     }
 
-    pub fn start_if_down(&mut self, vm: u32) {
-        if self.vms[&vm].replica.is_none() {
-            self.start(vm);
+    /// Starts and wakes every VM.
+    pub fn repair_processes(&mut self) {
+        for vm in self.vms.keys().copied().collect::<Vec<u32>>() {
+            self.wake(vm);
+            if self.vms[&vm].replica.is_none() {
+                self.start(vm);
+            }
         }
     }
 
@@ -261,7 +265,7 @@
         self.cuts.clear();
     }
 
-    fn clock(&self, vm: u32) -> Millis {
+    pub fn clock(&self, vm: u32) -> Millis {
         let machine = &self.vms[&vm];
         let global_ms = match machine.frozen_at_ms {
             Some(frozen_at_ms) if machine.clock_stops => frozen_at_ms,
@@ -357,6 +361,13 @@
         }
         let holders = self.lease_holders();
         assert!(holders.len() <= 1, "VMs {holders:?} hold a lease at once");
+        for holder in holders {
+            let term = self.replica(holder).term();
+            assert!(
+                self.checks.ready.contains(&term),
+                "vm-{holder} acts before it is ready"
+            );
+        }
     }
 
     /// Returns who may act now, each by its own clock.
