--- a/crates/consensus/tests/replica/network.rs
+++ b/crates/consensus/tests/replica/network.rs
@@ -198,6 +198,33 @@
         self.forget_first_entry();
     }
 
+    /// Starts and wakes every VM.
+    pub fn repair_processes(&mut self) {
+        for vm in self.vms.keys().copied().collect::<Vec<u32>>() {
+            self.wake(vm);
+            if self.vms[&vm].replica.is_none() {
+                self.start(vm);
+            }
+        }
+    }
+
+    /// Restarts a VM without its disk, unless an earlier replacement is not a voter again: more
+    /// lost disks than a minority may lose committed entries.
+    pub fn replace_disk(&mut self, vm: u32) {
+        if self.is_voter(vm) {
+            self.kill_and_erase(vm);
+            self.start(vm);
+        }
+    }
+
+    /// Asks the leader to hand over.
+    pub fn transfer(&mut self, to: Option<u32>) {
+        if let Some(leader) = self.leader() {
+            let to = to.map(VmId);
+            self.input(leader, Input::TransferLeadership { to });
+        }
+    }
+
     /// Pauses the process of a VM, and its clock if `clock_stops`.
     pub fn freeze(&mut self, vm: u32, clock_stops: bool) {
         let now_ms = self.now_ms;
@@ -238,7 +265,7 @@
         self.cuts.clear();
     }
 
-    fn clock(&self, vm: u32) -> Millis {
+    pub fn clock(&self, vm: u32) -> Millis {
         let machine = &self.vms[&vm];
         let global_ms = match machine.frozen_at_ms {
             Some(frozen_at_ms) if machine.clock_stops => frozen_at_ms,
@@ -334,6 +361,13 @@
         }
         let holders = self.lease_holders();
         assert!(holders.len() <= 1, "VMs {holders:?} hold a lease at once");
+        for holder in holders {
+            let term = self.replica(holder).term();
+            assert!(
+                self.checks.ready.contains(&term),
+                "vm-{holder} acts before it is ready"
+            );
+        }
     }
 
     /// Returns who may act now, each by its own clock.
