--- a/crates/node/src/entry/workers.rs
+++ b/crates/node/src/entry/workers.rs
@@ -112,7 +112,7 @@
     pub(crate) fn post_result(
         &mut self,
         connection: ConnectionId,
-        task: TaskId,
+        task: &TaskId,
         worker: WorkerId,
         answer: Answer,
         used: Resources,
@@ -130,7 +130,7 @@
         if let Some(earlier) = self.entry.results.insert(task.clone(), posted) {
             io.reply(earlier.connection, Reply::ResultNotRecorded);
         }
-        self.send_result(&task, io);
+        self.send_result(task, io);
     }
 
     fn send_result(&mut self, task: &TaskId, io: &mut Io<'_>) {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -146,7 +146,7 @@
                 worker,
                 answer,
                 used,
-            } => self.post_result(connection, task, worker, answer, used, io),
+            } => self.post_result(connection, &task, worker, answer, used, io),
             other => self.operator_event(other, io),
         }
     }
--- a/crates/node/src/placer/lease.rs
+++ b/crates/node/src/placer/lease.rs
@@ -44,7 +44,7 @@
         match (&call.purpose, reply) {
             (Purpose::Start(task), reply) => {
                 let task = task.clone();
-                self.start_replied(site, call, &task, reply);
+                self.start_replied(site, call, &task, &reply);
             }
             (
                 Purpose::Lease,
@@ -52,7 +52,7 @@
                     report,
                     unacknowledged,
                 },
-            ) => self.leased(site, call, report, unacknowledged),
+            ) => self.leased(site, call, &report, unacknowledged),
             (Purpose::Lease, WorkerReply::StaleToken(held)) => {
                 self.claim_ended(&call.worker);
                 self.token_refused(&call.worker, held, site.now_ms());
@@ -113,7 +113,7 @@
         &mut self,
         site: &mut Site<'_, '_>,
         call: &Call,
-        report: WorkerReport,
+        report: &WorkerReport,
         unacknowledged: Vec<TaskId>,
     ) {
         let now_ms = site.now_ms();
@@ -133,7 +133,7 @@
         if restarted {
             self.suspend(site, &call.worker);
         }
-        let leaving = report.leaving || Self::is_drained(site.drains, &report);
+        let leaving = report.leaving || Self::is_drained(site.drains, report);
         let Some(registered) = self.workers.remove(&call.worker) else {
             return;
         };
@@ -152,8 +152,8 @@
             ..registered
         };
         self.workers.insert(call.worker.clone(), registered);
-        self.reconcile(site, call, &report, restarted);
-        self.report_to_scheduler(site, &report);
+        self.reconcile(site, call, report, restarted);
+        self.report_to_scheduler(site, report);
         if leaving {
             self.worker_leaving(site, &call.worker);
         }
--- a/crates/node/src/placer/remote.rs
+++ b/crates/node/src/placer/remote.rs
@@ -209,15 +209,11 @@
         }
         self.settle(site, id);
     }
+}
 
-    pub(super) fn stop_remote(
-        &mut self,
-        site: &mut Site<'_, '_>,
-        domain: &FailureDomain,
-        task: TaskId,
-    ) {
-        if let Some((vm, _)) = site.peers.ledger_leader(site.io.now_ms, domain) {
-            site.io.send(vm, PeerMessage::PlaceStop { task });
-        }
+/// Asks the placer of a domain to stop a task.
+pub(super) fn stop_remote(site: &mut Site<'_, '_>, domain: &FailureDomain, task: TaskId) {
+    if let Some((vm, _)) = site.peers.ledger_leader(site.io.now_ms, domain) {
+        site.io.send(vm, PeerMessage::PlaceStop { task });
     }
 }
--- a/crates/node/src/placer/results.rs
+++ b/crates/node/src/placer/results.rs
@@ -26,31 +26,34 @@
                 placer.task_result(site, from, task, answer, used);
             });
         }
-        match ledger {
-            Some(domain) => {
-                let owned = self.placers.get(&domain).is_some_and(|placer| {
-                    matches!(placer.mode, Mode::Ledger { .. }) && !placer.owns(task)
-                });
-                if owned {
-                    // The ledger knows no such running task: its attempt has ended.
-                    io.send(from, PeerMessage::ResultAck { task: task.clone() });
-                }
-            }
-            None => {
-                if let Some(submitter) = self.orphans.remove(task) {
-                    let verdict = Verdict::Ran(answer.clone());
-                    self.submissions.done(submitter, Some(&verdict));
-                    let submission = submitter.submission;
-                    let message = PeerMessage::SubmitReply {
-                        submission,
-                        verdict,
-                    };
-                    io.send(submitter.vm, message);
-                }
-                io.send(from, PeerMessage::ResultAck { task: task.clone() });
-            }
+        let owned = if let Some(domain) = &ledger {
+            // The ledger knows no such running task: its attempt has ended.
+            self.placers.get(domain).is_some_and(|placer| {
+                matches!(placer.mode, Mode::Ledger { .. }) && !placer.owns(task)
+            })
+        } else {
+            self.orphan_ended(task, answer, io);
+            true
+        };
+        if owned {
+            io.send(from, PeerMessage::ResultAck { task: task.clone() });
         }
     }
+
+    /// Answers an idempotent request whose placer role this VM has lost.
+    fn orphan_ended(&mut self, task: &TaskId, answer: &Answer, io: &mut Io<'_>) {
+        let Some(submitter) = self.orphans.remove(task) else {
+            return;
+        };
+        let verdict = Verdict::Ran(answer.clone());
+        self.submissions.done(submitter, Some(&verdict));
+        let submission = submitter.submission;
+        let message = PeerMessage::SubmitReply {
+            submission,
+            verdict,
+        };
+        io.send(submitter.vm, message);
+    }
 }
 
 impl Placer {
--- a/crates/node/src/placer/start.rs
+++ b/crates/node/src/placer/start.rs
@@ -3,7 +3,7 @@
 use acaciareel_scheduler::{EndKind, JobId, Placement, PreemptMode, TaskEnd, TaskKey};
 use acaciareel_types::{Attempt, Effect as RunEffect, FencingToken, Millis, Resources, WorkerId};
 
-use super::{Job, Location, Mode, Owner, Placer, Site, Stage, Task, TaskState, task_key};
+use super::{Job, Location, Mode, Owner, Placer, Site, Stage, Task, TaskState, remote, task_key};
 use crate::{
     LedgerCommand, Observation, StartedOn, StartedTask, WorkerCall, WorkerReply,
     calls::{Call, Purpose},
@@ -200,7 +200,7 @@
         site: &mut Site<'_, '_>,
         call: &Call,
         task: &acaciareel_types::TaskId,
-        reply: WorkerReply,
+        reply: &WorkerReply,
     ) {
         let Some(id) = self.by_task.get(task).copied() else {
             return;
@@ -233,7 +233,7 @@
                 self.reclaim(&call.worker, now_ms);
                 return;
             }
-            WorkerReply::StaleToken(held) => self.token_refused(&call.worker, held, now_ms),
+            WorkerReply::StaleToken(held) => self.token_refused(&call.worker, *held, now_ms),
             WorkerReply::Leaving => self.worker_leaving(site, &call.worker),
             WorkerReply::NoRoom | WorkerReply::Refused(_) | WorkerReply::NotSent => {}
         }
@@ -340,7 +340,7 @@
                     token,
                 });
             }
-            Location::Domain { domain, .. } => self.stop_remote(site, &domain, task_id),
+            Location::Domain { domain, .. } => remote::stop_remote(site, &domain, task_id),
         }
     }
 
--- a/crates/node/tests/cluster/sim.rs
+++ b/crates/node/tests/cluster/sim.rs
@@ -610,6 +610,11 @@
         }
     }
 
+    /// Returns whether a connection still waits for a reply.
+    pub fn is_open(&self, connection: Conn) -> bool {
+        self.connections.contains_key(&connection)
+    }
+
     pub fn ran(&self, connection: Conn) -> bool {
         matches!(self.verdict(connection), Some(Verdict::Ran(answer)) if answer.ok)
     }
