--- a/crates/node/src/groups.rs
+++ b/crates/node/src/groups.rs
@@ -73,7 +73,8 @@
                     lease_ms: LEASE_MS,
                     seed: group_seed(settings.seed, group, settings.vm),
                 };
-                let replica = Replica::new(group_settings, restored.remove(group), now_ms);
+                let mut replica = Replica::new(group_settings, restored.remove(group), now_ms);
+                replica.set_contacts(&settings.vms.keys().copied().collect::<Vec<_>>());
                 let group_state = Group {
                     replica,
                     ready: None,
