--- /dev/null
+++ b/crates/acaciareel/src/commands.rs
@@ -0,0 +1,29 @@
+//! The commands.
+
+use crate::{
+    cli::{Cli, Command},
+    config::Config,
+    error::CliResult,
+    output::Output,
+    session::Session,
+};
+
+mod fleet;
+mod keys;
+mod requests;
+mod submit;
+mod tables;
+
+/// Runs the command of the arguments.
+pub async fn run(cli: &Cli) -> CliResult<Output> {
+    let session = || Config::try_from(cli).map(Session::new);
+    match &cli.command {
+        Command::Tables(args) => tables::run(&args.command, session, cli.json).await,
+        Command::Workers(_) => fleet::workers(&session()?, cli.json).await,
+        Command::Vms(_) => fleet::vms(&session()?, cli.json).await,
+        Command::Request(args) => requests::run(&args.command, &session()?, cli.json).await,
+        Command::Drain(args) => fleet::drain(&session()?, &args.worker, cli.json).await,
+        Command::Status(_) => fleet::status(&session()?, cli.json).await,
+        Command::Keys(args) => keys::run(args, cli.json),
+    }
+}
--- /dev/null
+++ b/crates/acaciareel/src/commands/keys.rs
@@ -0,0 +1,135 @@
+//! A development set of certificates and tokens.
+
+use std::{
+    fs::{self, OpenOptions},
+    io::Write,
+    path::Path,
+};
+
+use acaciareel_types::VmId;
+use error_stack::{Report, ResultExt};
+use rcgen::{
+    BasicConstraints, CertificateParams, CertifiedIssuer, DnType, ExtendedKeyUsagePurpose, IsCa,
+    KeyPair, KeyUsagePurpose,
+};
+use serde_json::json;
+
+use crate::{
+    cli::Keys,
+    error::{CliError, CliResult},
+    exit_codes::ExitCode,
+    output::Output,
+    random,
+};
+
+/// Writes the files of a set. The authority's key is not kept, so a set cannot be extended.
+pub fn run(args: &Keys, json: bool) -> CliResult<Output> {
+    check(args)?;
+    let files = generate(args)?;
+    fs::create_dir_all(&args.out).change_context_lazy(|| {
+        CliError::general(format!("cannot create {}", args.out.display()))
+    })?;
+    for (name, _) in &files {
+        let path = args.out.join(name);
+        if path.exists() {
+            let text = format!("{} exists already; nothing was written", path.display());
+            return Err(Report::new(CliError::general(text)));
+        }
+    }
+    for (name, text) in &files {
+        write_new(&args.out.join(name), text)?;
+    }
+    let names: Vec<_> = files.iter().map(|(name, _)| name).collect();
+    Output::either(json, &json!({ "files": names }), || {
+        let lines = names.iter().map(|name| format!("{name}\n"));
+        lines.collect()
+    })
+}
+
+fn check(args: &Keys) -> CliResult<()> {
+    let usage = |text: String| Report::new(CliError::new(ExitCode::Usage, text));
+    if args.vm.is_empty() {
+        return Err(usage("keys needs at least one --vm".into()));
+    }
+    for (i, tenant) in args.tenant.iter().enumerate() {
+        if tenant.as_str().contains('/') {
+            let text = format!("tenant {tenant} contains / and cannot be part of a file name");
+            return Err(usage(text));
+        }
+        if args.tenant[..i].contains(tenant) {
+            return Err(usage(format!("tenant {tenant} is named twice")));
+        }
+    }
+    Ok(())
+}
+
+/// Returns names and contents of the files.
+fn generate(args: &Keys) -> CliResult<Vec<(String, String)>> {
+    let mut vms = args.vm.clone();
+    vms.sort_unstable();
+    vms.dedup();
+    let wrong = || CliError::general("cannot generate certificates");
+    let authority = authority().change_context_lazy(wrong)?;
+    let mut files = vec![("ca.pem".to_owned(), authority.pem())];
+    for vm in vms {
+        let (certificate, key) = member(vm, &authority).change_context_lazy(wrong)?;
+        files.push((format!("{vm}.pem"), certificate));
+        files.push((format!("{vm}.key"), key));
+    }
+    let token = random::text::<32>;
+    files.push(("operators.token".into(), format!("{}\n", token()?)));
+    files.push(("workers.token".into(), format!("{}\n", token()?)));
+    let mut callers = Vec::new();
+    for tenant in &args.tenant {
+        let token = token()?;
+        callers.push(format!("{token} {tenant}\n"));
+        files.push((format!("caller-{tenant}.token"), format!("{token}\n")));
+    }
+    if callers.is_empty() {
+        callers.push(format!("{}\n", token()?));
+    }
+    files.push(("callers.token".into(), callers.concat()));
+    Ok(files)
+}
+
+fn authority() -> Result<CertifiedIssuer<'static, KeyPair>, rcgen::Error> {
+    let mut params = CertificateParams::default();
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    params.key_usages = vec![KeyUsagePurpose::KeyCertSign];
+    let name = "acaciareel development authority";
+    params.distinguished_name.push(DnType::CommonName, name);
+    CertifiedIssuer::self_signed(params, KeyPair::generate()?)
+}
+
+/// Returns certificate and key of a VM; the certificate is valid for the name `vm-N`, in both
+/// roles of a connection.
+fn member(
+    vm: VmId,
+    authority: &CertifiedIssuer<'static, KeyPair>,
+) -> Result<(String, String), rcgen::Error> {
+    let mut params = CertificateParams::new([vm.to_string()])?;
+    params
+        .distinguished_name
+        .push(DnType::CommonName, vm.to_string());
+    params.use_authority_key_identifier_extension = true;
+    params.key_usages = vec![KeyUsagePurpose::DigitalSignature];
+    params.extended_key_usages = vec![
+        ExtendedKeyUsagePurpose::ServerAuth,
+        ExtendedKeyUsagePurpose::ClientAuth,
+    ];
+    let key = KeyPair::generate()?;
+    let certificate = params.signed_by(&key, authority)?;
+    Ok((certificate.pem(), key.serialize_pem()))
+}
+
+/// Writes a file that did not exist, readable by its owner only.
+fn write_new(path: &Path, text: &str) -> CliResult<()> {
+    let mut options = OpenOptions::new();
+    options.write(true).create_new(true);
+    #[cfg(unix)]
+    std::os::unix::fs::OpenOptionsExt::mode(&mut options, 0o600);
+    options
+        .open(path)
+        .and_then(|mut file| file.write_all(text.as_bytes()))
+        .change_context_lazy(|| CliError::general(format!("cannot write {}", path.display())))
+}
