--- a/crates/acaciareeld/examples/standin_worker.rs
+++ b/crates/acaciareeld/examples/standin_worker.rs
@@ -40,7 +40,7 @@
 #[derive(Clone, Debug, FromArgs)]
 #[argh(example = "{command_name} --id w-1 --listen 127.0.0.1:7301 \
     --entry 127.0.0.1:7101,127.0.0.1:7102 --failure-domain khomas-a --rack r1 --group ledger \
-    --token-file keys/workers.tokens --task-log tasks.log")]
+    --token-file keys/workers.token --task-log tasks.log")]
 pub struct Arguments {
     /// identifier
     #[argh(option)]
--- a/crates/acaciareeld/src/transport/tls.rs
+++ b/crates/acaciareeld/src/transport/tls.rs
@@ -24,6 +24,9 @@
 /// A peer whose process has ended without a word is noticed after this time in milliseconds.
 const IDLE_TIMEOUT_MS: u32 = 2_000;
 const KEEP_ALIVE: Duration = Duration::from_millis(500);
+/// Round trip assumed before the first measurement. The default of 333 ms repeats the first packet
+/// to a peer that starts a moment later only after 1 s.
+const INITIAL_RTT: Duration = Duration::from_millis(50);
 /// Bound on bytes in flight for each connection, for bounded memory. With 5 ms of delay this
 /// allows 100 MB/s.
 const WINDOW_BYTES: u32 = 1 << 20;
@@ -126,6 +129,7 @@
         .max_concurrent_uni_streams(VarInt::from_u32(1))
         .max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))))
         .keep_alive_interval(Some(KEEP_ALIVE))
+        .initial_rtt(INITIAL_RTT)
         .send_window(u64::from(WINDOW_BYTES))
         .stream_receive_window(VarInt::from_u32(WINDOW_BYTES))
         .receive_window(VarInt::from_u32(WINDOW_BYTES))
--- a/crates/acaciareeld/tests/end_to_end.rs
+++ b/crates/acaciareeld/tests/end_to_end.rs
@@ -168,9 +168,9 @@
         env.status(lost).await["tables_version"].as_u64() >= Some(1)
     })
     .await;
-    // The group keeps its majority only if the returned VM has become a voter again.
+    // Without the other VM, the group has a majority only if the returned VM votes again.
     env.wait_for("the VM votes again", async || {
-        env.log(lost).contains("promoted")
+        env.votes(lost, "ledger-east")
     })
     .await;
     env.kill(other);
--- a/crates/acaciareeld/tests/end_to_end/env.rs
+++ b/crates/acaciareeld/tests/end_to_end/env.rs
@@ -398,9 +398,19 @@
             .count()
     }
 
-    /// Returns the log of a daemon.
-    pub fn log(&self, vm: usize) -> String {
-        fs::read_to_string(self.vms[vm].settings.with_extension("log")).unwrap_or_default()
+    /// Returns whether a daemon's latest log line about its role in a group names a voting one.
+    pub fn votes(&self, vm: usize, group: &str) -> bool {
+        let log = fs::read_to_string(self.vms[vm].settings.with_extension("log"));
+        let log = log.unwrap_or_default();
+        // A log also holds the lines of earlier processes.
+        let log = log.rsplit("event=started").next().unwrap_or("");
+        let group = format!("event=group_role group={group} ");
+        let role = log.lines().rfind(|line| line.contains(&group));
+        role.is_some_and(|line| {
+            ["role=follower", "role=leader"]
+                .iter()
+                .any(|r| line.contains(r))
+        })
     }
 
     pub fn signal(&self, vm: usize, name: &str) {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -287,6 +287,12 @@
             GroupEvent::Commit { index, command } => self.commit(group, index, &command, io),
             GroupEvent::Restore { state } => self.restore(group, &state, io),
             GroupEvent::RoleChanged { role, term } => {
+                let fields = vec![
+                    ("group", group.to_string()),
+                    ("role", format!("{role:?}").to_lowercase()),
+                    ("term", term.to_string()),
+                ];
+                io.log(LogLevel::Info, "group_role", fields);
                 if let GroupId::Ledger(domain) = group {
                     self.ledger_role_changed(domain, role, term, io);
                 }
