Trust only a worker's own reply for its restart

Cause: entry VMs pass on their last announcement of each worker to a new placer. Change: announcements decide on no task; the worker's reply to a claim does, and replies to earlier claims than the last confirmed one are ignored.

--- a/crates/node/src/placer/lease.rs
+++ b/crates/node/src/placer/lease.rs
@@ -124,7 +124,8 @@
         };
         registered.claim_sent_ms = None;
         let known = registered.worker.report();
-        let stale = report.incarnation == known.incarnation && report.sequence < known.sequence;
+        let stale = call.sent_ms < registered.confirmed_sent_ms
+            || (report.incarnation == known.incarnation && report.sequence < known.sequence);
         if call.token < registered.token || stale {
             registered.next_claim_ms = now_ms;
             return;
@@ -147,12 +148,13 @@
         let registered = super::Registered {
             worker: AnyWorker::Active(active),
             heard_ms: now_ms,
+            confirmed_sent_ms: call.sent_ms,
             listed,
             confirmed: true,
             ..registered
         };
         self.workers.insert(call.worker.clone(), registered);
-        self.reconcile(site, call, report, restarted);
+        self.reconcile(site, call, report);
         self.report_to_scheduler(site, report);
         if leaving {
             self.worker_leaving(site, &call.worker);
--- a/crates/node/src/placer/recovery.rs
+++ b/crates/node/src/placer/recovery.rs
@@ -76,15 +76,12 @@
         site: &mut Site<'_, '_>,
         call: &Call,
         report: &WorkerReport,
-        restarted: bool,
     ) {
-        if restarted {
-            self.worker_restarted(site, &call.worker);
-        }
         for (id, index, incarnation) in self.tasks_on(&call.worker) {
             if incarnation == report.incarnation {
                 self.reconcile_task(site, call, report, id, index);
             } else {
+                // The worker has restarted: what it ran has ended.
                 self.fate_unknown(site, id, index);
             }
         }
@@ -184,16 +181,6 @@
         }
     }
 
-    /// A worker has lost its tasks by a restart: what it ran has ended.
-    pub(super) fn worker_restarted(&mut self, site: &mut Site<'_, '_>, worker: &WorkerId) {
-        let now = self.incarnation_of(worker);
-        for (id, index, incarnation) in self.tasks_on(worker) {
-            if incarnation != now {
-                self.fate_unknown(site, id, index);
-            }
-        }
-    }
-
     /// A worker's task lease has run out: what it ran has ended.
     pub(super) fn worker_lost(&mut self, site: &mut Site<'_, '_>, worker: &WorkerId) {
         self.suspend(site, worker);
--- a/crates/node/src/placer/roster.rs
+++ b/crates/node/src/placer/roster.rs
@@ -12,6 +12,9 @@
     worker::{AnyWorker, Worker},
 };
 
+/// Silence after which an announcement of a lower incarnation counts too.
+const REPLACED_MS: Millis = Millis(5_000);
+
 /// A worker with what the placer needs to claim it.
 #[derive(Debug)]
 pub(crate) struct Registered {
@@ -24,6 +27,8 @@
     pub token: FencingToken,
     /// When the claim without a reply was sent.
     pub claim_sent_ms: Option<Millis>,
+    /// When the latest confirmed claim was sent; replies to earlier ones are stale.
+    pub confirmed_sent_ms: Millis,
     pub next_claim_ms: Millis,
     /// Whether the scheduler knows the worker.
     pub scheduled: bool,
@@ -66,6 +71,7 @@
                 called_ms: Millis(0),
                 token,
                 claim_sent_ms: None,
+                confirmed_sent_ms: Millis(0),
                 next_claim_ms: now_ms,
                 scheduled: false,
                 listed: Vec::new(),
@@ -76,32 +82,55 @@
             return;
         };
         let known = registered.worker.report();
-        if report.incarnation == known.incarnation && report.sequence < known.sequence {
+        if report.incarnation != known.incarnation {
+            self.announced_anew(site, report, token);
+            return;
+        }
+        if report.sequence < known.sequence {
             return;
         }
         registered.heard_ms = now_ms;
-        let restarted = report.incarnation != known.incarnation;
-        let leaving = report.leaving;
         if self.mode == Mode::Fallback {
             registered.token = registered.token.max(token);
         }
-        if restarted {
-            self.suspend(site, &worker);
-            if let Some(registered) = self.workers.get_mut(&worker) {
-                registered.worker.set_report(report);
-                registered.next_claim_ms = now_ms;
-                registered.listed.clear();
-            }
-            self.worker_restarted(site, &worker);
-            self.claim_if_due(site, &worker);
-            return;
-        }
+        let leaving = report.leaving;
         registered.worker.set_report(report);
         if leaving {
             self.worker_leaving(site, &worker);
         }
     }
 
+    /// Takes an announcement of another incarnation.
+    ///
+    /// It may be an old one that some entry VM has kept, so it decides on no task: only the
+    /// worker's own reply to a claim does. Higher incarnations are tried first.
+    fn announced_anew(
+        &mut self,
+        site: &mut Site<'_, '_>,
+        report: WorkerReport,
+        token: FencingToken,
+    ) {
+        let now_ms = site.now_ms();
+        let worker = report.worker.clone();
+        let Some(registered) = self.workers.get(&worker) else {
+            return;
+        };
+        let is_newer = report.incarnation > registered.worker.report().incarnation;
+        let silent = now_ms.saturating_sub(registered.heard_ms) > REPLACED_MS;
+        if !is_newer && !silent {
+            return;
+        }
+        self.suspend(site, &worker);
+        if let Some(registered) = self.workers.get_mut(&worker) {
+            registered.worker.set_report(report);
+            registered.heard_ms = now_ms;
+            registered.next_claim_ms = now_ms;
+            registered.claim_sent_ms = None;
+            registered.token = registered.token.max(token);
+        }
+        self.claim_if_due(site, &worker);
+    }
+
     /// Returns the token of the first claim of a worker.
     fn first_token(&self, report: &WorkerReport) -> FencingToken {
         match self.mode {
