--- a/crates/node/tests/cluster/main.rs
+++ b/crates/node/tests/cluster/main.rs
@@ -2,6 +2,9 @@
 
 mod chaos;
 mod checks;
+mod operators;
 mod path;
+mod requests;
 mod sim;
+mod stop;
 mod worker;
--- /dev/null
+++ b/crates/node/tests/cluster/operators.rs
@@ -0,0 +1,99 @@
+//! Changes of the tables under faults.
+
+use acaciareel_node::{Event, OperatorReply, Reply, TablesReply};
+use acaciareel_types::TableVersion;
+
+use crate::sim::{Sim, tables};
+
+fn accepted(sim: &Sim, connection: u64) -> Option<u64> {
+    match sim.applied(connection) {
+        Some(TablesReply::Accepted(version)) => Some(version.0),
+        _ => None,
+    }
+}
+
+fn history(sim: &mut Sim, vm: u32) -> Vec<(TableVersion, String)> {
+    let reply = sim.operator(vm, |connection| Event::ShowHistory { connection });
+    match reply {
+        Reply::Operator(OperatorReply::History(history)) => history,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against two changes that are both accepted for one version, and against a resend that
+/// gets another answer than the first time.
+#[test]
+fn of_two_racing_operators_one_wins_and_resends_repeat_the_answer() {
+    for seed in 31..36 {
+        let mut sim = Sim::ready(seed, 2, 1);
+        let left = sim.apply(2, "left", 1, tables(5));
+        let right = sim.apply(6, "right", 1, tables(6));
+        sim.run_while(5_000, |s| s.applied(left).is_none() || s.applied(right).is_none());
+
+        let versions = [left, right].map(|connection| accepted(&sim, connection));
+        let winners = versions.iter().filter(|version| **version == Some(2));
+        assert_eq!(winners.count(), 1);
+        for (operation, first, weight) in [("left", left, 5), ("right", right, 6)] {
+            let again = sim.apply(4, operation, 1, tables(weight));
+            sim.run_while(5_000, |sim| sim.applied(again).is_none());
+            assert_eq!(sim.applied(again), sim.applied(first));
+        }
+    }
+}
+
+/// Guards against an accepted change that vanishes with the leader that accepted it.
+#[test]
+fn an_accepted_change_outlives_the_leader() {
+    for seed in 41..46 {
+        let mut sim = Sim::ready(seed, 2, 1);
+        let change = sim.apply(6, "change", 1, tables(5));
+        sim.run_while(5_000, |sim| sim.applied(change).is_none());
+        assert_eq!(accepted(&sim, change), Some(2));
+        sim.kill(1);
+        sim.run_for(6_500);
+
+        for vm in 2..=6 {
+            let last = history(&mut sim, vm).pop().expect("history");
+            assert_eq!(last, (TableVersion(2), "change".to_owned()), "{vm}");
+        }
+    }
+}
+
+/// Guards against a change that a minority accepts.
+#[test]
+fn a_minority_accepts_no_change() {
+    let mut sim = Sim::ready(51, 2, 1);
+    sim.partition(&[1, 2], &[3, 4, 5, 6], true);
+    let minority = sim.apply(1, "minority", 1, tables(5));
+    let majority = sim.apply(5, "majority", 1, tables(6));
+    sim.run_for(12_000);
+
+    assert_eq!(sim.applied(minority), Some(&TablesReply::Unavailable));
+    assert_eq!(accepted(&sim, majority), Some(2));
+    sim.heal();
+    sim.run_for(6_500);
+    let again = sim.apply(1, "minority", 1, tables(5));
+    sim.run_while(5_000, |sim| sim.applied(again).is_none());
+    let conflict = TablesReply::Conflict(TableVersion(2));
+    assert_eq!(sim.applied(again), Some(&conflict));
+}
+
+/// Guards against a VM that cannot catch up, or takes too long, after 500 changes.
+#[test]
+fn a_vm_500_changes_behind_catches_up_in_time() {
+    let mut sim = Sim::ready(61, 2, 1);
+    sim.kill(4);
+    sim.kill(3);
+    for version in 1..=500 {
+        let weight = 1 + u32::try_from(version % 900).expect("small");
+        let change = sim.apply(6, &format!("op-{version}"), version, tables(weight));
+        sim.run_while(5_000, |sim| sim.applied(change).is_none());
+        assert_eq!(accepted(&sim, change), Some(version + 1));
+    }
+    sim.start(3);
+    sim.start(4);
+    sim.run_for(6_000);
+
+    assert_eq!(sim.vms[&3].tables_version, 501);
+    assert_eq!(sim.vms[&4].tables_version, 501);
+}
--- /dev/null
+++ b/crates/node/tests/cluster/requests.rs
@@ -0,0 +1,238 @@
+//! Single faults at exact moments in the life of a request.
+
+use acaciareel_types::{Reason, Verdict};
+
+use crate::sim::{Blow, Sim};
+
+fn not_run(verdict: &Verdict, reason: Reason) -> bool {
+    matches!(verdict, Verdict::NotRun { reason: given, .. } if *given == reason)
+}
+
+/// Guards against a request that runs twice, or never, when the ledger leader dies or pauses
+/// between the committed start and the call, or between the call and the answer.
+#[test]
+fn a_request_survives_its_leader_around_the_start() {
+    for (seed, blow) in [
+        Blow::KillBefore,
+        Blow::FreezeBefore,
+        Blow::KillAfter,
+        Blow::FreezeAfter,
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        for kind in ["verify", "credit"] {
+            let mut sim = Sim::ready(seed as u64 + 1, 2, 2);
+            sim.blow = Some(("khomas-b/7".into(), blow));
+
+            let connection = sim.submit(6, kind, "khomas-b/7-once", 1, 800);
+            let verdict = sim.verdict_of(connection, 15_000);
+
+            assert!(sim.ran(connection), "{blow:?} {kind}: {verdict:?}\n{}", sim.tail());
+            assert_eq!(sim.runs_of("khomas-b/7-once"), 1, "{blow:?} {kind}");
+        }
+    }
+}
+
+/// Guards against a second run, or a lost answer, when the caller's VM is cut off and the caller
+/// resends through another one.
+#[test]
+fn a_resend_through_another_vm_finds_the_record() {
+    let mut sim = Sim::ready(11, 2, 2);
+    let first = sim.submit(6, "credit", "khomas-a/1-once", 1, 1_500);
+    sim.run_for(300);
+    sim.partition(&[6], &[1, 2, 3, 4, 5], true);
+
+    let second = sim.submit(4, "credit", "khomas-a/1-once", 2, 1_500);
+    let verdict = sim.verdict_of(second, 5_000);
+    sim.heal();
+    let late = sim.verdict_of(first, 20_000);
+
+    assert!(sim.ran(second), "{verdict:?}");
+    assert!(sim.ran(first), "{late:?}");
+    assert_eq!(sim.runs_of("khomas-a/1-once"), 1);
+}
+
+/// Guards against an answer that is lost for good with one message.
+#[test]
+fn a_lost_answer_is_sent_again() {
+    let mut sim = Sim::ready(12, 2, 2);
+    let ids: Vec<_> = ["lookup", "verify", "credit"]
+        .iter()
+        .map(|kind| sim.submit(6, kind, &format!("khomas-a/{kind}-once"), 1, 300))
+        .collect();
+    sim.run_for(100);
+    sim.partition(&[1, 2, 3, 4, 5], &[6], false);
+    sim.run_for(700);
+    sim.heal();
+
+    for connection in ids {
+        let verdict = sim.verdict_of(connection, 10_000);
+        assert!(sim.ran(connection), "{verdict:?}");
+    }
+}
+
+/// Guards against a record that is forgotten with one disk, and with a second one right after
+/// the repair of the first.
+#[test]
+fn records_outlive_lost_disks() {
+    let mut sim = Sim::ready(13, 2, 2);
+    let first = sim.submit(5, "credit", "khomas-a/2-once", 1, 50);
+    sim.verdict_of(first, 3_000);
+
+    for vm in [1, 2, 3] {
+        sim.lose_disk(vm);
+        sim.run_for(300);
+        sim.start(vm);
+        sim.run_for(8_000);
+    }
+    let again = sim.submit(5, "credit", "khomas-a/2-once", 2, 50);
+    let verdict = sim.verdict_of(again, 5_000);
+
+    assert!(sim.ran(again), "{verdict:?}\n{}", sim.tail());
+    assert_eq!(sim.runs_of("khomas-a/2-once"), 1);
+}
+
+/// Guards against a refusal that is wrong, or that blocks its key: each refused key is sent
+/// again once the cause has gone, and must then run once.
+#[test]
+fn a_refused_key_may_be_sent_again() {
+    let mut sim = Sim::ready(14, 2, 1);
+    let blockers: Vec<_> = (0..24)
+        .map(|n| sim.submit(1, "verify", &format!("khomas-a/block-{n}"), 1, 3_000))
+        .collect();
+    sim.run_for(1_000);
+
+    let late = sim.submit_within(3, "credit", "khomas-a/3-once", 1, 50, 400);
+    let verdict = sim.verdict_of(late, 2_000);
+    assert!(matches!(verdict, Verdict::NotRun { .. }), "{verdict:?}");
+    let reused = sim.submit(3, "credit", "khomas-a/block-1", 1, 99);
+    let verdict = sim.verdict_of(reused, 2_000);
+    assert!(not_run(&verdict, Reason::KeyReused), "{verdict:?}");
+    let unknown = sim.submit(3, "nothing", "khomas-a/4-once", 1, 50);
+    let verdict = sim.verdict_of(unknown, 2_000);
+    assert!(not_run(&verdict, Reason::UnknownKind), "{verdict:?}");
+    let cancelled = sim.submit(3, "credit", "khomas-a/5-once", 1, 50);
+    sim.run_for(50);
+    sim.inquire(4, "khomas-a/5-once", true);
+    let verdict = sim.verdict_of(cancelled, 2_000);
+    assert!(not_run(&verdict, Reason::Cancelled), "{verdict:?}");
+    sim.partition(&[1, 2], &[3, 4, 5, 6], true);
+    sim.run_for(4_000);
+    let away = sim.submit(5, "credit", "khomas-a/6-once", 1, 50);
+    let verdict = sim.verdict_of(away, 500);
+    assert!(not_run(&verdict, Reason::HomeUnreachable), "{verdict:?}");
+    let resent = sim.submit(5, "credit", "khomas-a/7-once", 2, 50);
+    let verdict = sim.verdict_of(resent, 500);
+    assert!(matches!(verdict, Verdict::MayHaveRun { .. }), "{verdict:?}");
+    sim.heal();
+    sim.run_for(5_000);
+
+    for blocker in blockers {
+        sim.verdict_of(blocker, 5_000);
+    }
+    for key in [3, 5, 6, 7] {
+        let key = format!("khomas-a/{key}-once");
+        let again = sim.submit(6, "credit", &key, 3, 50);
+        let verdict = sim.verdict_of(again, 5_000);
+        assert!(sim.ran(again), "{key}: {verdict:?}\n{}", sim.tail());
+        assert_eq!(sim.runs_of(&key), 1, "{key}");
+    }
+}
+
+/// Guards against a wrong verdict when the worker that runs a request restarts or vanishes.
+#[test]
+fn a_lost_worker_ends_each_effect_as_it_must() {
+    for vanish in [false, true] {
+        let mut sim = Sim::ready(15, 2, 2);
+        let once = sim.submit(1, "credit", "khomas-a/8-once", 1, 4_000);
+        let exclusive = sim.submit(1, "verify", "khomas-a/9", 1, 4_000);
+        let idempotent = sim.submit(1, "lookup", "10", 1, 4_000);
+        sim.run_for(500);
+
+        let now_ms = sim.now_ms;
+        for worker in sim.workers.values_mut() {
+            if worker.running() > 0 {
+                worker.restart(now_ms, &mut sim.runs);
+                worker.up = !vanish;
+            }
+        }
+
+        let verdict = sim.verdict_of(once, 19_000);
+        let lost = matches!(&verdict, Verdict::MayHaveRun { reason } if *reason == Reason::WorkerLost);
+        assert!(lost, "{verdict:?}");
+        let verdict = sim.verdict_of(idempotent, 10_000);
+        assert!(sim.ran(idempotent), "{verdict:?}\n{}", sim.tail());
+        let again = sim.submit(2, "verify", "khomas-a/9", 2, 4_000);
+        let verdict = sim.verdict_of(again, 20_000);
+        assert!(sim.ran(again), "{verdict:?}\n{}", sim.tail());
+        let _ = exclusive;
+    }
+}
+
+/// Guards against new work on a leaving worker, although the leader changes meanwhile.
+#[test]
+fn a_leaving_worker_gets_nothing_new_during_a_leader_change() {
+    for seed in 16..20 {
+        let mut sim = Sim::ready(seed, 2, 2);
+        let leader = sim.placer(1).expect("placer");
+        let name = "w1-0".parse().expect("worker");
+        let worker = sim.workers.get_mut(&name).expect("worker");
+        worker.report.leaving = true;
+        worker.next_announce_ms = 0;
+        sim.run_for(20);
+        sim.kill(leader);
+
+        for n in 0..200 {
+            let vm = if n % 2 == 0 { 5 } else { 6 };
+            sim.submit(vm, "verify", &format!("khomas-b/{seed}-{n}"), 1, 100);
+            sim.run_for(40);
+        }
+
+        assert!(sim.workers[&name].leaving_known_ms.is_some());
+    }
+}
+
+/// Guards against cancelled requests that run, hold room or never end.
+#[test]
+fn a_burst_of_cancellations_leaves_nothing_behind() {
+    let mut sim = Sim::ready(21, 2, 1);
+    let connections: Vec<_> = (0..400)
+        .map(|n| {
+            let kind = ["verify", "credit"][n % 2];
+            let vm = 1 + u32::try_from(n % 6).expect("small");
+            sim.submit(vm, kind, &format!("khomas-c/{n}-once"), 1, 2_000)
+        })
+        .collect();
+    sim.run_for(300);
+    for n in 0..400 {
+        sim.inquire(1 + n % 6, &format!("khomas-c/{n}-once"), true);
+    }
+    sim.run_for(4_000);
+
+    let open = connections.iter().filter(|c| sim.verdict(**c).is_none());
+    assert_eq!(open.count(), 0, "{}", sim.tail());
+    let running: usize = sim.workers.values().map(crate::worker::FakeWorker::running).sum();
+    assert_eq!(running, 0);
+    let after = sim.submit(2, "credit", "khomas-c/after-once", 1, 50);
+    let verdict = sim.verdict_of(after, 2_000);
+    assert!(sim.ran(after), "{verdict:?}");
+}
+
+/// Guards against callers that wait in vain because their VM hears others but is not heard.
+#[test]
+fn one_way_cuts_end_with_a_verdict() {
+    let mut sim = Sim::ready(22, 2, 2);
+    sim.partition(&[6], &[1, 2, 3, 4, 5], false);
+    sim.run_for(200);
+    let ids: Vec<_> = ["lookup", "verify", "credit"]
+        .iter()
+        .map(|kind| sim.submit_within(6, kind, &format!("khomas-a/{kind}-once"), 1, 50, 6_000))
+        .collect();
+    sim.run_for(6_500);
+
+    for connection in ids {
+        let verdict = sim.verdict(connection);
+        assert!(verdict.is_some(), "{}", sim.tail());
+    }
+}
--- a/crates/node/tests/cluster/sim.rs
+++ b/crates/node/tests/cluster/sim.rs
@@ -52,6 +52,15 @@
     WorkerTick,
 }
 
+/// What befalls the VM that sends the start of a certain request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Blow {
+    KillBefore,
+    FreezeBefore,
+    KillAfter,
+    FreezeAfter,
+}
+
 /// A caller's connection that a test follows.
 pub type Conn = u64;
 
@@ -66,6 +75,9 @@
     pub cut: BTreeSet<(u32, u32)>,
     pub cut_workers: BTreeSet<(u32, WorkerId)>,
     pub loss_percent: u64,
+    /// Fault that strikes once, when the start of a body with this text is sent.
+    pub blow: Option<(String, Blow)>,
+    pub struck: Option<u32>,
     pub replies: BTreeMap<Conn, (u64, Reply)>,
     connections: BTreeMap<Conn, (u32, u64)>,
     posts: BTreeMap<Conn, (WorkerId, acaciareel_types::TaskId)>,
@@ -95,6 +107,8 @@
             cut: BTreeSet::new(),
             cut_workers: BTreeSet::new(),
             loss_percent: 0,
+            blow: None,
+            struck: None,
             replies: BTreeMap::new(),
             connections: BTreeMap::new(),
             posts: BTreeMap::new(),
@@ -231,11 +245,60 @@
         let mut effects = Vec::new();
         node.reduce(now_ms, event, &mut effects);
         for effect in effects {
-            self.effect(id, effect);
+            let blow = self.blow_of(&effect);
+            match blow {
+                Some(Blow::KillBefore) => {
+                    self.kill(id);
+                    return true;
+                }
+                Some(Blow::FreezeBefore) => {
+                    self.freeze(id, 5_000);
+                    // The process was paused just before the call left it.
+                    if let Effect::CallWorker {
+                        call,
+                        worker,
+                        request,
+                        ..
+                    } = effect
+                    {
+                        let starts = self.vms[&id].starts;
+                        self.at(5_000, Ev::Call(id, starts, call, worker, request));
+                    }
+                    continue;
+                }
+                _ => self.effect(id, effect),
+            }
+            match blow {
+                Some(Blow::KillAfter) => {
+                    self.kill(id);
+                    return true;
+                }
+                Some(Blow::FreezeAfter) => self.freeze(id, 5_000),
+                _ => {}
+            }
+            if blow.is_some() {
+                self.struck = Some(id);
+            }
         }
         true
     }
 
+    fn blow_of(&mut self, effect: &Effect) -> Option<Blow> {
+        let (text, blow) = self.blow.clone()?;
+        let Effect::CallWorker {
+            request: WorkerCall::Start { body, .. },
+            ..
+        } = effect
+        else {
+            return None;
+        };
+        if !String::from_utf8_lossy(body).starts_with(&text) {
+            return None;
+        }
+        self.blow = None;
+        Some(blow)
+    }
+
     fn effect(&mut self, id: u32, effect: Effect) {
         match effect {
             Effect::Send { to, message } => self.send(id, to.0, message),
@@ -438,6 +501,17 @@
         self.run_until(self.now_ms + duration_ms);
     }
 
+    /// Runs until a connection has its verdict.
+    pub fn verdict_of(&mut self, connection: Conn, limit_ms: u64) -> Verdict {
+        self.run_while(limit_ms, |sim| sim.verdict(connection).is_none());
+        self.verdict(connection).expect("answered").clone()
+    }
+
+    pub fn runs_of(&self, key: &str) -> usize {
+        let prefix = format!("{key} ");
+        self.runs.iter().filter(|run| run.body.starts_with(&prefix)).count()
+    }
+
     /// Runs until a condition holds; returns the time it took.
     pub fn run_while(&mut self, limit_ms: u64, mut waiting: impl FnMut(&Self) -> bool) -> u64 {
         let start_ms = self.now_ms;
