Keep room for gangs task by task, order by due time, measure in virtual time

Cause: at 130% load the mixes waited longer than with simple baselines: ageing counted starts, preemption came at once, reservations drained whole workers and headroom raised sizes that sufficed.

Change: ageing counts work and follows the time limit, preemption waits 250 ms for tasks that end by themselves, a gang keeps room task by task, tenants within a quarter of their fair share are ordered by due time. A harness in benches/harness runs both mixes against three baselines.

--- /dev/null
+++ b/crates/scheduler/benches/harness/measure.rs
@@ -0,0 +1,43 @@
+//! Runs over several seeds, so that a figure does not hang on a few jobs.
+
+use acaciareel_types::KindName;
+
+use crate::harness::{
+    baseline::{Baseline, Rule},
+    mixes::Mix,
+    placer::Real,
+    stats::Stats,
+    world::{Run, World},
+};
+
+/// Seeds of one measurement.
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+/// Creates the scheduler for one failure domain of a mix.
+pub(crate) fn real(mix: &Mix) -> Real {
+    let kinds = mix.kinds.iter().map(|kind| kind.name.parse::<KindName>());
+    let kinds = kinds.collect::<Result<_, _>>().expect("kinds");
+    Real::new(&mix.tables(), kinds)
+}
+
+fn over_seeds(mix: &Mix, load_percent: u64, run: impl Fn(Run) -> Stats) -> Stats {
+    let runs = SEEDS.iter().map(|seed| {
+        run(Run {
+            seed: *seed,
+            ..Run::new(mix.clone(), load_percent)
+        })
+    });
+    runs.fold(Stats::default(), Stats::merge)
+}
+
+/// Measures the scheduler.
+pub(crate) fn scheduler(mix: &Mix, load_percent: u64) -> Stats {
+    over_seeds(mix, load_percent, |run| World::new(run, real).finish())
+}
+
+/// Measures a baseline.
+pub(crate) fn baseline(mix: &Mix, load_percent: u64, rule: Rule) -> Stats {
+    over_seeds(mix, load_percent, |run| {
+        World::new(run, |mix| Baseline::new(rule, mix.kinds.clone())).finish()
+    })
+}
--- /dev/null
+++ b/crates/scheduler/benches/harness/placer.rs
@@ -0,0 +1,159 @@
+//! What is measured: a placer of one failure domain.
+
+use acaciareel_scheduler::{
+    Decision, EndKind, Job, JobId, PreemptMode, Scheduler, SchedulerSettings, TaskEnd, TaskKey,
+};
+use acaciareel_types::{KindName, Millis, Resources, Tables, TaskId, TenantName, WorkerReport};
+
+/// A task as the harness knows it.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct TaskRef {
+    pub(crate) job: u64,
+    pub(crate) index: u32,
+}
+
+impl TaskRef {
+    pub(crate) fn id(self) -> TaskId {
+        format!("{}-{}", self.job, self.index).parse().expect("id")
+    }
+}
+
+/// A request to place.
+#[derive(Clone, Debug)]
+pub(crate) struct Request {
+    pub(crate) job: u64,
+    pub(crate) kind: usize,
+    pub(crate) tenant: TenantName,
+    pub(crate) deadline_ms: u64,
+    pub(crate) accepted: bool,
+}
+
+/// Decision of a placer; workers are numbered within the domain.
+#[derive(Clone, Debug)]
+pub(crate) enum Action {
+    Start {
+        job: u64,
+        tasks: Vec<(TaskRef, usize, Resources)>,
+    },
+    Refuse {
+        job: u64,
+    },
+    Preempt {
+        task: TaskRef,
+        mode: PreemptMode,
+    },
+}
+
+/// A placer of one failure domain.
+pub(crate) trait Placer {
+    /// Returns whether the request is accepted.
+    fn submit(&mut self, now_ms: u64, request: &Request) -> bool;
+    fn report(&mut self, now_ms: u64, report: &WorkerReport);
+    fn ended(&mut self, now_ms: u64, task: TaskRef, worker: usize, kind: EndKind, used: Resources);
+    fn throttled(&mut self, _now_ms: u64, _task: TaskRef, _reserved: Resources) {}
+    fn decide(&mut self, now_ms: u64) -> Vec<Action>;
+    /// Returns the most workers and nodes that the last decision examined for a task.
+    fn examined(&self) -> Option<u64> {
+        None
+    }
+}
+
+/// Returns the identifier of a worker.
+pub(crate) fn worker_name(worker: usize) -> String {
+    format!("w{worker}")
+}
+
+/// The scheduler of this package.
+pub(crate) struct Real {
+    pub(crate) scheduler: Scheduler,
+    kinds: Vec<KindName>,
+}
+
+impl Real {
+    pub(crate) fn new(tables: &Tables, kinds: Vec<KindName>) -> Self {
+        let mut scheduler = Scheduler::new(SchedulerSettings { seed: 11 });
+        scheduler.set_tables(Millis(0), tables);
+        Self { scheduler, kinds }
+    }
+
+    fn action(&mut self, decision: Decision) -> Action {
+        match decision {
+            Decision::Place { job, placements } => {
+                let tasks = placements.into_iter().map(|placed| {
+                    let task = TaskRef {
+                        job: job.0,
+                        index: placed.task.index,
+                    };
+                    self.scheduler.identify_task(placed.task, &task.id());
+                    let worker = placed.worker.as_str()[1..].parse().expect("worker");
+                    (task, worker, placed.reserved)
+                });
+                Action::Start {
+                    job: job.0,
+                    tasks: tasks.collect(),
+                }
+            }
+            Decision::Refuse { job, .. } => Action::Refuse { job: job.0 },
+            Decision::Preempt { task, mode, .. } => Action::Preempt {
+                task: TaskRef {
+                    job: task.job.0,
+                    index: task.index,
+                },
+                mode,
+            },
+        }
+    }
+}
+
+fn key(task: TaskRef) -> TaskKey {
+    TaskKey {
+        job: JobId(task.job),
+        index: task.index,
+    }
+}
+
+impl Placer for Real {
+    fn submit(&mut self, now_ms: u64, request: &Request) -> bool {
+        let job = Job {
+            id: JobId(request.job),
+            kind: self.kinds[request.kind].clone(),
+            tenant: request.tenant.clone(),
+            deadline_ms: Millis(request.deadline_ms),
+            earlier_attempts: 0,
+            accepted: request.accepted,
+        };
+        self.scheduler.submit(Millis(now_ms), job).is_ok()
+    }
+
+    fn report(&mut self, now_ms: u64, report: &WorkerReport) {
+        self.scheduler.report_worker(Millis(now_ms), report);
+    }
+
+    fn ended(&mut self, now_ms: u64, task: TaskRef, worker: usize, kind: EndKind, used: Resources) {
+        let end = TaskEnd {
+            task: key(task),
+            worker: worker_name(worker).parse().expect("worker"),
+            kind,
+            used: Some(used),
+        };
+        self.scheduler.task_ended(Millis(now_ms), &end);
+    }
+
+    fn throttled(&mut self, now_ms: u64, task: TaskRef, reserved: Resources) {
+        self.scheduler
+            .task_throttled(Millis(now_ms), key(task), reserved);
+    }
+
+    fn decide(&mut self, now_ms: u64) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.scheduler.decide(Millis(now_ms), &mut out);
+        out.into_iter()
+            .map(|decision| self.action(decision))
+            .collect()
+    }
+
+    fn examined(&self) -> Option<u64> {
+        let cost = self.scheduler.last_cost();
+        (cost.tasks > 0).then_some(cost.most_examined.into())
+    }
+}
--- /dev/null
+++ b/crates/scheduler/benches/measures.rs
@@ -0,0 +1,81 @@
+//! Waiting time and packing of the scheduler and of simple baselines, in virtual time.
+//!
+//! Run with `cargo bench -p acaciareel-scheduler --bench measures`. The figures are the same on
+//! every run and machine.
+
+#[allow(dead_code)]
+#[path = "harness/harness.rs"]
+mod harness;
+
+use crate::harness::{
+    baseline::Rule,
+    measure,
+    mixes::{loftbook, vandermeulen},
+    stats::{Stats, percentile},
+};
+
+fn show(name: &str, load_percent: u64, who: &str, stats: &Stats) {
+    let classes = stats.classes.iter().map(|class| {
+        format!(
+            "p50 {} p99 {} mean {} ms, {} in time, {} late, {} refused",
+            class.wait_ms(50),
+            class.wait_ms(99),
+            class.mean_wait_us() / 1_000,
+            class.in_time,
+            class.late,
+            class.refused
+        )
+    });
+    println!(
+        "{name} {load_percent}% {who}: packing {:.1}%, work in time {}, examined p99 {}, {} preempted",
+        stats.packing_ppm() as f64 / 10_000.0,
+        stats.useful_work / 1_000_000,
+        percentile(&stats.examined, 99),
+        stats.preempted,
+    );
+    for (class, line) in ["urgent", "standard", "batch"].iter().zip(classes) {
+        println!("    {class:9}{line}");
+    }
+    if std::env::var_os("KINDS").is_some() {
+        for (i, class) in stats.kinds.iter().enumerate() {
+            println!(
+                "       kind {i} p50 {} p99 {} mean {} in time {} late {} refused {}",
+                class.wait_ms(50),
+                class.wait_ms(99),
+                class.mean_wait_us() / 1_000,
+                class.in_time,
+                class.late,
+                class.refused
+            );
+        }
+    }
+}
+
+fn main() {
+    // Cargo passes `--bench`; anything else is a filter by name, as with other benchmarks.
+    let filter = std::env::args().skip(1).find(|arg| !arg.starts_with("--"));
+    for mix in [loftbook(), vandermeulen()] {
+        for load_percent in [70, 90, 130] {
+            let name = format!("{} {load_percent}", mix.name);
+            if filter
+                .as_ref()
+                .is_some_and(|filter| !name.contains(filter.as_str()))
+            {
+                continue;
+            }
+            show(
+                mix.name,
+                load_percent,
+                "scheduler",
+                &measure::scheduler(&mix, load_percent),
+            );
+            if std::env::var_os("ONLY").is_some() {
+                continue;
+            }
+            for rule in Rule::ALL {
+                let stats = measure::baseline(&mix, load_percent, rule);
+                show(mix.name, load_percent, &format!("{rule:?}"), &stats);
+            }
+        }
+    }
+}
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -73,6 +73,15 @@
 /// Preemptible tasks of a pool, latest started first, since these lose the least progress.
 pub(crate) type Victims = BTreeSet<(Reverse<Millis>, TaskKey)>;
 
+/// A task that holds room while the rest of its job is placed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Tentative {
+    pub(crate) key: TaskKey,
+    pub(crate) worker: WorkerIndex,
+    pub(crate) rack: Option<u32>,
+    pub(crate) reserved: Resources,
+}
+
 /// Job that alone may keep room free in a pool until all its tasks fit.
 #[derive(Debug)]
 pub(crate) struct Reservation {
@@ -80,6 +89,9 @@
     pub(crate) class: Class,
     /// Whether it was made for a job that waited too long, so that nothing displaces it.
     pub(crate) aged: bool,
+    /// Tasks that hold room already.
+    pub(crate) placed: Vec<Tentative>,
+    /// Workers that take no other work.
     pub(crate) workers: Vec<WorkerIndex>,
     pub(crate) checked_ms: Millis,
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -20,6 +20,7 @@
 mod registry;
 mod retry;
 mod scheduler;
+mod shares;
 mod sizes;
 mod worker;
 
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -2,18 +2,22 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use acaciareel_types::{Millis, PoolName, Resources, SortedVec};
+use acaciareel_types::{Millis, PoolName, Resources};
 
 use crate::{
     TaskKey,
-    amounts::{Amounts, add, amounts, copies, largest_share_ppm, subtract},
+    amounts::{Amounts, amounts, copies},
     index::{PoolIndex, WorkerIndex},
     jobs::{Reservation, Victims},
     kinds::{KindId, TenantId},
     queue::Queue,
     rate::{CompletionRate, POOL_PPB, Work},
+    shares::Shares,
 };
 
+/// Work after which counts of starts are halved: a minute of the whole pool.
+const COUNTED_WORK: Work = POOL_PPB * 60_000;
+
 /// A pool that the tables name, or named while work ran in it.
 #[derive(Debug)]
 pub(crate) struct Pool {
@@ -27,7 +31,7 @@
     /// Number of workers in service.
     pub(crate) workers: usize,
     pub(crate) kinds_by_rack: BTreeMap<(KindId, u32), u32>,
-    tenants: SortedVec<TenantId, Amounts>,
+    pub(crate) shares: Shares,
     pub(crate) victims: Victims,
     /// Tasks that were asked to make room, with the time of asking.
     pub(crate) preempted: Vec<(Millis, TaskKey)>,
@@ -37,7 +41,11 @@
     pub(crate) rate: CompletionRate,
     /// Number of running jobs.
     pub(crate) running: u32,
-    pub(crate) starts: u64,
+    /// Work of the latest start.
+    pub(crate) last_work: Work,
+    /// Work started for aged jobs and for others, halved now and then.
+    pub(crate) aged_work: Work,
+    pub(crate) other_work: Work,
     /// Whether something changed since the last pass.
     pub(crate) dirty: bool,
     pub(crate) passed_ms: Millis,
@@ -53,19 +61,36 @@
             capacity: Amounts::default(),
             workers: 0,
             kinds_by_rack: BTreeMap::new(),
-            tenants: SortedVec::new(),
+            shares: Shares::default(),
             victims: Victims::new(),
             preempted: Vec::new(),
             quarantined: BTreeSet::new(),
             reservation: None,
             rate: CompletionRate::new(now_ms),
             running: 0,
-            starts: 0,
+            last_work: 0,
+            aged_work: 0,
+            other_work: 0,
             dirty: true,
             passed_ms: now_ms,
         }
     }
 
+    /// Counts the work of the latest start for the turns of aged jobs.
+    pub(crate) fn count_start(&mut self, aged: bool) {
+        let sum = if aged {
+            &mut self.aged_work
+        } else {
+            &mut self.other_work
+        };
+        *sum = sum.saturating_add(self.last_work);
+        // Halving forgets old starts, so that credit does not grow without bound.
+        if self.other_work.max(self.aged_work) > COUNTED_WORK {
+            self.aged_work /= 2;
+            self.other_work /= 2;
+        }
+    }
+
     /// Returns whether nothing refers to the pool any more.
     pub(crate) fn unused(&self) -> bool {
         self.settings.is_none() && self.running == 0 && self.queue.len() == 0
@@ -96,23 +121,13 @@
         })
     }
 
-    /// Changes what a tenant holds in the pool and returns its share.
-    pub(crate) fn change_tenant(
-        &mut self,
-        tenant: TenantId,
-        reserved: &Resources,
-        more: bool,
-    ) -> u64 {
-        let held = self.tenants.get_or_insert_with(tenant, Amounts::default);
-        if more {
-            add(held, reserved);
-        } else {
-            subtract(held, reserved);
-        }
-        let share_ppm = largest_share_ppm(held, &self.capacity);
-        if held.iter().all(|amount| *amount == 0) {
-            self.tenants.remove(&tenant);
+    /// Brings the queue up to date with a tenant's share, and with all if the fair one changed.
+    pub(crate) fn update_level(&mut self, tenant: TenantId) {
+        let level = self.shares.level(tenant, &self.capacity);
+        self.queue.set_level(tenant, level);
+        for tenant in self.shares.stale() {
+            let level = self.shares.level(tenant, &self.capacity);
+            self.queue.set_level(tenant, level);
         }
-        share_ppm
     }
 }
--- a/crates/scheduler/src/queue.rs
+++ b/crates/scheduler/src/queue.rs
@@ -12,6 +12,17 @@
 /// Position of a job among those of its kind and tenant.
 pub(crate) type JobOrder = (Millis, u64, JobId);
 
+/// Part of its time limit after which a job is due to start. Order by the whole limit would let
+/// work with a short limit pass all other work, and make that wait much longer than in order of
+/// arrival; a small part still brings urgent deadlines forward.
+const DUE_PART: u64 = 16;
+
+/// Returns the time at which a job is due to start, by which jobs of a class are ordered.
+pub(crate) fn due_ms(submitted_ms: Millis, deadline_ms: Millis) -> Millis {
+    let limit_ms = deadline_ms.saturating_sub(submitted_ms);
+    submitted_ms.saturating_add(Millis(limit_ms.0 / DUE_PART))
+}
+
 /// What the queue needs to know of a job.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Queued {
@@ -19,7 +30,8 @@
     pub(crate) kind: KindId,
     pub(crate) tenant: TenantId,
     pub(crate) class: Class,
-    pub(crate) deadline_ms: Millis,
+    /// See [`due_ms`].
+    pub(crate) due_ms: Millis,
     /// Rises with each job that is submitted.
     pub(crate) sequence: u64,
     /// Predicted work, for admission.
@@ -30,30 +42,33 @@
 #[derive(Debug)]
 struct Lane {
     class: Class,
-    /// Tenants whose jobs may go next: share level, earliest deadline, tenant.
+    /// Tenants whose jobs may go next: share level, earliest due time, tenant.
     flows: BTreeSet<(u64, Millis, TenantId)>,
     jobs: SortedVec<TenantId, BTreeSet<JobOrder>>,
+    /// All jobs by due time.
+    due: BTreeSet<(Millis, JobId)>,
+    work: u64,
     /// Tenants whose quota has no room for this kind now.
     blocked: SortedVec<TenantId, ()>,
 }
 
 impl Lane {
-    fn first_deadline(&self, tenant: TenantId) -> Option<Millis> {
+    fn first_due(&self, tenant: TenantId) -> Option<Millis> {
         let jobs = self.jobs.get(&tenant)?;
-        jobs.first().map(|(deadline_ms, ..)| *deadline_ms)
+        jobs.first().map(|(due_ms, ..)| *due_ms)
     }
 
     fn unlist(&mut self, level: u64, tenant: TenantId) {
-        if let Some(deadline_ms) = self.first_deadline(tenant) {
-            self.flows.remove(&(level, deadline_ms, tenant));
+        if let Some(due_ms) = self.first_due(tenant) {
+            self.flows.remove(&(level, due_ms, tenant));
         }
     }
 
     fn list(&mut self, level: u64, tenant: TenantId) {
-        if let Some(deadline_ms) = self.first_deadline(tenant)
+        if let Some(due_ms) = self.first_due(tenant)
             && !self.blocked.contains_key(&tenant)
         {
-            self.flows.insert((level, deadline_ms, tenant));
+            self.flows.insert((level, due_ms, tenant));
         }
     }
 }
@@ -68,8 +83,7 @@
 
 /// Waiting jobs of one pool.
 ///
-/// Order: class, then tenants by the level of their share, then deadline. A level covers shares
-/// that differ by less than half, so that deadlines decide between tenants that are served alike.
+/// Order: class, then tenants by the level of their share, then due time.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
     lanes: SortedVec<KindId, Lane>,
@@ -78,20 +92,6 @@
     work: [ClassWork; 3],
 }
 
-/// Returns the level of a share: two levels for each doubling.
-pub(crate) fn share_level(share_ppm: u64) -> u64 {
-    if share_ppm == 0 {
-        return 0;
-    }
-    let log = share_ppm.ilog2();
-    let half = if log > 0 {
-        (share_ppm >> (log - 1)) & 1
-    } else {
-        0
-    };
-    u64::from(log) * 2 + half + 1
-}
-
 impl Queue {
     /// Returns the number of waiting jobs.
     pub(crate) fn len(&self) -> usize {
@@ -109,12 +109,16 @@
             class: queued.class,
             flows: BTreeSet::new(),
             jobs: SortedVec::new(),
+            due: BTreeSet::new(),
+            work: 0,
             blocked: SortedVec::new(),
         });
         lane.unlist(level, queued.tenant);
         lane.jobs
             .get_or_insert_with(queued.tenant, BTreeSet::new)
-            .insert((queued.deadline_ms, queued.sequence, queued.job));
+            .insert((queued.due_ms, queued.sequence, queued.job));
+        lane.due.insert((queued.due_ms, queued.job));
+        lane.work = lane.work.saturating_add(queued.work);
         lane.list(level, queued.tenant);
         self.arrivals.insert((queued.sequence, queued.job));
         let work = &mut self.work[queued.class as usize];
@@ -135,8 +139,10 @@
         }
         if let Some(lane) = self.lanes.get_mut(&queued.kind) {
             lane.unlist(level, queued.tenant);
+            lane.due.remove(&(queued.due_ms, queued.job));
+            lane.work = lane.work.saturating_sub(queued.work);
             if let Some(jobs) = lane.jobs.get_mut(&queued.tenant) {
-                jobs.remove(&(queued.deadline_ms, queued.sequence, queued.job));
+                jobs.remove(&(queued.due_ms, queued.sequence, queued.job));
                 if jobs.is_empty() {
                     lane.jobs.remove(&queued.tenant);
                 }
@@ -166,8 +172,8 @@
     pub(crate) fn next(&self, skip: &[KindId]) -> Option<(KindId, JobId)> {
         let heads = self.lanes.iter().filter(|(kind, _)| !skip.contains(kind));
         let heads = heads.filter_map(|(kind, lane)| {
-            let (level, deadline_ms, tenant) = lane.flows.first()?;
-            Some(((lane.class, *level, *deadline_ms), *kind, lane, *tenant))
+            let (level, due_ms, tenant) = lane.flows.first()?;
+            Some(((lane.class, *level, *due_ms), *kind, lane, *tenant))
         });
         let (_, kind, lane, tenant) = heads.min_by_key(|(order, kind, ..)| (*order, *kind))?;
         let (.., job) = lane.jobs.get(&tenant)?.first()?;
@@ -191,9 +197,8 @@
         self.arrivals.first().map(|(_, job)| *job)
     }
 
-    /// Sets a tenant's share of the pool, divided by its weight.
-    pub(crate) fn set_share(&mut self, tenant: TenantId, share_ppm: u64) {
-        let new = share_level(share_ppm);
+    /// Sets the level of a tenant's share.
+    pub(crate) fn set_level(&mut self, tenant: TenantId, new: u64) {
         let old = self.level(tenant);
         if new == old {
             return;
@@ -236,17 +241,45 @@
     /// Returns the predicted work that goes before the end of a new job's turn.
     ///
     /// Tenants of one class take turns by weight, so a tenant waits for its own work times the
-    /// number of turns that others take, and never for more than all work of the class.
-    pub(crate) fn work_ahead(&self, class: Class, tenant: TenantId, weight: u64, work: u64) -> u64 {
+    /// number of turns that others take, and never for more than the work of the class that is
+    /// due earlier.
+    pub(crate) fn work_ahead(
+        &self,
+        class: Class,
+        due_ms: Millis,
+        tenant: TenantId,
+        weight: u64,
+        work: u64,
+    ) -> u64 {
         let higher = self.work[..class as usize].iter();
         let higher: u64 = higher.map(|work| work.total).sum();
+        let earlier = self.earlier_work(class, due_ms);
         let queued = &self.work[class as usize];
         let own = queued.by_tenant.get(&tenant);
         let own_work = own.map_or(0, |(own, _)| *own).saturating_add(work);
         let weights = queued.weights + if own.is_none() { weight } else { 0 };
         let turns = u128::from(own_work) * u128::from(weights) / u128::from(weight.max(1));
         let turns = u64::try_from(turns).unwrap_or(u64::MAX);
-        higher.saturating_add(turns.min(queued.total))
+        higher.saturating_add(turns.min(earlier))
+    }
+
+    /// Returns the predicted work of a class that goes before a due time. Within a kind, due
+    /// times are taken as evenly spread.
+    fn earlier_work(&self, class: Class, due_ms: Millis) -> u64 {
+        let lanes = self.lanes.iter().filter(|(_, lane)| lane.class == class);
+        let earlier = lanes.map(|(_, lane)| {
+            let (Some(first), Some(last)) = (lane.due.first(), lane.due.last()) else {
+                return 0;
+            };
+            let (first_ms, last_ms) = (first.0.0, last.0.0);
+            if due_ms.0 >= last_ms {
+                return lane.work;
+            }
+            let passed_ms = due_ms.0.saturating_sub(first_ms);
+            let part = u128::from(lane.work) * u128::from(passed_ms);
+            u64::try_from(part / u128::from((last_ms - first_ms).max(1))).unwrap_or(u64::MAX)
+        });
+        earlier.sum()
     }
 
     /// Returns the predicted work of a tenant's waiting jobs of a class.
--- a/crates/scheduler/src/scheduler/ends.rs
+++ b/crates/scheduler/src/scheduler/ends.rs
@@ -57,9 +57,10 @@
         self.tenants.hold(running.tenant, &task.reserved);
         if let Some(pool) = running.pool {
             let pool = &mut self.pools[pool];
-            let share_ppm = pool.change_tenant(running.tenant, &task.reserved, true);
             let weight = self.tenants.get(running.tenant).weight();
-            pool.queue.set_share(running.tenant, share_ppm / weight);
+            pool.shares.enter(running.tenant, weight);
+            pool.shares.change(running.tenant, &task.reserved, true);
+            pool.update_level(running.tenant);
             if let Some(rack) = task.rack {
                 *pool.kinds_by_rack.entry((running.kind, rack)).or_default() += 1;
             }
@@ -120,9 +121,9 @@
         self.tenants.release(running.tenant, &task.reserved);
         if let Some(pool) = running.pool {
             let pool = &mut self.pools[pool];
-            let share_ppm = pool.change_tenant(running.tenant, &task.reserved, false);
-            let weight = self.tenants.get(running.tenant).weight();
-            pool.queue.set_share(running.tenant, share_ppm / weight);
+            pool.shares.change(running.tenant, &task.reserved, false);
+            pool.shares.leave(running.tenant);
+            pool.update_level(running.tenant);
             pool.victims.remove(&(Reverse(task.started_ms), task.key));
             pool.preempted.retain(|(_, key)| *key != task.key);
             pool.rate.ended(now_ms, task.work, pool.queue.len() > 0);
@@ -337,11 +338,10 @@
         let (tenant, pool, index) = (running.tenant, running.pool, task.worker);
         self.tenants.release(tenant, &freed);
         if let Some(pool) = pool {
-            let share_ppm = self.pools[pool].change_tenant(tenant, &freed, false);
-            let weight = self.tenants.get(tenant).weight();
             let pool = &mut self.pools[pool];
             pool.preempted.retain(|(_, preempted)| *preempted != key);
-            pool.queue.set_share(tenant, share_ppm / weight);
+            pool.shares.change(tenant, &freed, false);
+            pool.update_level(tenant);
         }
         if let Some(worker) = self.workers.get_mut(index) {
             worker.resize(key, reserved);
--- a/crates/scheduler/src/scheduler/pass.rs
+++ b/crates/scheduler/src/scheduler/pass.rs
@@ -6,7 +6,7 @@
     Decision, DecisionCost, JobId, Placement, Refusal, TaskKey,
     amounts::times,
     index::WorkerIndex,
-    jobs::{RunningTask, Waiting},
+    jobs::{RunningTask, Tentative, Waiting},
     kinds::KindId,
     placement,
     scheduler::Scheduler,
@@ -14,11 +14,14 @@
 
 /// Longest time between two passes over a pool with waiting jobs.
 const PASS_INTERVAL_MS: Millis = Millis(100);
-/// Wait after which a job counts as aged: the oldest of them gets every eighth start of its pool,
-/// whatever its class, and may keep room free.
-const AGED_MS: Millis = Millis(10_000);
-/// See [`AGED_MS`]; the predicted rate of lower classes counts on the same part.
-const STARTS_PER_AGED: u64 = 8;
+/// Shortest wait after which a job counts as aged.
+const LEAST_AGED_MS: Millis = Millis(10_000);
+/// A job is aged once this part of its time limit has passed, so that ageing comes in time for the
+/// deadline. The oldest aged job of a pool gets its turn whatever its class.
+const AGED_PART: u64 = 2;
+/// Aged jobs get this part of the started work. Counting starts would give a few long jobs the
+/// whole pool in return for many short ones.
+const WORK_PER_AGED: u64 = 8;
 /// Delay of a probe beyond which urgent work probes too, since a pool may have no other work.
 const PROBE_OVERDUE_MS: Millis = Millis(10_000);
 
@@ -32,13 +35,6 @@
     Gone,
 }
 
-/// A task that holds room while the rest of its job is placed.
-struct Tentative {
-    key: TaskKey,
-    worker: WorkerIndex,
-    rack: Option<u32>,
-}
-
 /// What is placed: a job's tasks with their demand.
 struct Wanted {
     job: JobId,
@@ -99,11 +95,16 @@
 
     fn pass(&mut self, now_ms: Millis, pool: usize, out: &mut Vec<Decision>) {
         let mut skip = Vec::new();
-        self.try_holder(now_ms, pool, &mut skip, out);
+        let mut holder_tried = false;
         let mut aged_tried = false;
         loop {
             let aged = self.aged_turn(now_ms, pool).filter(|_| !aged_tried);
             let next = aged.or_else(|| self.pools[pool].queue.next(&skip));
+            if !holder_tried && self.holder_first(pool, next) {
+                holder_tried = true;
+                self.try_holder(now_ms, pool, &mut skip, out);
+                continue;
+            }
             let Some((kind, job)) = next else {
                 break;
             };
@@ -114,7 +115,10 @@
                 self.attempt(now_ms, pool, job, out)
             };
             match attempt {
-                Attempt::Placed => aged_tried = false,
+                Attempt::Placed => {
+                    aged_tried = false;
+                    self.pools[pool].count_start(aged.is_some());
+                }
                 Attempt::NoRoom => {
                     skip.push(kind);
                     self.make_room(now_ms, pool, job, aged.is_some(), out);
@@ -135,12 +139,14 @@
     /// Returns the oldest job, if it is its turn.
     fn aged_turn(&self, now_ms: Millis, pool: usize) -> Option<(KindId, JobId)> {
         let pool = &self.pools[pool];
-        if pool.starts % STARTS_PER_AGED != STARTS_PER_AGED - 1 {
+        if pool.aged_work > pool.other_work / (WORK_PER_AGED - 1) {
             return None;
         }
         let job = pool.queue.oldest()?;
         let waiting = self.waiting.get(&job)?;
-        (now_ms.saturating_sub(waiting.submitted_ms) >= AGED_MS)
+        let limit_ms = waiting.job.deadline_ms.saturating_sub(waiting.submitted_ms);
+        let aged_ms = Millis(limit_ms.0 / AGED_PART).max(LEAST_AGED_MS);
+        (now_ms.saturating_sub(waiting.submitted_ms) >= aged_ms)
             .then_some((waiting.queued.kind, job))
     }
 
@@ -178,11 +184,14 @@
             self.start(now_ms, pool, &wanted, &[probe], out);
             return Attempt::Placed;
         }
-        let mut placed = Vec::new();
+        let mut placed = self.take_kept(now_ms, pool, job);
         for index in 0..wanted.tasks {
             let key = TaskKey { job, index };
+            if placed.iter().any(|tentative| tentative.key == key) {
+                continue;
+            }
             let Some(tentative) = self.place_one(now_ms, pool, &wanted, key) else {
-                self.undo(now_ms, &placed);
+                self.keep_or_undo(now_ms, pool, job, placed);
                 return Attempt::NoRoom;
             };
             placed.push(tentative);
@@ -229,10 +238,11 @@
             key,
             worker: index,
             rack: entry.map(|entry| entry.rack),
+            reserved: demand,
         })
     }
 
-    fn undo(&mut self, now_ms: Millis, placed: &[Tentative]) {
+    pub(super) fn undo(&mut self, now_ms: Millis, placed: &[Tentative]) {
         for tentative in placed {
             if let Some(worker) = self.workers.get_mut(tentative.worker) {
                 worker.release(now_ms, tentative.key, false);
@@ -285,7 +295,7 @@
             let task = RunningTask {
                 key: tentative.key,
                 worker: tentative.worker,
-                reserved: wanted.demand,
+                reserved: tentative.reserved,
                 started_ms: now_ms,
                 rack: tentative.rack,
                 work: queued.work / u64::from(wanted.tasks),
@@ -297,11 +307,11 @@
                 placements.push(Placement {
                     task: tentative.key,
                     worker: worker.id.clone(),
-                    reserved: wanted.demand,
+                    reserved: tentative.reserved,
                 });
             }
         }
-        self.pools[pool].starts += 1;
+        self.pools[pool].last_work = queued.work;
         out.push(Decision::Place {
             job: wanted.job,
             placements,
--- a/crates/scheduler/src/scheduler/reservations.rs
+++ b/crates/scheduler/src/scheduler/reservations.rs
@@ -9,7 +9,7 @@
     Decision, JobId,
     amounts::copies,
     index::WorkerIndex,
-    jobs::{Reservation, Stage},
+    jobs::{Reservation, Stage, Tentative},
     kinds::KindId,
     scheduler::{Scheduler, pass::Attempt},
 };
@@ -18,6 +18,15 @@
 const SEARCHED: u32 = 256;
 /// Time between two checks of the workers of a reservation.
 const CHECK_MS: Millis = Millis(1_000);
+/// Wait after which tasks are preempted for urgent work. Tasks that end by themselves give most
+/// urgent work its room sooner, without lost progress.
+const PREEMPT_AFTER_MS: Millis = Millis(250);
+/// Wait after which a gang keeps room free. Up to nine tenths of a pool in use, nearly all gangs
+/// find room at once without it, and kept room lies idle.
+const GANG_GRACE_MS: Millis = Millis(3_000);
+/// Wait after which a gang keeps whole workers free. Most gangs find room for all tasks sooner by
+/// keeping the room that falls free task by task, and leave less of it idle.
+const GANG_WAIT_MS: Millis = Millis(8_000);
 /// Wait after which urgent work keeps room free; most starts earlier by preemption.
 const URGENT_WAIT_MS: Millis = Millis(500);
 
@@ -40,11 +49,12 @@
             return;
         };
         let (kind, tenant) = (waiting.queued.kind, waiting.queued.tenant);
+        let waited_ms = now_ms.saturating_sub(waiting.submitted_ms);
         match self.attempt(now_ms, pool, job, out) {
             Attempt::Placed => {}
             Attempt::NoRoom => {
                 skip.push(kind);
-                if due {
+                if due && waited_ms >= GANG_WAIT_MS {
                     self.keep_more(now_ms, pool, job);
                 }
             }
@@ -56,6 +66,50 @@
         }
     }
 
+    /// Returns whether the holder of a pool's reservation goes before another job.
+    pub(super) fn holder_first(&self, pool: usize, next: Option<(KindId, JobId)>) -> bool {
+        let Some(held) = &self.pools[pool].reservation else {
+            return false;
+        };
+        let waiting = next.and_then(|(_, job)| self.waiting.get(&job));
+        waiting.is_none_or(|waiting| waiting.queued.class >= held.class)
+    }
+
+    /// Returns the tasks of a job that hold kept room and may still start there.
+    pub(super) fn take_kept(&mut self, now_ms: Millis, pool: usize, job: JobId) -> Vec<Tentative> {
+        let held = self.pools[pool].reservation.as_mut();
+        let Some(held) = held.filter(|held| held.job == job) else {
+            return Vec::new();
+        };
+        let placed = std::mem::take(&mut held.placed);
+        let (valid, gone): (Vec<_>, Vec<_>) = placed.into_iter().partition(|tentative| {
+            self.workers.get(tentative.worker).is_some_and(|worker| {
+                worker.in_service()
+                    && worker.health.trusted()
+                    && worker.place.is_some_and(|place| place.pool == pool)
+                    && worker.own.contains_key(&tentative.key)
+                    && worker.held.fits_in(&worker.capacity)
+            })
+        });
+        self.undo(now_ms, &gone);
+        valid
+    }
+
+    /// Keeps the room of placed tasks if their job holds the reservation, and frees it otherwise.
+    pub(super) fn keep_or_undo(
+        &mut self,
+        now_ms: Millis,
+        pool: usize,
+        job: JobId,
+        placed: Vec<Tentative>,
+    ) {
+        let held = self.pools[pool].reservation.as_mut();
+        match held.filter(|held| held.job == job) {
+            Some(held) => held.placed = placed,
+            None => self.undo(now_ms, &placed),
+        }
+    }
+
     /// Returns a worker with room that is kept for a job.
     pub(super) fn kept_worker(
         &self,
@@ -97,23 +151,60 @@
             return;
         };
         let tasks = route.tasks;
-        if class == Class::Urgent && tasks == 1 {
+        if class == Class::Urgent
+            && tasks == 1
+            && self.yield_kept(now_ms, pool, job)
+            && self.attempt(now_ms, pool, job, out) == Attempt::Placed
+        {
+            return;
+        }
+        if class == Class::Urgent && tasks == 1 && waited_ms >= PREEMPT_AFTER_MS {
             self.preempt(now_ms, pool, out);
         }
         let urgent = class == Class::Urgent && waited_ms >= URGENT_WAIT_MS;
-        if (tasks > 1 || aged || urgent) && self.may_reserve(pool, job, class, aged) {
+        let gang = tasks > 1 && waited_ms >= GANG_GRACE_MS;
+        if (gang || aged || urgent) && self.may_reserve(pool, job, class, aged) {
             self.drop_reservation(now_ms, pool);
             self.pools[pool].reservation = Some(Reservation {
                 job,
                 class,
                 aged,
+                placed: Vec::new(),
                 workers: Vec::new(),
                 checked_ms: now_ms,
             });
-            self.keep_more(now_ms, pool, job);
+            self.attempt(now_ms, pool, job, out);
+            if tasks == 1 {
+                self.keep_more(now_ms, pool, job);
+            }
         }
     }
 
+    /// Frees the kept room of one task of a less urgent job if an urgent task fits there.
+    fn yield_kept(&mut self, now_ms: Millis, pool: usize, job: JobId) -> bool {
+        let Some(waiting) = self.waiting.get(&job) else {
+            return false;
+        };
+        let demand = self.kinds.get(waiting.queued.kind).demand;
+        let held = self.pools[pool].reservation.as_mut();
+        let Some(held) = held.filter(|held| held.class > Class::Urgent && !held.aged) else {
+            return false;
+        };
+        let fits = |tentative: &Tentative| {
+            let worker = self.workers.get(tentative.worker);
+            worker.is_some_and(|worker| {
+                let free = worker.free().plus(&tentative.reserved);
+                worker.reserved_for.is_none() && demand.fits_in(&free.min(&worker.capacity))
+            })
+        };
+        let Some(place) = held.placed.iter().rposition(fits) else {
+            return false;
+        };
+        let yielded = held.placed.remove(place);
+        self.undo(now_ms, &[yielded]);
+        true
+    }
+
     fn may_reserve(&self, pool: usize, job: JobId, class: Class, aged: bool) -> bool {
         let Some(held) = &self.pools[pool].reservation else {
             return true;
@@ -143,7 +234,8 @@
             })
         };
         let kept: u64 = held.workers.iter().map(|index| fits(*index)).sum();
-        let mut left = u64::from(tasks).saturating_sub(kept);
+        let placed = u64::try_from(held.placed.len()).unwrap_or(u64::MAX);
+        let mut left = u64::from(tasks).saturating_sub(kept.saturating_add(placed));
         let mut more = Vec::new();
         let bound = SEARCHED + 4 * tasks;
         let mut examined = 0;
@@ -209,6 +301,7 @@
         let Some(held) = self.pools[pool].reservation.take() else {
             return;
         };
+        self.undo(now_ms, &held.placed);
         for index in held.workers {
             if let Some(worker) = self.workers.get_mut(index) {
                 worker.reserved_for = None;
--- a/crates/scheduler/src/scheduler/submission.rs
+++ b/crates/scheduler/src/scheduler/submission.rs
@@ -8,7 +8,7 @@
     jobs::{Stage, Waiting},
     kinds::{Kind, KindId, TenantId},
     pool::Pool,
-    queue::Queued,
+    queue::{Queued, due_ms},
     random::mix,
     rate::Work,
     scheduler::Scheduler,
@@ -87,7 +87,13 @@
     ) -> Result<(), Refusal> {
         let kind = self.kinds.get(kind);
         let work = pool.work(&kind.demand, tasks, kind.usual_run_ms());
-        let wait_ms = self.wait_ms(pool, tenant, class, &kind.demand, work);
+        let wait_ms = self.wait_ms(
+            pool,
+            tenant,
+            (class, due_ms(now_ms, job.deadline_ms)),
+            &kind.demand,
+            work,
+        );
         let limit = pool.settings.as_ref().map_or(0, |pool| pool.queue_limit);
         if pool.queue.len() >= limit as usize {
             return refuse(Reason::QueueFull, self.come_back_ms(job, wait_ms));
@@ -108,13 +114,13 @@
         &self,
         pool: &Pool,
         tenant: TenantId,
-        class: Class,
+        (class, due_ms): (Class, Millis),
         demand: &Resources,
         work: Work,
     ) -> Millis {
         let tenant_state = self.tenants.get(tenant);
         let weight = tenant_state.weight();
-        let ahead = pool.queue.work_ahead(class, tenant, weight, work);
+        let ahead = pool.queue.work_ahead(class, due_ms, tenant, weight, work);
         let ahead_ms = pool.rate.time_for_ms(class, ahead);
         let quota_ms = tenant_state.quota.map_or(Millis(0), |quota| {
             let limit = amounts(&quota.limit);
@@ -154,7 +160,7 @@
             kind: self.kinds.intern(&job.kind),
             tenant: self.tenants.intern(&job.tenant),
             class: Class::Standard,
-            deadline_ms: job.deadline_ms,
+            due_ms: due_ms(now_ms, job.deadline_ms),
             sequence: self.sequence,
             work: 0,
         };
@@ -204,6 +210,8 @@
         waiting.queued.work = pool.work(&kind.demand, route.tasks, kind.usual_run_ms());
         let weight = self.tenants.get(waiting.queued.tenant).weight();
         pool.queue.push(&waiting.queued, weight);
+        pool.shares.enter(waiting.queued.tenant, weight);
+        pool.update_level(waiting.queued.tenant);
         pool.rate.admitted(now_ms, route.class, waiting.queued.work);
         pool.dirty = true;
     }
@@ -217,6 +225,8 @@
                 let weight = self.tenants.get(waiting.queued.tenant).weight();
                 let pool = &mut self.pools[pool_id];
                 pool.queue.remove(&waiting.queued, weight);
+                pool.shares.leave(waiting.queued.tenant);
+                pool.update_level(waiting.queued.tenant);
                 if pool.reservation.as_ref().is_some_and(|r| r.job == job) {
                     self.drop_reservation(now_ms, pool_id);
                 }
--- a/crates/scheduler/src/scheduler/tables.rs
+++ b/crates/scheduler/src/scheduler/tables.rs
@@ -12,6 +12,10 @@
         self.unqueue_all();
         self.tables = tables.clone();
         self.tenants.set_quotas(tables.quotas());
+        let tenants = &self.tenants;
+        for pool in &mut self.pools {
+            pool.shares.reweigh(|tenant| tenants.get(tenant).weight());
+        }
         self.set_pools(now_ms);
         self.set_routes();
         for worker in self.workers.indices() {
@@ -78,7 +82,9 @@
         for waiting in self.waiting.values() {
             if let Stage::Queued(pool) = waiting.stage {
                 let weight = self.tenants.get(waiting.queued.tenant).weight();
-                self.pools[pool].queue.remove(&waiting.queued, weight);
+                let pool = &mut self.pools[pool];
+                pool.queue.remove(&waiting.queued, weight);
+                pool.shares.leave(waiting.queued.tenant);
             }
         }
     }
--- a/crates/scheduler/src/scheduler/workers.rs
+++ b/crates/scheduler/src/scheduler/workers.rs
@@ -62,6 +62,11 @@
             Some(worker) => worker.own.keys().copied().collect(),
             None => Vec::new(),
         };
+        // Room that a reservation keeps is no task yet.
+        let started = tasks.into_iter();
+        let tasks: Vec<TaskKey> = started
+            .filter(|task| self.task_worker(*task).is_some())
+            .collect();
         for task in &tasks {
             let end = TaskEnd {
                 task: *task,
--- a/crates/scheduler/src/sizes.rs
+++ b/crates/scheduler/src/sizes.rs
@@ -13,7 +13,7 @@
 const LEAST_SAMPLES: usize = 16;
 /// Percentile of the samples that a reservation covers.
 const PERCENTILE: usize = 95;
-/// Headroom added to the percentile.
+/// Headroom added to the percentile, except that it never raises a declared size that suffices.
 const HEADROOM_PERCENT: u64 = 10;
 /// A corrected size is at least the declared one divided by this, since samples of idle tasks say
 /// little about busy ones.
@@ -59,13 +59,15 @@
         let Some(high) = percentile(samples, PERCENTILE) else {
             return declared;
         };
-        let high = high.saturating_add(high / 100 * HEADROOM_PERCENT);
-        let least = if samples.len() < LEAST_SAMPLES {
-            declared
+        if samples.len() < LEAST_SAMPLES {
+            return high.max(declared);
+        }
+        let roomy = high.saturating_add(high / 100 * HEADROOM_PERCENT);
+        if high <= declared {
+            roomy.clamp(declared.div_ceil(MOST_SHRINK), declared)
         } else {
-            declared.div_ceil(MOST_SHRINK)
-        };
-        high.max(least)
+            roomy
+        }
     }
 
     /// Returns the corrected demand, at most `most` in each resource where `declared` fits in it.
--- a/crates/scheduler/tests/scheduler/main.rs
+++ b/crates/scheduler/tests/scheduler/main.rs
@@ -1,4 +1,5 @@
 //! Behaviour of the scheduler in virtual time.
 
+mod invariants;
 mod room;
 mod support;
