--- a/crates/scheduler/benches/harness/harness.rs
+++ b/crates/scheduler/benches/harness/harness.rs
@@ -3,6 +3,7 @@
 //! Everything is derived from a seed, so each run gives the same figures.
 
 pub(crate) mod baseline;
+pub(crate) mod fleet;
 pub(crate) mod measure;
 pub(crate) mod mixes;
 pub(crate) mod placer;
--- a/crates/scheduler/benches/measures.rs
+++ b/crates/scheduler/benches/measures.rs
@@ -7,8 +7,11 @@
 #[path = "harness/harness.rs"]
 mod harness;
 
+use std::time::Instant;
+
 use crate::harness::{
     baseline::Rule,
+    fleet::Fleet,
     measure,
     mixes::{loftbook, vandermeulen},
     stats::{Stats, percentile},
@@ -51,9 +54,44 @@
     }
 }
 
+/// Prints the wall time of placements on one core; the only figures that depend on the machine.
+fn show_speed(workers: u64) {
+    const STEPS: u32 = 50_000;
+    let mut fleet = Fleet::new(workers);
+    let before = fleet.running();
+    let mut examined = Vec::new();
+    let mut times_ns: Vec<u64> = Vec::new();
+    let begin = Instant::now();
+    for _ in 0..STEPS {
+        let step = Instant::now();
+        let cost = fleet.step();
+        times_ns.push(u64::try_from(step.elapsed().as_nanos()).unwrap_or(u64::MAX));
+        if cost.tasks > 0 {
+            examined.push(cost.most_examined.into());
+        }
+    }
+    let per_s = f64::from(STEPS) / begin.elapsed().as_secs_f64();
+    println!(
+        "{workers} workers, {before} to {} running tasks: {per_s:.0} placements/s, p50 {} us, p99 {} us, \
+         max {} us, examined p50 {} p99 {} max {}",
+        fleet.running(),
+        percentile(&times_ns, 50) / 1_000,
+        percentile(&times_ns, 99) / 1_000,
+        percentile(&times_ns, 100) / 1_000,
+        percentile(&examined, 50),
+        percentile(&examined, 99),
+        percentile(&examined, 100),
+    );
+}
+
 fn main() {
     // Cargo passes `--bench`; anything else is a filter by name, as with other benchmarks.
     let filter = std::env::args().skip(1).find(|arg| !arg.starts_with("--"));
+    if filter.as_ref().is_none_or(|filter| filter == "speed") {
+        for workers in [50, 500, 3_700] {
+            show_speed(workers);
+        }
+    }
     for mix in [loftbook(), vandermeulen()] {
         for load_percent in [70, 90, 130] {
             let name = format!("{} {load_percent}", mix.name);
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -37,6 +37,8 @@
     pub(crate) preempted: Vec<(Millis, TaskKey)>,
     /// Workers in quarantine by the time of their next probe.
     pub(crate) quarantined: BTreeSet<(Millis, WorkerIndex)>,
+    /// Workers that fail but may not be quarantined, since the cap is reached.
+    pub(crate) suspects: BTreeSet<WorkerIndex>,
     pub(crate) reservation: Option<Reservation>,
     pub(crate) rate: CompletionRate,
     /// Number of running jobs.
@@ -65,6 +67,7 @@
             victims: Victims::new(),
             preempted: Vec::new(),
             quarantined: BTreeSet::new(),
+            suspects: BTreeSet::new(),
             reservation: None,
             rate: CompletionRate::new(now_ms),
             running: 0,
--- a/crates/scheduler/src/quarantine.rs
+++ b/crates/scheduler/src/quarantine.rs
@@ -23,6 +23,8 @@
     /// Takes work.
     #[default]
     Trusted,
+    /// Fails, but may not be put aside: takes work that fits nowhere else.
+    Suspect,
     /// Takes one probe after this time.
     Quarantined { until_ms: Millis },
     /// A probe runs.
@@ -48,7 +50,21 @@
         self.trust == Trust::Trusted
     }
 
-    /// Records an outcome of a trusted worker.
+    /// Returns whether the worker is out of use except for probes.
+    pub(crate) fn quarantined(&self) -> bool {
+        matches!(self.trust, Trust::Quarantined { .. } | Trust::Probing)
+    }
+
+    /// Makes the worker the last resort, or ends that.
+    pub(crate) fn suspect(&mut self, suspect: bool) {
+        self.trust = if suspect {
+            Trust::Suspect
+        } else {
+            Trust::Trusted
+        };
+    }
+
+    /// Records an outcome of a worker outside quarantine.
     pub(crate) fn record(&mut self, kind: KindId, ok: bool) {
         if self.recent.len() >= RECENT {
             self.recent.pop_front();
--- a/crates/scheduler/src/queue.rs
+++ b/crates/scheduler/src/queue.rs
@@ -23,6 +23,18 @@
     submitted_ms.saturating_add(Millis(limit_ms.0 / DUE_PART))
 }
 
+/// Shortest wait after which a job counts as aged.
+const LEAST_AGED_MS: Millis = Millis(10_000);
+/// A job is aged once this part of its time limit has passed, so that ageing comes in time for the
+/// deadline. The job that has been aged for longest gets its turn whatever its class.
+const AGED_PART: u64 = 2;
+
+/// Returns the time from which a job counts as aged.
+pub(crate) fn aged_ms(submitted_ms: Millis, deadline_ms: Millis) -> Millis {
+    let limit_ms = deadline_ms.saturating_sub(submitted_ms);
+    submitted_ms.saturating_add(Millis(limit_ms.0 / AGED_PART).max(LEAST_AGED_MS))
+}
+
 /// What the queue needs to know of a job.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Queued {
@@ -32,6 +44,8 @@
     pub(crate) class: Class,
     /// See [`due_ms`].
     pub(crate) due_ms: Millis,
+    /// See [`aged_ms`].
+    pub(crate) aged_ms: Millis,
     /// Rises with each job that is submitted.
     pub(crate) sequence: u64,
     /// Predicted work, for admission.
@@ -88,14 +102,15 @@
 pub(crate) struct Queue {
     lanes: SortedVec<KindId, Lane>,
     levels: SortedVec<TenantId, u64>,
-    arrivals: BTreeSet<(u64, JobId)>,
+    /// All jobs by the time at which they are aged.
+    ageing: BTreeSet<(Millis, u64, JobId)>,
     work: [ClassWork; 3],
 }
 
 impl Queue {
     /// Returns the number of waiting jobs.
     pub(crate) fn len(&self) -> usize {
-        self.arrivals.len()
+        self.ageing.len()
     }
 
     fn level(&self, tenant: TenantId) -> u64 {
@@ -120,7 +135,8 @@
         lane.due.insert((queued.due_ms, queued.job));
         lane.work = lane.work.saturating_add(queued.work);
         lane.list(level, queued.tenant);
-        self.arrivals.insert((queued.sequence, queued.job));
+        self.ageing
+            .insert((queued.aged_ms, queued.sequence, queued.job));
         let work = &mut self.work[queued.class as usize];
         work.total = work.total.saturating_add(queued.work);
         let of_tenant = work.by_tenant.get_or_insert_with(queued.tenant, || (0, 0));
@@ -134,7 +150,8 @@
     /// Removes a job.
     pub(crate) fn remove(&mut self, queued: &Queued, weight: u64) {
         let level = self.level(queued.tenant);
-        if !self.arrivals.remove(&(queued.sequence, queued.job)) {
+        let ageing = (queued.aged_ms, queued.sequence, queued.job);
+        if !self.ageing.remove(&ageing) {
             return;
         }
         if let Some(lane) = self.lanes.get_mut(&queued.kind) {
@@ -192,9 +209,12 @@
         jobs.take(most).collect()
     }
 
-    /// Returns the job that arrived first.
-    pub(crate) fn oldest(&self) -> Option<JobId> {
-        self.arrivals.first().map(|(_, job)| *job)
+    /// Returns the job that has been aged for longest.
+    pub(crate) fn aged(&self, now_ms: Millis) -> Option<JobId> {
+        let first = self.ageing.first();
+        first
+            .filter(|(aged_ms, ..)| *aged_ms <= now_ms)
+            .map(|(.., job)| *job)
     }
 
     /// Sets the level of a tenant's share.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -209,7 +209,7 @@
                 capacity: worker.capacity,
                 held: worker.held,
                 in_service: worker.in_service(),
-                quarantined: !worker.health.trusted(),
+                quarantined: worker.health.quarantined(),
                 concurrency_limit: worker.limit.current(),
             })
             .collect()
--- a/crates/scheduler/src/scheduler/ends.rs
+++ b/crates/scheduler/src/scheduler/ends.rs
@@ -212,7 +212,7 @@
         let Some(worker) = self.workers.get_mut(index) else {
             return;
         };
-        if !worker.health.trusted() {
+        if worker.health.quarantined() {
             if ok {
                 self.update_trust(index, |health| health.probe_succeeded(now_ms));
             } else if !blamed {
@@ -222,12 +222,12 @@
         }
         worker.health.record(ended.kind, ok);
         let kinds = &self.kinds;
-        let failing = !ok
-            && worker
-                .health
-                .failing(|kind| kinds.get(kind).health.blamed());
-        if failing && self.may_quarantine(index) {
+        let blamed = |kind| kinds.get(kind).health.blamed();
+        let failing = worker.health.failing(blamed);
+        if failing && !ok && self.may_quarantine(index) {
             self.quarantine(now_ms, index);
+        } else {
+            self.update_trust(index, |health| health.suspect(failing));
         }
     }
 
@@ -253,8 +253,10 @@
     /// Trusts workers again whose failures are explained by kinds that are blamed now.
     fn release_unjustly_quarantined(&mut self) {
         for pool in 0..self.pools.len() {
-            let quarantined: Vec<_> = self.pools[pool].quarantined.iter().copied().collect();
-            for (_, index) in quarantined {
+            let quarantined = self.pools[pool].quarantined.iter().map(|(_, index)| *index);
+            let suspects = self.pools[pool].suspects.iter().copied();
+            let listed: Vec<_> = quarantined.chain(suspects).collect();
+            for index in listed {
                 let kinds = &self.kinds;
                 let worker = self.workers.get(index);
                 let explained = worker.is_some_and(|worker| {
@@ -285,12 +287,17 @@
         let Some(place) = worker.place.filter(|_| before != after) else {
             return;
         };
-        let listed = &mut self.pools[place.pool].quarantined;
+        let pool = &mut self.pools[place.pool];
         if let Some(until_ms) = probe_time(before) {
-            listed.remove(&(until_ms, index));
+            pool.quarantined.remove(&(until_ms, index));
         }
         if let Some(until_ms) = probe_time(after) {
-            listed.insert((until_ms, index));
+            pool.quarantined.insert((until_ms, index));
+        }
+        if after == Trust::Suspect {
+            pool.suspects.insert(index);
+        } else {
+            pool.suspects.remove(&index);
         }
     }
 
@@ -353,7 +360,7 @@
 /// Returns the key under which a pool lists a worker in quarantine.
 fn probe_time(trust: Trust) -> Option<Millis> {
     match trust {
-        Trust::Trusted => None,
+        Trust::Trusted | Trust::Suspect => None,
         Trust::Quarantined { until_ms } => Some(until_ms),
         Trust::Probing => Some(Millis(u64::MAX)),
     }
--- a/crates/scheduler/src/scheduler/pass.rs
+++ b/crates/scheduler/src/scheduler/pass.rs
@@ -14,17 +14,18 @@
 
 /// Longest time between two passes over a pool with waiting jobs.
 const PASS_INTERVAL_MS: Millis = Millis(100);
-/// Shortest wait after which a job counts as aged.
-const LEAST_AGED_MS: Millis = Millis(10_000);
-/// A job is aged once this part of its time limit has passed, so that ageing comes in time for the
-/// deadline. The oldest aged job of a pool gets its turn whatever its class.
-const AGED_PART: u64 = 2;
 /// Aged jobs get this part of the started work. Counting starts would give a few long jobs the
 /// whole pool in return for many short ones.
 const WORK_PER_AGED: u64 = 8;
 /// Delay of a probe beyond which urgent work probes too, since a pool may have no other work.
 const PROBE_OVERDUE_MS: Millis = Millis(10_000);
 
+/// Failing workers outside quarantine that one decision looks at.
+const SUSPECTS: usize = 32;
+
+/// Workers that a decision on a blamed kind looks at for one that does not fail it.
+const UNTRIED: usize = 32;
+
 /// Outcome of an attempt to place a job.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Attempt {
@@ -142,12 +143,9 @@
         if pool.aged_work > pool.other_work / (WORK_PER_AGED - 1) {
             return None;
         }
-        let job = pool.queue.oldest()?;
+        let job = pool.queue.aged(now_ms)?;
         let waiting = self.waiting.get(&job)?;
-        let limit_ms = waiting.job.deadline_ms.saturating_sub(waiting.submitted_ms);
-        let aged_ms = Millis(limit_ms.0 / AGED_PART).max(LEAST_AGED_MS);
-        (now_ms.saturating_sub(waiting.submitted_ms) >= aged_ms)
-            .then_some((waiting.queued.kind, job))
+        Some((waiting.queued.kind, job))
     }
 
     fn wanted(&self, job: JobId) -> Option<Wanted> {
@@ -211,10 +209,12 @@
         let mut examined = 0;
         let state = &self.pools[pool];
         let kept = self.kept_worker(now_ms, pool, wanted.job, &wanted.demand, &mut examined);
-        let chosen = kept.or_else(|| {
+        let untried = kept.or_else(|| self.untried(pool, wanted, &mut examined));
+        let chosen = untried.or_else(|| {
             let slot = placement::choose(state, wanted.kind, &wanted.demand, &mut examined)?;
             state.index.entry(slot).map(|entry| entry.worker)
         });
+        let chosen = chosen.or_else(|| self.suspect(now_ms, pool, wanted, &mut examined));
         self.cost.tasks += 1;
         self.cost.examined += examined;
         self.cost.most_examined = self.cost.most_examined.max(examined);
@@ -251,6 +251,38 @@
         }
     }
 
+    /// Chooses a worker that does not fail a blamed kind, if there is one. Whether the kind or a
+    /// few workers are at fault shows only if other workers run it too.
+    fn untried(&self, pool: usize, wanted: &Wanted, examined: &mut u32) -> Option<WorkerIndex> {
+        let health = &self.kinds.get(wanted.kind).health;
+        if !health.blamed() {
+            return None;
+        }
+        let index = &self.pools[pool].index;
+        let entries = index.emptiest().filter_map(|slot| index.entry(slot));
+        let mut entries = entries.take(UNTRIED).inspect(|_| *examined += 1);
+        let untried = entries
+            .find(|entry| wanted.demand.fits_in(&entry.room) && !health.fails_on(entry.worker));
+        untried.map(|entry| entry.worker)
+    }
+
+    /// Chooses among the workers that fail but may not be quarantined; they are the last resort.
+    fn suspect(
+        &self,
+        now_ms: Millis,
+        pool: usize,
+        wanted: &Wanted,
+        examined: &mut u32,
+    ) -> Option<WorkerIndex> {
+        let suspects = self.pools[pool].suspects.iter().take(SUSPECTS);
+        let mut suspects = suspects.copied();
+        suspects.find(|index| {
+            *examined += 1;
+            let worker = self.workers.get(*index);
+            worker.is_some_and(|worker| wanted.demand.fits_in(&worker.last_room(now_ms)))
+        })
+    }
+
     /// Chooses a worker in quarantine whose probe is due.
     ///
     /// Work that may run only once is no probe, since a failure would be final.
--- a/crates/scheduler/src/scheduler/submission.rs
+++ b/crates/scheduler/src/scheduler/submission.rs
@@ -8,7 +8,7 @@
     jobs::{Stage, Waiting},
     kinds::{Kind, KindId, TenantId},
     pool::Pool,
-    queue::{Queued, due_ms},
+    queue::{Queued, aged_ms, due_ms},
     random::mix,
     rate::Work,
     scheduler::Scheduler,
@@ -161,6 +161,7 @@
             tenant: self.tenants.intern(&job.tenant),
             class: Class::Standard,
             due_ms: due_ms(now_ms, job.deadline_ms),
+            aged_ms: aged_ms(now_ms, job.deadline_ms),
             sequence: self.sequence,
             work: 0,
         };
--- a/crates/scheduler/src/scheduler/workers.rs
+++ b/crates/scheduler/src/scheduler/workers.rs
@@ -120,8 +120,19 @@
         };
         let slot = self.pools[pool].index.add(index, &rack);
         worker.place = Some(PoolSlot { pool, slot });
-        if let Trust::Quarantined { until_ms } = worker.health.trust() {
-            self.pools[pool].quarantined.insert((until_ms, index));
+        match worker.health.trust() {
+            Trust::Trusted => {}
+            Trust::Suspect => {
+                self.pools[pool].suspects.insert(index);
+            }
+            Trust::Quarantined { until_ms } => {
+                self.pools[pool].quarantined.insert((until_ms, index));
+            }
+            Trust::Probing => {
+                self.pools[pool]
+                    .quarantined
+                    .insert((Millis(u64::MAX), index));
+            }
         }
     }
 
@@ -137,6 +148,7 @@
         let pool = &mut self.pools[place.pool];
         pool.index.remove(place.slot);
         pool.quarantined.retain(|(_, worker)| *worker != index);
+        pool.suspects.remove(&index);
         pool.dirty = true;
         if let Some(counted) = worker.counted.take() {
             subtract(&mut pool.capacity, &counted);
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -221,15 +221,25 @@
         self.identity.is_some() && !self.leaving && !self.drained
     }
 
+    /// Returns whether the worker could take a task now, apart from its health and room.
+    fn open(&self, now_ms: Millis) -> bool {
+        let running = self.own.len() + self.foreign.len();
+        self.in_service() && now_ms >= self.refused_until_ms && self.limit.allows(running)
+    }
+
     /// Returns the room for new tasks of `job`, or of any job that holds no reservation here.
     pub(crate) fn room(&self, now_ms: Millis, job: Option<JobId>) -> Resources {
-        let running = self.own.len() + self.foreign.len();
-        let open = self.in_service()
-            && now_ms >= self.refused_until_ms
-            && (self.reserved_for.is_none() || self.reserved_for == job)
-            && self.limit.allows(running)
-            && self.health.trusted();
-        if open {
+        let reserved = self.reserved_for.is_some() && self.reserved_for != job;
+        if self.health.trusted() && self.open(now_ms) && !reserved {
+            self.free()
+        } else {
+            Resources::default()
+        }
+    }
+
+    /// Returns the room of a worker that is used as the last resort.
+    pub(crate) fn last_room(&self, now_ms: Millis) -> Resources {
+        if self.open(now_ms) && self.reserved_for.is_none() {
             self.free()
         } else {
             Resources::default()
--- /dev/null
+++ b/crates/scheduler/tests/scheduler/gangs.rs
@@ -0,0 +1,94 @@
+//! Gangs start whole, in turn, and are not starved.
+
+use acaciareel_scheduler::{Cancelled, Decision, EndKind, JobId, Placement};
+use acaciareel_types::Millis;
+
+use crate::support::{SMALL, decide, end, job, one_pool, placements, scheduler};
+
+/// 6 tasks of 10 cores: three workers when they are empty.
+const GANG: &str = "effect=exclusive tasks=6 cpu_millicores=10000 memory_bytes=1000000 \
+                    time_limit_ms=600000 run_time_ms=1000";
+
+fn gang_starts(decisions: &[Decision]) -> Vec<(u64, usize)> {
+    let starts = decisions.iter().filter_map(|decision| match decision {
+        Decision::Place { job, placements } if job.0 >= 1_000_000 => {
+            Some((job.0, placements.len()))
+        }
+        _ => None,
+    });
+    starts.collect()
+}
+
+/// Guards against gangs that wait for each other's room, are placed in part, or are passed over
+/// for ever by small tasks that fill each gap.
+#[test]
+fn gangs_start_whole_and_in_time_among_a_flood_of_small_tasks() {
+    let tables = one_pool("gang", &[("small", SMALL), ("gang", GANG)]);
+    let mut scheduler = scheduler(&tables, 4);
+    let mut running: Vec<(u64, Placement)> = Vec::new();
+    let mut starts = Vec::new();
+
+    for now_ms in (0..60_000_u64).step_by(20) {
+        for n in 0..3 {
+            let mut small = job(now_ms * 10 + n, "small", "flood", now_ms + 60_000);
+            small.accepted = true;
+            scheduler.submit(Millis(now_ms), small).expect("accepted");
+        }
+        if now_ms % 10_000 == 0 {
+            for n in 0..2 {
+                let id = 1_000_000 + now_ms + n;
+                let mut gang = job(id, "gang", "rare", now_ms + 600_000);
+                gang.accepted = true;
+                scheduler.submit(Millis(now_ms), gang).expect("accepted");
+            }
+        }
+        let (ended, rest) = running.into_iter().partition(|(at, _)| *at <= now_ms);
+        running = rest;
+        for (_, placed) in ended {
+            scheduler.task_ended(Millis(now_ms), &end(&placed, EndKind::Succeeded, None));
+        }
+        let decisions = decide(&mut scheduler, now_ms);
+        starts.extend(gang_starts(&decisions).into_iter().map(|s| (now_ms, s)));
+        let placed = placements(&decisions).into_iter();
+        running.extend(placed.map(|placed| (now_ms + 1_000, placed)));
+    }
+
+    assert_eq!(starts.len(), 12, "{starts:?}");
+    for (at_ms, (id, tasks)) in starts {
+        assert_eq!(tasks, 6);
+        assert!(
+            at_ms - (id - 1_000_000) / 10_000 * 10_000 <= 20_000,
+            "{id} at {at_ms}"
+        );
+    }
+}
+
+/// Guards against room that stays kept for a gang that was cancelled.
+#[test]
+fn a_cancelled_gang_gives_its_kept_room_back() {
+    let tables = one_pool("gang", &[("small", SMALL), ("gang", GANG)]);
+    let mut scheduler = scheduler(&tables, 2);
+    for id in 0..3 {
+        let mut small = job(id, "small", "t", 60_000);
+        small.accepted = true;
+        scheduler.submit(Millis(0), small).expect("accepted");
+    }
+    let first = placements(&decide(&mut scheduler, 0));
+    let mut gang = job(1_000_000, "gang", "t", 600_000);
+    gang.accepted = true;
+    scheduler.submit(Millis(1), gang).expect("accepted");
+    for now_ms in (1..20_000).step_by(100) {
+        assert!(decide(&mut scheduler, now_ms).is_empty());
+    }
+    let held = |s: &acaciareel_scheduler::Scheduler| -> u32 {
+        s.worker_summaries().iter().map(|w| w.held.slots.0).sum()
+    };
+    let kept = held(&scheduler);
+
+    let cancelled = scheduler.cancel(Millis(20_000), JobId(1_000_000));
+    let after = held(&scheduler);
+
+    assert_eq!(first.len(), 3);
+    assert!(kept > 3, "no room is kept");
+    assert_eq!((cancelled, after), (Cancelled::Waiting, 3));
+}
