Test transport, HTTP limits, worker calls and the command line

Cause: these parts were covered by the end-to-end tests only. The transport ends its tasks when it is dropped; error reports have no colour outside a terminal.

--- a/crates/acaciareeld/examples/standin_worker/server.rs
+++ b/crates/acaciareeld/examples/standin_worker/server.rs
@@ -4,7 +4,7 @@
 
 use acaciareel_types::{FencingToken, Millis, TaskId};
 use acaciareel_wire::{
-    http::{ErrorBody, LeaseReply, LeaseRequest, StaleToken, StartTask, TaskCommand},
+    http::{ErrorBody, LeaseReply, LeaseRequest, StaleToken, TaskCommand},
     types,
 };
 use bytes::Bytes;
@@ -37,41 +37,43 @@
             let shared = Arc::clone(&shared);
             async move {
                 let reply = answer(&shared, request).await;
-                Ok::<_, Infallible>(reply.unwrap_or_else(|refused| refused))
+                Ok::<_, Infallible>(reply.unwrap_or_else(|refusal| refused(&refusal)))
             }
         });
         tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
     }
 }
 
-async fn answer(shared: &Arc<Shared>, request: Request<Incoming>) -> Result<Reply, Reply> {
+async fn answer(shared: &Arc<Shared>, request: Request<Incoming>) -> Result<Reply, Refusal> {
     let authorization = request.headers().get(header::AUTHORIZATION);
     if !shared.entries.is_authorized(authorization) {
-        return Err(error(StatusCode::UNAUTHORIZED, &"the token is not known"));
+        return Err(Refusal::Unauthorized);
     }
     let (parts, body) = request.into_parts();
     let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
-    let body = body.map_err(|e| error(StatusCode::BAD_REQUEST, &e))?;
+    let body = body.map_err(|error| Refusal::Wrong(error.to_string()))?;
     let body = body.to_bytes();
-    let path = parts.uri.path();
-    match (&parts.method, path) {
+    match (&parts.method, parts.uri.path()) {
         (&Method::GET, "/v1/report") => {
             let report = types::WorkerReport::from(&shared.report());
             Ok(json(StatusCode::OK, &report))
         }
         (&Method::POST, "/v1/lease") => lease(shared, &parse(&body)?),
-        (&Method::POST, "/v1/tasks") => start(shared, parse(&body)?),
-        (&Method::POST, path) => command(shared, path, &parse(&body)?),
-        _ => Err(error(StatusCode::NOT_FOUND, &"no such path")),
+        (&Method::POST, "/v1/tasks") => {
+            tasks::start(shared, parse(&body)?)?;
+            Ok(empty(StatusCode::ACCEPTED))
+        }
+        (&Method::POST, path) => command(shared, path, parse(&body)?),
+        _ => Err(Refusal::NotFound("no such path")),
     }
 }
 
-fn lease(shared: &Shared, request: &LeaseRequest) -> Result<Reply, Reply> {
+fn lease(shared: &Shared, request: &LeaseRequest) -> Result<Reply, Refusal> {
     let token = FencingToken(request.token);
-    let claimed = shared
+    shared
         .state()
-        .claim(token, &request.holder, Millis(request.ttl_ms));
-    claimed.map_err(stale)?;
+        .claim(token, &request.holder, Millis(request.ttl_ms))
+        .map_err(Refusal::StaleToken)?;
     let report = types::WorkerReport::from(&shared.report());
     let unacknowledged = shared.state().ended.keys().map(TaskId::to_string).collect();
     let reply = LeaseReply {
@@ -81,43 +83,30 @@
     Ok(json(StatusCode::OK, &reply))
 }
 
-fn start(shared: &Arc<Shared>, call: StartTask) -> Result<Reply, Reply> {
-    match tasks::start(shared, call) {
-        Ok(()) => Ok(empty(StatusCode::ACCEPTED)),
-        Err(Refusal::Wrong(reason)) => Err(error(StatusCode::BAD_REQUEST, &reason)),
-        Err(Refusal::StaleToken(held)) => Err(stale(held)),
-        Err(Refusal::Leaving) => Err(error(StatusCode::GONE, &"the worker is leaving")),
-        Err(Refusal::NoRoom) => {
-            let reason = "no free capacity for the task";
-            Err(error(StatusCode::TOO_MANY_REQUESTS, &reason))
-        }
-    }
-}
-
 /// Serves `POST /v1/tasks/ID/stop`, `checkpoint` and `throttle`. The stand-in saves nothing at a
 /// checkpoint, and a throttled task goes on as before.
-fn command(shared: &Shared, path: &str, command: &TaskCommand) -> Result<Reply, Reply> {
-    let not_found = || error(StatusCode::NOT_FOUND, &"no such path");
-    let rest = path.strip_prefix("/v1/tasks/").ok_or_else(not_found)?;
-    let (task, name) = rest.rsplit_once('/').ok_or_else(not_found)?;
-    let task: Result<TaskId, _> = task.replace("%2F", "/").parse();
-    let task = task.map_err(|e| error(StatusCode::BAD_REQUEST, &e))?;
+fn command(shared: &Shared, path: &str, command: TaskCommand) -> Result<Reply, Refusal> {
+    const NO_PATH: Refusal = Refusal::NotFound("no such path");
+    let rest = path.strip_prefix("/v1/tasks/").ok_or(NO_PATH)?;
+    let (task, name) = rest.rsplit_once('/').ok_or(NO_PATH)?;
+    let task = task.replace("%2F", "/").parse::<TaskId>();
+    let task = task.map_err(|error| Refusal::Wrong(error.to_string()))?;
     let checked = shared.state().check(FencingToken(command.token));
-    checked.map_err(stale)?;
+    checked.map_err(Refusal::StaleToken)?;
     let done = match name {
         "stop" | "checkpoint" => tasks::stop(shared, &task, name),
         "throttle" => shared.state().running.contains_key(&task),
-        _ => return Err(not_found()),
+        _ => return Err(NO_PATH),
     };
     if done {
         Ok(empty(StatusCode::ACCEPTED))
     } else {
-        Err(error(StatusCode::NOT_FOUND, &"the task is not running"))
+        Err(Refusal::NotFound("the task is not running"))
     }
 }
 
-fn parse<T: DeserializeOwned>(body: &Bytes) -> Result<T, Reply> {
-    serde_json::from_slice(body).map_err(|e| error(StatusCode::BAD_REQUEST, &e))
+fn parse<T: DeserializeOwned>(body: &Bytes) -> Result<T, Refusal> {
+    serde_json::from_slice(body).map_err(|error| Refusal::Wrong(error.to_string()))
 }
 
 fn empty(status: StatusCode) -> Reply {
@@ -133,13 +122,19 @@
     reply
 }
 
-fn stale(held: FencingToken) -> Reply {
-    json(StatusCode::CONFLICT, &StaleToken { token: held.0 })
-}
-
-fn error(status: StatusCode, reason: &dyn std::fmt::Display) -> Reply {
+fn refused(refusal: &Refusal) -> Reply {
+    let (status, reason) = match refusal {
+        Refusal::StaleToken(held) => {
+            return json(StatusCode::CONFLICT, &StaleToken { token: held.0 });
+        }
+        Refusal::Unauthorized => (StatusCode::UNAUTHORIZED, "the token is not known"),
+        Refusal::NotFound(reason) => (StatusCode::NOT_FOUND, *reason),
+        Refusal::Wrong(reason) => (StatusCode::BAD_REQUEST, reason.as_str()),
+        Refusal::Leaving => (StatusCode::GONE, "the worker is leaving"),
+        Refusal::NoRoom => (StatusCode::TOO_MANY_REQUESTS, "no free capacity"),
+    };
     let body = ErrorBody {
-        error: reason.to_string(),
+        error: reason.to_owned(),
         verdict: "not_run".to_owned(),
     };
     json(status, &body)
--- a/crates/acaciareeld/examples/standin_worker/tasks.rs
+++ b/crates/acaciareeld/examples/standin_worker/tasks.rs
@@ -17,9 +17,11 @@
 /// Interval at which gate files and the task lease are looked at.
 const POLL: Duration = Duration::from_millis(20);
 
-/// Why a task was not started. Nothing was done.
+/// Why a call was refused. Nothing was done.
 #[derive(Debug)]
 pub enum Refusal {
+    Unauthorized,
+    NotFound(&'static str),
     Wrong(String),
     StaleToken(FencingToken),
     Leaving,
--- a/crates/acaciareeld/src/daemon.rs
+++ b/crates/acaciareeld/src/daemon.rs
@@ -1,7 +1,6 @@
 //! Life of the daemon: start, run, graceful stop.
 
 use std::{
-    future::Future,
     sync::{Arc, atomic::AtomicBool, atomic::Ordering},
     time::Duration,
 };
@@ -10,6 +9,7 @@
 use acaciareel_types::Incarnation;
 use error_stack::{Report, ResultExt};
 use log::{info, warn};
+use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::{
     select,
     signal::unix::{Signal, SignalKind, signal},
@@ -31,7 +31,7 @@
 
 /// Inputs that may wait for the node. A sender that finds the queue full waits.
 const INPUT_QUEUE: usize = 4_096;
-/// Interval at which the control cost is measured and histograms are tidied.
+/// Interval at which histograms are tidied.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 /// Time for the last messages to the other daemons, such as acknowledgements of results.
 const CLOSE_LIMIT: Duration = Duration::from_millis(500);
@@ -86,8 +86,7 @@
     };
     let node = Node::new(node_settings(&config, incarnation), restored, clock.now());
     let node_task = tokio::spawn(NodeTask::new(node, clock, shell).run(received));
-    let upkeep = prometheus.clone();
-    tokio::spawn(async move { run_upkeep(&upkeep).await });
+    tokio::spawn(run_upkeep(prometheus.clone()));
     let app = Arc::new(App {
         vm: config.vm,
         failure_domain: config.failure_domain.clone(),
@@ -151,17 +150,11 @@
     }
 }
 
-fn run_upkeep(
-    prometheus: &metrics_exporter_prometheus::PrometheusHandle,
-) -> impl Future<Output = ()> {
-    let prometheus = prometheus.clone();
-    async move {
-        let mut interval = time::interval(UPKEEP_INTERVAL);
-        loop {
-            interval.tick().await;
-            prometheus.run_upkeep();
-            metering::measure_process();
-        }
+async fn run_upkeep(prometheus: PrometheusHandle) {
+    let mut interval = time::interval(UPKEEP_INTERVAL);
+    loop {
+        interval.tick().await;
+        prometheus.run_upkeep();
     }
 }
 
--- a/crates/acaciareeld/src/http.rs
+++ b/crates/acaciareeld/src/http.rs
@@ -33,7 +33,7 @@
     time,
 };
 
-use crate::{config::LimitsConfig, error::DaemonError, logging, node_task::Input};
+use crate::{config::LimitsConfig, error::DaemonError, logging, metering, node_task::Input};
 
 mod auth;
 mod connection;
@@ -237,7 +237,10 @@
         }
         let body = self.read_body(received.body).await?;
         match endpoint {
-            Endpoint::Metrics => Ok(response::text(StatusCode::OK, self.app.metrics.render())),
+            Endpoint::Metrics => {
+                metering::measure_process();
+                Ok(response::text(StatusCode::OK, self.app.metrics.render()))
+            }
             Endpoint::Status => self.status().await,
             Endpoint::LogLevel => self.set_log_level(&body),
             endpoint => {
@@ -352,3 +355,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/acaciareeld/src/http/tests.rs
@@ -0,0 +1,218 @@
+//! Tests of the HTTP server with a node played by the test.
+
+use std::{sync::Arc, sync::atomic::AtomicBool, time::Duration};
+
+use acaciareel_node::{Event, Reply};
+use acaciareel_types::{Answer, Incarnation, Millis, RatePerSecond, Verdict, VmId};
+use flexi_logger::{LogSpecification, Logger};
+use metrics_exporter_prometheus::PrometheusBuilder;
+use tempfile::TempDir;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::mpsc,
+    time,
+};
+
+use crate::{
+    config::{LimitsConfig, TokensConfig},
+    http::{App, Server, Tokens},
+    node_task::Input,
+};
+
+const TOKEN: &str = "token-0123456789";
+const SUBMIT: &str = "POST /v1/requests/verify HTTP/1.1\r\nHost: vm-1\r\n\
+    Authorization: Bearer token-0123456789\r\nAcaciareel-Tenant: tests\r\n\
+    Idempotency-Key: key-1\r\nContent-Length: 4\r\n\r\nbird";
+/// Only a failing test waits this long.
+const GIVE_UP: Duration = Duration::from_secs(30);
+
+struct Fixture {
+    server: Server,
+    inputs: mpsc::Receiver<Input>,
+    _folder: TempDir,
+}
+
+fn limits() -> LimitsConfig {
+    LimitsConfig {
+        body_bytes: 256 << 10,
+        header_bytes: 1 << 10,
+        header_timeout_ms: Millis(30_000),
+        connections: 2,
+        announcements: RatePerSecond(1),
+        worker_connect_ms: Millis(500),
+        worker_reply_ms: Millis(500),
+        stop_accept_ms: Millis(0),
+    }
+}
+
+async fn start(limits: LimitsConfig) -> Fixture {
+    let folder = tempfile::tempdir().expect("temporary folder");
+    let file = folder.path().join("tokens");
+    std::fs::write(&file, TOKEN).expect("written file");
+    let tokens = TokensConfig {
+        operators: file.clone(),
+        callers: file.clone(),
+        workers: file,
+    };
+    let (sender, inputs) = mpsc::channel(16);
+    let (_, logger) = Logger::with(LogSpecification::off())
+        .build()
+        .expect("logger");
+    let app = App {
+        vm: VmId(1),
+        failure_domain: "east".parse().expect("failure domain"),
+        incarnation: Incarnation(1),
+        limits,
+        tokens: Tokens::load(&tokens).expect("tokens"),
+        inputs: sender,
+        metrics: PrometheusBuilder::new().build_recorder().handle(),
+        logger,
+        stopping: AtomicBool::new(false),
+    };
+    let address = "127.0.0.1:0".parse().expect("address");
+    let server = Server::start(address, Arc::new(app)).await.expect("server");
+    Fixture {
+        server,
+        inputs,
+        _folder: folder,
+    }
+}
+
+impl Fixture {
+    async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.server.address)
+            .await
+            .expect("connection")
+    }
+
+    async fn next(&mut self) -> Input {
+        let next = time::timeout(GIVE_UP, self.inputs.recv()).await;
+        next.expect("input in time").expect("input")
+    }
+}
+
+async fn send(stream: &mut TcpStream, text: &str) {
+    stream
+        .write_all(text.as_bytes())
+        .await
+        .expect("written request");
+}
+
+/// Reads until the server closes the connection or a part of the text has arrived.
+async fn read_until(stream: &mut TcpStream, end: &str) -> String {
+    let mut bytes = Vec::new();
+    let reading = async {
+        while !String::from_utf8_lossy(&bytes).contains(end) {
+            if stream.read_buf(&mut bytes).await.unwrap_or(0) == 0 {
+                break;
+            }
+        }
+    };
+    time::timeout(GIVE_UP, reading)
+        .await
+        .expect("answer in time");
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+fn ran(text: &str) -> Reply {
+    Reply::Verdict(Verdict::Ran(Answer {
+        ok: true,
+        body: text.as_bytes().into(),
+    }))
+}
+
+/// Guards against a request that waits in the node although nobody waits for its answer.
+#[tokio::test]
+async fn a_closed_connection_is_told_to_the_node() {
+    let mut fixture = start(limits()).await;
+    let mut stream = fixture.connect().await;
+    send(&mut stream, SUBMIT).await;
+    let request = fixture.next().await;
+    let Input::Request { connection, .. } = &request else {
+        panic!("expected a request");
+    };
+
+    drop(stream);
+    let gone = fixture.next().await;
+
+    let expected = Event::Gone {
+        connection: *connection,
+    };
+    assert!(matches!(gone, Input::Event(event) if event == expected));
+}
+
+/// Guards against a stop that ends the runtime before the last answer has left.
+#[tokio::test]
+async fn a_stopping_server_is_idle_only_after_the_last_answer() {
+    let mut fixture = start(limits()).await;
+    let mut stream = fixture.connect().await;
+    send(&mut stream, SUBMIT).await;
+    let Input::Request { reply, .. } = fixture.next().await else {
+        panic!("expected a request");
+    };
+
+    fixture.server.stop_accepting();
+    let idle = fixture.server.wait_until_idle();
+    tokio::pin!(idle);
+    let early = futures_util::poll!(&mut idle);
+    reply.send(ran("bird:done")).expect("waiting handler");
+    time::timeout(GIVE_UP, idle).await.expect("idle in time");
+    let answer = read_until(&mut stream, "bird:done").await;
+
+    assert!(early.is_pending());
+    assert!(answer.contains("acaciareel-verdict: ran"), "{answer}");
+    assert!(answer.ends_with("bird:done"), "{answer}");
+}
+
+/// Guards against callers that use up memory with endless heads or open connections.
+#[tokio::test]
+async fn heads_and_connections_are_bounded() {
+    let limits = LimitsConfig {
+        header_timeout_ms: Millis(300),
+        ..limits()
+    };
+    let fixture = start(limits).await;
+    let mut first = fixture.connect().await;
+    let mut second = fixture.connect().await;
+    let large = "x".repeat(2 << 10);
+
+    send(
+        &mut first,
+        &format!("GET /healthz HTTP/1.1\r\nHost: a\r\nX: {large}\r\n\r\n"),
+    )
+    .await;
+    let large_head = read_until(&mut first, "not_run\"}").await;
+    send(
+        &mut second,
+        &format!("GET /healthz HTTP/1.1\r\nX: {}", "x".repeat(1 << 20)),
+    )
+    .await;
+    let mut third = fixture.connect().await;
+    let refused = read_until(&mut third, "\r\n").await;
+    let endless_head = read_until(&mut second, "200 OK").await;
+
+    assert!(large_head.starts_with("HTTP/1.1 431"), "{large_head}");
+    assert_eq!(refused, "");
+    assert!(!endless_head.contains("200 OK"), "{endless_head}");
+}
+
+/// Guards against workers that announce themselves faster than the VM can pass it on.
+#[tokio::test]
+async fn announcements_beyond_the_rate_are_refused() {
+    let fixture = start(limits()).await;
+    let mut stream = fixture.connect().await;
+    let announce = format!(
+        "POST /v1/workers/announce HTTP/1.1\r\nHost: vm-1\r\nAuthorization: Bearer {TOKEN}\r\n\
+         Content-Length: 2\r\n\r\n{{}}"
+    );
+
+    send(&mut stream, &announce).await;
+    let first = read_until(&mut stream, "not_run\"}").await;
+    send(&mut stream, &announce).await;
+    let second = read_until(&mut stream, "not_run\"}").await;
+
+    assert!(first.starts_with("HTTP/1.1 400"), "{first}");
+    assert!(second.starts_with("HTTP/1.1 429"), "{second}");
+    assert!(second.contains("retry-after: 1"), "{second}");
+}
--- a/crates/acaciareeld/src/main.rs
+++ b/crates/acaciareeld/src/main.rs
@@ -1,9 +1,14 @@
 //! The acaciareel daemon of an entry VM.
 
-use std::{env, path::Path, process};
+use std::{
+    env,
+    io::{self, IsTerminal},
+    path::Path,
+    process,
+};
 
 use argh::FromArgs;
-use error_stack::{Report, ResultExt};
+use error_stack::{Report, ResultExt, fmt::ColorMode};
 use tokio::runtime::Builder;
 
 use crate::{cli::Arguments, config::Config, error::DaemonError, exit_codes::ExitCode};
@@ -27,6 +32,9 @@
 const WORKER_THREADS: usize = 2;
 
 fn main() -> process::ExitCode {
+    if !io::stderr().is_terminal() {
+        Report::set_color_mode(ColorMode::None);
+    }
     let arguments = match arguments() {
         Ok(arguments) => arguments,
         Err(code) => return code.into(),
--- a/crates/acaciareeld/src/transport.rs
+++ b/crates/acaciareeld/src/transport.rs
@@ -20,6 +20,7 @@
 use quinn::{Connection, Endpoint, RecvStream, SendStream, VarInt};
 use tokio::{
     sync::{Notify, mpsc},
+    task::JoinSet,
     time,
 };
 
@@ -42,11 +43,13 @@
 /// Interval at which the traffic of a connection is added to the metrics.
 const TRAFFIC_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Connections to the other daemons.
+/// Connections to the other daemons. They end when this value is dropped.
 #[derive(Debug)]
 pub struct Transport {
     endpoint: Endpoint,
     peers: SortedVec<VmId, Arc<Peer>>,
+    /// Aborted on drop.
+    _tasks: JoinSet<()>,
 }
 
 /// Outgoing side of one peer.
@@ -114,11 +117,16 @@
             .filter(|(vm, _)| **vm != config.vm)
             .map(|(vm, peer)| (*vm, Arc::new(Peer::new(*vm, peer.address))))
             .collect();
+        let mut tasks = JoinSet::new();
         for peer in peers.values() {
-            tokio::spawn(connect_forever(endpoint.clone(), Arc::clone(peer), hello));
+            tasks.spawn(connect_forever(endpoint.clone(), Arc::clone(peer), hello));
         }
-        tokio::spawn(accept_forever(endpoint.clone(), peers.clone(), events));
-        Ok(Self { endpoint, peers })
+        tasks.spawn(accept_forever(endpoint.clone(), peers.clone(), events));
+        Ok(Self {
+            endpoint,
+            peers,
+            _tasks: tasks,
+        })
     }
 
     /// Queues a message. It may be dropped, as any message may be lost.
@@ -346,3 +354,6 @@
         (self.sent_bytes, self.received_bytes) = (sent, received);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/acaciareeld/src/transport/tests.rs
@@ -0,0 +1,166 @@
+//! Tests of the connections between daemons.
+
+use std::{fs, net::UdpSocket, path::Path, time::Duration};
+
+use acaciareel_node::{Event, PeerMessage};
+use acaciareel_settings::IniFile;
+use acaciareel_types::{Incarnation, VmId, WorkerId};
+use quinn::{ConnectionError, Endpoint};
+use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+use tempfile::TempDir;
+use tokio::{sync::mpsc, time};
+
+use crate::{
+    config::{Config, KeysConfig},
+    node_task::Input,
+    transport::{Transport, tls::Identity},
+};
+
+/// Only a failing test waits this long.
+const GIVE_UP: Duration = Duration::from_secs(30);
+
+/// Writes the keys of an authority and its VMs.
+fn write_keys(folder: &Path, vms: u32) {
+    let mut params = CertificateParams::new(Vec::new()).expect("parameters");
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    let key = KeyPair::generate().expect("key");
+    let authority = params.self_signed(&key).expect("certificate");
+    fs::write(folder.join("ca.pem"), authority.pem()).expect("written file");
+    let issuer = Issuer::new(params, key);
+    for vm in 1..=vms {
+        let key = KeyPair::generate().expect("key");
+        let params = CertificateParams::new([format!("vm-{vm}")]).expect("parameters");
+        let certificate = params.signed_by(&key, &issuer).expect("certificate");
+        fs::write(folder.join(format!("vm-{vm}.pem")), certificate.pem()).expect("written file");
+        fs::write(folder.join(format!("vm-{vm}.key")), key.serialize_pem()).expect("written file");
+    }
+}
+
+/// Makes the settings of two VMs that know each other.
+fn configs(folder: &Path) -> [Config; 2] {
+    let port = || UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr());
+    let ports = [port().expect("free port"), port().expect("free port")];
+    [1, 2].map(|vm| {
+        let text = format!(
+            "[vm]\nid = vm-{vm}\nfailure_domain = east\n\
+             [listen]\nhttp = 127.0.0.1:0\npeers = {}\n\
+             [peer vm-1]\naddress = {}\nfailure_domain = east\n\
+             [peer vm-2]\naddress = {}\nfailure_domain = east\n\
+             [keys]\nauthority = ca.pem\ncertificate = vm-{vm}.pem\nprivate_key = vm-{vm}.key\n\
+             [tokens]\noperators = o\ncallers = c\nworkers = w\n",
+            ports[vm - 1],
+            ports[0],
+            ports[1]
+        );
+        let ini = IniFile::parse(&folder.join("vm.ini"), &text).expect("INI");
+        Config::try_from(ini).expect("valid settings")
+    })
+}
+
+fn start(config: &Config, started: u64) -> (Transport, mpsc::Receiver<Input>) {
+    let (sender, inputs) = mpsc::channel(16);
+    let incarnation = Incarnation(u64::from(config.vm.0) * 10);
+    let transport = Transport::start(config, incarnation, started, sender);
+    (transport.expect("transport"), inputs)
+}
+
+fn message(text: &str) -> PeerMessage {
+    let worker: WorkerId = text.parse().expect("worker");
+    PeerMessage::Drain { worker }
+}
+
+async fn next(inputs: &mut mpsc::Receiver<Input>) -> Event {
+    let input = time::timeout(GIVE_UP, inputs.recv()).await;
+    match input.expect("input in time").expect("input") {
+        Input::Event(event) => event,
+        Input::Request { .. } => panic!("expected an event"),
+    }
+}
+
+fn folder() -> TempDir {
+    let folder = tempfile::tempdir().expect("temporary folder");
+    write_keys(folder.path(), 3);
+    folder
+}
+
+/// Guards against messages that are attributed to another VM or incarnation, or that stop after
+/// the peer's process has restarted.
+#[tokio::test]
+async fn messages_arrive_with_vm_and_incarnation_also_after_a_restart() {
+    let folder = folder();
+    let [first, second] = configs(folder.path());
+    let (sender, _kept) = start(&first, 1);
+    for life in 1..=2 {
+        let (receiver, mut inputs) = start(&second, life);
+        let text = format!("life-{life}");
+
+        let arrived = loop {
+            // A message may be lost while the connection is new.
+            sender.send(VmId(2), &message(&text));
+            let expected = message(&text);
+            let pause = Duration::from_millis(100);
+            if let Ok(event) = time::timeout(pause, next(&mut inputs)).await
+                && matches!(&event, Event::Peer { message, .. } if *message == expected)
+            {
+                break event;
+            }
+        };
+
+        let expected = Event::Peer {
+            from: VmId(1),
+            incarnation: Incarnation(10),
+            message: message(&text),
+        };
+        assert_eq!(arrived, expected);
+        receiver.close(Duration::from_millis(100)).await;
+        drop(receiver);
+        // The socket closes when the last task of the connections has ended.
+        while UdpSocket::bind(second.peers_listen).is_err() {
+            time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+/// Guards against a VM that is not in the settings, or a certificate of another authority, being
+/// heard as a peer.
+#[tokio::test]
+async fn strangers_are_refused() {
+    let folder = folder();
+    let [first, _] = configs(folder.path());
+    let (_transport, _inputs) = start(&first, 1);
+    let other = tempfile::tempdir().expect("temporary folder");
+    write_keys(other.path(), 2);
+    let keys = |folder: &Path, vm: u32| KeysConfig {
+        authority: folder.join("ca.pem"),
+        certificate: folder.join(format!("vm-{vm}.pem")),
+        private_key: folder.join(format!("vm-{vm}.key")),
+    };
+    let unknown_vm = keys(folder.path(), 3);
+    let unknown_authority = KeysConfig {
+        authority: folder.path().join("ca.pem"),
+        ..keys(other.path(), 2)
+    };
+
+    for keys in [unknown_vm, unknown_authority] {
+        let identity = Identity::load(&keys).expect("keys");
+        let local = "127.0.0.1:0".parse().expect("address");
+        let mut endpoint = Endpoint::client(local).expect("endpoint");
+        endpoint.set_default_client_config(identity.client().expect("client"));
+        let connecting = endpoint
+            .connect(first.peers_listen, "vm-1")
+            .expect("valid name");
+        let ended = async {
+            match connecting.await {
+                Ok(connection) => connection.closed().await,
+                Err(error) => error,
+            }
+        };
+        let ended = time::timeout(GIVE_UP, ended).await.expect("end in time");
+
+        let refused = matches!(
+            ended,
+            ConnectionError::ApplicationClosed(_) | ConnectionError::ConnectionClosed(_)
+        );
+        assert!(refused, "{ended}");
+    }
+}
--- a/crates/acaciareeld/src/worker_client.rs
+++ b/crates/acaciareeld/src/worker_client.rs
@@ -183,3 +183,6 @@
     let text = text.as_ref().and_then(|value| value["error"].as_str());
     WorkerReply::Refused(format!("{status}: {}", text.unwrap_or("no reason given")))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/acaciareeld/tests/end_to_end/env.rs
+++ b/crates/acaciareeld/tests/end_to_end/env.rs
@@ -17,7 +17,7 @@
 use crate::client::{Client, Response};
 
 /// Give-up limit of every wait. A test whose condition holds earlier ends earlier.
-const GIVE_UP: Duration = Duration::from_secs(60);
+const GIVE_UP: Duration = Duration::from_mins(1);
 const POLL: Duration = Duration::from_millis(20);
 
 pub const OPERATOR: &str = "operator-token-0123456789";
--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -253,7 +253,6 @@
 
 echo "Histograms of all VMs"
 show_histograms
-sleep 5
 show_control_cost
 
 echo "Stopping"
