Count the bytes of all connections and bound idle connections

Cause: the control cost left out the HTTP connections to workers, callers and operators; a keep-alive connection was closed after 10 s, which a load balancer with pooled connections would meet often; a queue to an unreachable peer kept messages that would be dropped anyway. Change: counters on both sides of HTTP, UDP and IP headers in the peer counters, idle_timeout_ms, aged messages are dropped when one is queued.

--- a/crates/acaciareeld/src/config.rs
+++ b/crates/acaciareeld/src/config.rs
@@ -60,8 +60,10 @@
     pub body_bytes: usize,
     /// Largest HTTP request head.
     pub header_bytes: usize,
-    /// Longest wait for a complete request head, and longest idle time of a connection.
+    /// Longest wait for a complete request head, and for a complete body.
     pub header_timeout_ms: Millis,
+    /// Longest idle time of a connection between requests.
+    pub idle_timeout_ms: Millis,
     /// Open HTTP connections.
     pub connections: usize,
     /// Announcements accepted from workers.
@@ -330,6 +332,7 @@
     "body_bytes",
     "header_bytes",
     "header_timeout_ms",
+    "idle_timeout_ms",
     "connections",
     "announcements_per_s",
     "worker_connect_ms",
@@ -348,6 +351,12 @@
             &Millis(100),
             &Millis(600_000),
         )?,
+        idle_timeout_ms: reader.in_range(
+            "idle_timeout_ms",
+            Millis(75_000),
+            &Millis(100),
+            &Millis(3_600_000),
+        )?,
         connections: reader.in_range("connections", 1_024, &16, &65_536)?,
         announcements: reader.in_range(
             "announcements_per_s",
--- a/crates/acaciareeld/src/http.rs
+++ b/crates/acaciareeld/src/http.rs
@@ -104,6 +104,7 @@
             limits.connections,
             limits.header_bytes,
             Duration::from_millis(limits.header_timeout_ms.0),
+            Duration::from_millis(limits.idle_timeout_ms.0),
         ));
         let shared = Shared {
             announcements: RateLimit::new(limits.announcements, Instant::now()),
--- a/crates/acaciareeld/src/http/connection.rs
+++ b/crates/acaciareeld/src/http/connection.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use metrics::counter;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -17,6 +18,8 @@
     time::{self, Instant, Sleep},
 };
 
+use crate::counted_stream::{ByteCounters, CountedStream};
+
 /// Bytes that may be read beyond the head before the handler starts, so that a head of the largest
 /// size is complete and is refused with a reason.
 const READ_AHEAD_BYTES: usize = 4 << 10;
@@ -26,7 +29,9 @@
 pub struct Gates {
     by_address: Mutex<BTreeMap<SocketAddr, Weak<Gate>>>,
     permits: Arc<Semaphore>,
+    counters: ByteCounters,
     head_bytes: usize,
+    head_limit: Duration,
     idle_limit: Duration,
 }
 
@@ -46,8 +51,8 @@
     written: bool,
     /// Bytes read since the last request ended, unless a handler runs.
     read_bytes: usize,
-    /// End of the last request, or start of the connection.
-    idle_since: Instant,
+    /// End of the last request, start of the connection, or first byte of a request head.
+    since: Instant,
     /// Reader that waits for a handler to start.
     reader: Option<Waker>,
 }
@@ -58,11 +63,21 @@
 }
 
 impl Gates {
-    pub fn new(connections: usize, head_bytes: usize, idle_limit: Duration) -> Self {
+    pub fn new(
+        connections: usize,
+        head_bytes: usize,
+        head_limit: Duration,
+        idle_limit: Duration,
+    ) -> Self {
         Self {
             by_address: Mutex::new(BTreeMap::new()),
             permits: Arc::new(Semaphore::new(connections)),
+            counters: ByteCounters {
+                received: counter!("acaciareel_http_received_bytes_total"),
+                sent: counter!("acaciareel_http_sent_bytes_total"),
+            },
             head_bytes,
+            head_limit,
             idle_limit,
         }
     }
@@ -82,6 +97,18 @@
     }
 }
 
+impl GateState {
+    /// Returns when a connection without a handler is closed.
+    fn deadline(&self, gates: &Gates) -> Instant {
+        let limit = if self.read_bytes > 0 {
+            gates.head_limit
+        } else {
+            gates.idle_limit
+        };
+        self.since + limit
+    }
+}
+
 impl Gate {
     fn new() -> Self {
         Self {
@@ -90,7 +117,7 @@
                 unsent: false,
                 written: false,
                 read_bytes: 0,
-                idle_since: Instant::now(),
+                since: Instant::now(),
                 reader: None,
             }),
         }
@@ -112,7 +139,7 @@
         state.unsent = true;
         state.written = false;
         state.read_bytes = 0;
-        state.idle_since = Instant::now();
+        state.since = Instant::now();
         if let Some(reader) = state.reader.take() {
             reader.wake();
         }
@@ -122,11 +149,11 @@
 /// Socket of a caller, an operator or a worker.
 #[derive(Debug)]
 pub struct GuardedStream {
-    stream: TcpStream,
+    stream: CountedStream,
     address: SocketAddr,
     gate: Arc<Gate>,
     gates: Arc<Gates>,
-    idle: Pin<Box<Sleep>>,
+    timer: Pin<Box<Sleep>>,
     /// Held while the connection is open.
     _permit: OwnedSemaphorePermit,
 }
@@ -136,7 +163,7 @@
     pub fn new(stream: TcpStream, gates: &Arc<Gates>) -> Option<Self> {
         let permit = Arc::clone(&gates.permits).try_acquire_owned().ok()?;
         let address = stream.peer_addr().ok()?;
-        stream.set_nodelay(true).ok()?;
+        let stream = CountedStream::new(stream, gates.counters.clone()).ok()?;
         let gate = Arc::new(Gate::new());
         lock(&gates.by_address).insert(address, Arc::downgrade(&gate));
         Some(Self {
@@ -144,35 +171,28 @@
             address,
             gate,
             gates: Arc::clone(gates),
-            idle: Box::pin(time::sleep(gates.idle_limit)),
+            timer: Box::pin(time::sleep(gates.idle_limit)),
             _permit: permit,
         })
     }
 
     /// Returns how many bytes may be read now, or waits. A connection without a handler may send
-    /// one request head, within the idle limit.
+    /// one request head within the limits of size and time.
     fn poll_allowance(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
-        loop {
-            let deadline = {
-                let mut state = lock(&self.gate.state);
-                state.reader = Some(cx.waker().clone());
-                if state.in_flight > 0 {
-                    return Poll::Ready(Ok(usize::MAX));
-                }
-                state.idle_since + self.gates.idle_limit
-            };
-            if self.idle.deadline() != deadline {
-                self.idle.as_mut().reset(deadline);
-            }
-            if self.idle.as_mut().poll(cx).is_pending() {
-                break;
-            }
-            let state = lock(&self.gate.state);
-            if state.in_flight == 0 && state.idle_since + self.gates.idle_limit <= Instant::now() {
-                return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        let (deadline, read_bytes) = {
+            let mut state = lock(&self.gate.state);
+            state.reader = Some(cx.waker().clone());
+            if state.in_flight > 0 {
+                return Poll::Ready(Ok(usize::MAX));
             }
+            (state.deadline(&self.gates), state.read_bytes)
+        };
+        if self.timer.deadline() != deadline {
+            self.timer.as_mut().reset(deadline);
+        }
+        if self.timer.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
-        let read_bytes = lock(&self.gate.state).read_bytes;
         match (self.gates.head_bytes + READ_AHEAD_BYTES).saturating_sub(read_bytes) {
             0 => Poll::Pending,
             allowance => Poll::Ready(Ok(allowance)),
@@ -206,7 +226,10 @@
         let read = part.filled().len();
         buffer.advance(read);
         let mut state = lock(&self.gate.state);
-        if state.in_flight == 0 {
+        if state.in_flight == 0 && read > 0 {
+            if state.read_bytes == 0 {
+                state.since = Instant::now();
+            }
             state.read_bytes += read;
         }
         Poll::Ready(Ok(()))
--- a/crates/acaciareeld/src/http/tests.rs
+++ b/crates/acaciareeld/src/http/tests.rs
@@ -38,6 +38,7 @@
         body_bytes: 256 << 10,
         header_bytes: 1 << 10,
         header_timeout_ms: Millis(30_000),
+        idle_timeout_ms: Millis(30_000),
         connections: 2,
         announcements: RatePerSecond(1),
         worker_connect_ms: Millis(500),
--- a/crates/acaciareeld/src/main.rs
+++ b/crates/acaciareeld/src/main.rs
@@ -15,6 +15,7 @@
 
 mod cli;
 mod config;
+mod counted_stream;
 mod daemon;
 mod error;
 mod exit_codes;
--- a/crates/acaciareeld/src/metering.rs
+++ b/crates/acaciareeld/src/metering.rs
@@ -28,6 +28,61 @@
 /// Name of the histogram of end-to-end time.
 pub const TOTAL: &str = "acaciareel_total_seconds";
 
+const HISTOGRAMS: &[(&str, &str)] = &[
+    (
+        WAIT,
+        "Time from acceptance of a request to the start of its task",
+    ),
+    (RUN, "Time from start to end of a task"),
+    (TOTAL, "Time from receipt of a request to its answer"),
+];
+const COUNTERS: &[(&str, &str)] = &[
+    ("acaciareel_answers_total", "Answers by verdict"),
+    (
+        "acaciareel_refusals_total",
+        "Answers other than `ran` by reason",
+    ),
+    (
+        "acaciareel_peer_sent_bytes_total",
+        "Bytes sent to a peer, UDP and IP headers included",
+    ),
+    (
+        "acaciareel_peer_received_bytes_total",
+        "Bytes received from a peer, headers included",
+    ),
+    (
+        "acaciareel_peer_dropped_total",
+        "Messages dropped from a full queue",
+    ),
+    (
+        "acaciareel_worker_sent_bytes_total",
+        "Bytes of calls to workers, without TCP headers",
+    ),
+    (
+        "acaciareel_worker_received_bytes_total",
+        "Bytes of replies of workers",
+    ),
+    (
+        "acaciareel_http_sent_bytes_total",
+        "Bytes of HTTP answers, without TCP headers",
+    ),
+    (
+        "acaciareel_http_received_bytes_total",
+        "Bytes of HTTP requests",
+    ),
+];
+const GAUGES: &[(&str, &str)] = &[
+    (
+        "acaciareel_tables_version",
+        "Version of the tables in force",
+    ),
+    (
+        "acaciareel_process_cpu_seconds",
+        "Processor time used since the start",
+    ),
+    ("acaciareel_process_resident_bytes", "Resident memory"),
+];
+
 /// Installs the recorder of the process.
 ///
 /// # Errors
@@ -38,38 +93,15 @@
         .set_buckets(BUCKETS)
         .and_then(PrometheusBuilder::install_recorder)
         .change_context(DaemonError::Start)?;
-    describe_histogram!(
-        WAIT,
-        "Time from acceptance of a request to the start of its task"
-    );
-    describe_histogram!(RUN, "Time from start to end of a task");
-    describe_histogram!(TOTAL, "Time from receipt of a request to its answer");
-    describe_counter!("acaciareel_answers_total", "Answers by verdict");
-    describe_counter!(
-        "acaciareel_refusals_total",
-        "Answers other than `ran` by reason"
-    );
-    describe_gauge!(
-        "acaciareel_tables_version",
-        "Version of the tables in force"
-    );
-    describe_gauge!(
-        "acaciareel_process_cpu_seconds",
-        "Processor time used since the start"
-    );
-    describe_gauge!("acaciareel_process_resident_bytes", "Resident memory");
-    describe_counter!(
-        "acaciareel_peer_sent_bytes_total",
-        "UDP payload sent to a peer"
-    );
-    describe_counter!(
-        "acaciareel_peer_received_bytes_total",
-        "UDP payload received"
-    );
-    describe_counter!(
-        "acaciareel_peer_dropped_total",
-        "Messages dropped from a full queue"
-    );
+    for (name, text) in HISTOGRAMS {
+        describe_histogram!(*name, *text);
+    }
+    for (name, text) in COUNTERS {
+        describe_counter!(*name, *text);
+    }
+    for (name, text) in GAUGES {
+        describe_gauge!(*name, *text);
+    }
     Ok(handle)
 }
 
--- a/crates/acaciareeld/src/transport.rs
+++ b/crates/acaciareeld/src/transport.rs
@@ -17,7 +17,7 @@
 use error_stack::{Report, ResultExt};
 use log::{debug, info, warn};
 use metrics::counter;
-use quinn::{Connection, Endpoint, RecvStream, SendStream, VarInt};
+use quinn::{Connection, Endpoint, RecvStream, SendStream, UdpStats, VarInt};
 use tokio::{
     sync::{Notify, mpsc},
     task::JoinSet,
@@ -327,7 +327,10 @@
     Ok(bytes)
 }
 
-/// Bytes of one connection that are already in the metrics, UDP headers excluded.
+/// IPv4 and UDP headers of each datagram.
+const HEADER_BYTES: u64 = 28;
+
+/// Bytes of one connection that are already in the metrics.
 #[derive(Debug)]
 struct Traffic {
     peer: String,
@@ -346,7 +349,8 @@
 
     fn add(&mut self, connection: &Connection) {
         let stats = connection.stats();
-        let (sent, received) = (stats.udp_tx.bytes, stats.udp_rx.bytes);
+        let bytes = |udp: &UdpStats| udp.bytes + HEADER_BYTES * udp.datagrams;
+        let (sent, received) = (bytes(&stats.udp_tx), bytes(&stats.udp_rx));
         counter!("acaciareel_peer_sent_bytes_total", "peer" => self.peer.clone())
             .increment(sent.saturating_sub(self.sent_bytes));
         counter!("acaciareel_peer_received_bytes_total", "peer" => self.peer.clone())
--- a/crates/acaciareeld/src/transport/queue.rs
+++ b/crates/acaciareeld/src/transport/queue.rs
@@ -30,16 +30,16 @@
 }
 
 impl Queue {
-    /// Adds a message and returns how many others were dropped for it: the oldest heartbeats
-    /// first, then the oldest messages.
+    /// Adds a message and returns how many others were dropped: those that waited too long, and
+    /// then, while the queue is over a bound, the oldest heartbeats and the oldest messages.
     pub fn push(&mut self, bytes: Vec<u8>, heartbeat: bool, now: Instant) -> u64 {
+        let mut dropped = self.drop_aged(now);
         self.bytes += bytes.len();
         self.messages.push_back(Queued {
             bytes,
             heartbeat,
             since: now,
         });
-        let mut dropped = 0;
         while self.messages.len() > MAX_MESSAGES
             || (self.bytes > MAX_BYTES && self.messages.len() > 1)
         {
@@ -52,8 +52,21 @@
         dropped
     }
 
+    fn drop_aged(&mut self, now: Instant) -> u64 {
+        let mut dropped = 0;
+        while let Some(first) = self.messages.front()
+            && now.saturating_duration_since(first.since) > MAX_AGE
+        {
+            self.bytes -= first.bytes.len();
+            self.messages.pop_front();
+            dropped += 1;
+        }
+        dropped
+    }
+
     /// Takes the oldest messages as one block of length-prefixed frames.
     pub fn take(&mut self, now: Instant) -> Vec<u8> {
+        self.drop_aged(now);
         let mut block = Vec::new();
         while let Some(first) = self.messages.front() {
             if !block.is_empty() && block.len() + first.bytes.len() > BATCH_BYTES {
@@ -63,12 +76,10 @@
                 break;
             };
             self.bytes -= queued.bytes.len();
-            if now.saturating_duration_since(queued.since) <= MAX_AGE {
-                // Messages are bounded far below 4 GiB before they are queued.
-                let length = u32::try_from(queued.bytes.len()).unwrap_or(u32::MAX);
-                block.extend(length.to_le_bytes());
-                block.extend(queued.bytes);
-            }
+            // Messages are bounded far below 4 GiB before they are queued.
+            let length = u32::try_from(queued.bytes.len()).unwrap_or(u32::MAX);
+            block.extend(length.to_le_bytes());
+            block.extend(queued.bytes);
         }
         block
     }
--- a/crates/acaciareeld/src/worker_client.rs
+++ b/crates/acaciareeld/src/worker_client.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, Response, StatusCode, body::Incoming, header};
 use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
+    client::legacy::Client,
     rt::{TokioExecutor, TokioTimer},
 };
 use serde::Serialize;
@@ -18,6 +18,10 @@
 
 use crate::config::LimitsConfig;
 
+mod connector;
+
+use connector::Connector;
+
 /// Largest reply of a worker; a full report of 8 slots has a few KiB.
 const MAX_REPLY_BYTES: usize = 1 << 20;
 /// An unused connection is closed after this time; leases are renewed every second.
@@ -26,7 +30,7 @@
 /// Client for all workers.
 #[derive(Clone, Debug)]
 pub struct WorkerClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<Connector, Full<Bytes>>,
     authorization: String,
     time_limit: Duration,
 }
@@ -41,13 +45,10 @@
     /// Creates a client that sends this bearer token.
     pub fn new(limits: &LimitsConfig, token: &str) -> Self {
         let connect = Duration::from_millis(limits.worker_connect_ms.0);
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(connect));
-        connector.set_nodelay(true);
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
-            .build(connector);
+            .build(Connector::new(connect));
         Self {
             client,
             authorization: format!("Bearer {token}"),
--- /dev/null
+++ b/crates/acaciareeld/src/worker_client/connector.rs
@@ -0,0 +1,58 @@
+//! Connections to workers.
+
+use std::{
+    future::Future,
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use gotham::tower_service::Service;
+use hyper::Uri;
+use hyper_util::rt::TokioIo;
+use metrics::counter;
+use tokio::{net::TcpStream, time};
+
+use crate::counted_stream::{ByteCounters, CountedStream};
+
+/// Opens connections to socket addresses, with a time limit.
+#[derive(Clone, Debug)]
+pub struct Connector {
+    time_limit: Duration,
+    counters: ByteCounters,
+}
+
+impl Connector {
+    pub fn new(time_limit: Duration) -> Self {
+        Self {
+            time_limit,
+            counters: ByteCounters {
+                received: counter!("acaciareel_worker_received_bytes_total"),
+                sent: counter!("acaciareel_worker_sent_bytes_total"),
+            },
+        }
+    }
+
+    async fn connect(self, uri: Uri) -> io::Result<TokioIo<CountedStream>> {
+        let authority = uri.authority().map_or("", |authority| authority.as_str());
+        let address: SocketAddr = authority.parse().map_err(io::Error::other)?;
+        let stream = time::timeout(self.time_limit, TcpStream::connect(address)).await??;
+        CountedStream::new(stream, self.counters).map(TokioIo::new)
+    }
+}
+
+impl Service<Uri> for Connector {
+    type Error = io::Error;
+    type Future = Pin<Box<dyn Future<Output = io::Result<Self::Response>> + Send>>;
+    type Response = TokioIo<CountedStream>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        Box::pin(self.clone().connect(uri))
+    }
+}
--- a/crates/acaciareeld/src/worker_client/tests.rs
+++ b/crates/acaciareeld/src/worker_client/tests.rs
@@ -17,6 +17,7 @@
         body_bytes: 0,
         header_bytes: 0,
         header_timeout_ms: Millis(0),
+        idle_timeout_ms: Millis(30_000),
         connections: 0,
         announcements: RatePerSecond(1),
         worker_connect_ms: Millis(500),
