--- a/crates/node/src/placer.rs
+++ b/crates/node/src/placer.rs
@@ -226,6 +226,8 @@
     refused: jobs::RefusedKeys,
     /// Proposals without a commit, oldest first.
     in_flight: std::collections::VecDeque<(LedgerCommand, Millis)>,
+    /// Tasks sent to other domains lately, with the time of the first.
+    sent_to: SortedVec<FailureDomain, (Millis, u32)>,
     next_task: u64,
     next_scan_ms: Millis,
     rooms: Vec<PoolRoom>,
@@ -248,6 +250,7 @@
             foreign_ended: foreign::Tombstones::default(),
             refused: jobs::RefusedKeys::default(),
             in_flight: std::collections::VecDeque::new(),
+            sent_to: SortedVec::new(),
             next_task: 0,
             next_scan_ms: now_ms,
             rooms: Vec::new(),
--- a/crates/node/src/placer/lease.rs
+++ b/crates/node/src/placer/lease.rs
@@ -57,6 +57,11 @@
                 self.claim_ended(&call.worker);
                 self.token_refused(&call.worker, held, site.now_ms());
             }
+            (Purpose::Lease, WorkerReply::NotSent) => {
+                // Nothing can be started there now, so idempotent work is run elsewhere at once.
+                self.claim_ended(&call.worker);
+                self.suspend(site, &call.worker);
+            }
             (Purpose::Lease, _) => self.claim_ended(&call.worker),
             (Purpose::Other, _) => {}
         }
--- a/crates/node/src/placer/remote.rs
+++ b/crates/node/src/placer/remote.rs
@@ -1,7 +1,7 @@
 //! Delegation of a ledgered task to another domain's placer, seen from its home.
 
 use acaciareel_scheduler::{Cancelled, EndKind, JobId};
-use acaciareel_types::{FailureDomain, Millis, TaskId, Term, VmId};
+use acaciareel_types::{FailureDomain, Millis, Reason, TaskId, Term, VmId};
 
 use super::{Job, Location, Owner, Placer, Site, Stage, TaskState, task_key};
 use crate::{PeerMessage, io::Io, node::Node};
@@ -9,6 +9,10 @@
 const RESEND_MS: Millis = Millis(1_000);
 /// Interval of inquiries after a task that the other placer has acknowledged.
 const CHECK_MS: Millis = Millis(5_000);
+/// Time within which a heartbeat shows the room that a task sent to its domain has taken.
+const SENT_WINDOW_MS: Millis = Millis(500);
+/// Time after which a task placed for another domain is given back.
+const FOREIGN_WAIT_MS: Millis = Millis(2_000);
 /// Time in the home's queue after which room elsewhere is used.
 const WAIT_BEFORE_DELEGATION_MS: Millis = Millis(500);
 
@@ -53,7 +57,7 @@
 }
 
 impl Placer {
-    /// Chooses another domain with room for a ledgered job of one task.
+    /// Chooses another domain with room for a job of one task.
     pub(super) fn remote_target(
         &self,
         site: &Site<'_, '_>,
@@ -69,12 +73,29 @@
             .filter(|(_, placing)| !job.refused_by.contains(&placing.domain))
             .filter_map(|(_, placing)| {
                 let room = placing.rooms.iter().find(|room| room.pool == route.pool)?;
-                (room.free_slots > 0).then_some((room.free_slots, placing))
+                let sent = self.sent_lately(site.io.now_ms, &placing.domain);
+                let free_slots = room.free_slots.saturating_sub(sent);
+                (free_slots > 0).then_some((free_slots, placing))
             })
             .max_by_key(|(free_slots, _)| *free_slots)
             .map(|(_, placing)| (placing.domain.clone(), placing.term))
     }
 
+    /// Returns how many tasks were sent to a domain that its last heartbeat may not show yet.
+    fn sent_lately(&self, now_ms: Millis, domain: &FailureDomain) -> u32 {
+        match self.sent_to.get(domain) {
+            Some((since_ms, sent)) if now_ms.saturating_sub(*since_ms) < SENT_WINDOW_MS => *sent,
+            _ => 0,
+        }
+    }
+
+    fn count_sent(&mut self, now_ms: Millis, domain: &FailureDomain) {
+        let sent = self.sent_lately(now_ms, domain);
+        let since_ms = self.sent_to.get(domain).map_or(now_ms, |(since, _)| *since);
+        let since_ms = if sent == 0 { now_ms } else { since_ms };
+        self.sent_to.insert(domain.clone(), (since_ms, sent + 1));
+    }
+
     /// Starts an attempt on another domain; returns whether one has room.
     pub(super) fn delegate(&mut self, site: &mut Site<'_, '_>, id: JobId) -> bool {
         let target = self
@@ -84,6 +105,7 @@
         let Some((domain, term)) = target else {
             return false;
         };
+        self.count_sent(site.now_ms(), &domain);
         let location = Location::Domain {
             domain,
             term: Some(term),
@@ -93,7 +115,28 @@
         true
     }
 
-    /// Delegates queued jobs that the home has no room for.
+    /// Gives other domains' tasks back that have found no room here.
+    fn return_waiting(&mut self, site: &mut Site<'_, '_>) {
+        let now_ms = site.now_ms();
+        let waiting: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| {
+                job.stage == Stage::Queued
+                    && matches!(job.owner, Owner::Foreign { .. })
+                    && now_ms.saturating_sub(job.accepted_ms) >= FOREIGN_WAIT_MS
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in waiting {
+            if self.scheduler.cancel(now_ms, id) == Cancelled::Waiting {
+                self.refuse_foreign(site, id, RESEND_MS);
+            }
+        }
+    }
+
+    /// Lets queued jobs run elsewhere that this domain has no room for: ledgered ones are
+    /// delegated, idempotent ones go back to their entry VM, which chooses another domain.
     pub(super) fn delegate_waiting(&mut self, site: &mut Site<'_, '_>) {
         let now_ms = site.now_ms();
         let waiting: Vec<JobId> = self
@@ -103,7 +146,13 @@
             .map(|(id, _)| *id)
             .collect();
         for id in waiting {
-            if self.scheduler.cancel(now_ms, id) == Cancelled::Waiting {
+            if self.scheduler.cancel(now_ms, id) != Cancelled::Waiting {
+                continue;
+            }
+            let owner = self.jobs.get(&id).map(|job| &job.owner);
+            if matches!(owner, Some(Owner::Direct(_))) {
+                self.refuse_queued(site, id, Reason::QueueFull, RESEND_MS);
+            } else {
                 self.delegate(site, id);
             }
         }
@@ -118,7 +167,7 @@
             .iter()
             .any(|room| Some(&room.pool) == pool && room.free_slots > 0);
         job.stage == Stage::Queued
-            && matches!(job.owner, Owner::Ledger { .. })
+            && matches!(job.owner, Owner::Ledger { .. } | Owner::Direct(_))
             && waited_ms >= WAIT_BEFORE_DELEGATION_MS
             && !home_has_room
             && self.remote_target(site, job).is_some()
@@ -165,6 +214,7 @@
     /// Resends and inquires after delegated tasks.
     pub(super) fn tick_remote(&mut self, site: &mut Site<'_, '_>) {
         self.delegate_waiting(site);
+        self.return_waiting(site);
         let delegated: Vec<(JobId, usize)> = self
             .jobs
             .iter()
