--- a/crates/consensus/src/journal.rs
+++ b/crates/consensus/src/journal.rs
@@ -29,6 +29,11 @@
         self.records.push(record);
     }
 
+    /// Returns whether this reduction has written no entry.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     pub(crate) fn vote_changed(&mut self) {
         self.vote_changed = true;
         self.vote_ticket = self.next_ticket;
--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -145,6 +145,7 @@
     fn heartbeat(&mut self, now_ms: Millis, out: &mut Vec<Output>) {
         let interval_ms = self.voter_interval_ms();
         let slow_ms = self.learner_interval_ms();
+        let silence_ms = self.learner_silence_ms();
         let (last, commit_index) = (self.log.last_index(), self.commit_index);
         let State::Leader(leadership) = &mut self.state else {
             return;
@@ -158,8 +159,9 @@
             .iter()
             .filter(|(_, progress)| {
                 let idle = progress.match_index == last && progress.sent_commit == commit_index;
-                let silence_ms = now_ms.saturating_sub(progress.sent_ms);
-                (progress.voter || !idle) || silence_ms >= slow_ms
+                let heard_recently = now_ms.saturating_sub(progress.heard_ms) < silence_ms;
+                let unsent_ms = now_ms.saturating_sub(progress.sent_ms);
+                progress.voter || (heard_recently && !idle) || unsent_ms >= slow_ms
             })
             .map(|(vm, _)| *vm)
             .collect();
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -218,7 +218,7 @@
     AddLearner(MemberId),
     /// Makes a learner a voter.
     Promote(VmId),
-    /// Removes a member.
+    /// Removes a member. A VM that still runs asks to join again, so it is stopped first.
     Remove(VmId),
 }
 
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -28,6 +28,10 @@
     pub(crate) contact_ms: Millis,
     /// Time at which a voter without a leader starts an election.
     pub(crate) election_due_ms: Millis,
+    /// Whether that time was deferred for another replica's election.
+    pub(crate) election_deferred: bool,
+    /// Elections since the last contact with a leader.
+    pub(crate) elections: u64,
     /// Last entry known to match the log of this term's leader.
     pub(crate) verified: LogIndex,
     /// Leader's time of sending to echo once the entries are synced.
@@ -71,6 +75,8 @@
             commit_index,
             contact_ms: now_ms,
             election_due_ms: now_ms,
+            election_deferred: false,
+            elections: 0,
             verified: commit_index,
             ack_due: None,
             vote_due: None,
@@ -145,7 +151,7 @@
             Message::SnapshotReceived { .. } => {
                 self.on_snapshot_received(now_ms, from, &message, out);
             }
-            Message::TakeOver { term } => self.on_take_over(now_ms, from, term),
+            Message::TakeOver { term } => self.on_take_over(from, term),
         }
     }
 
@@ -252,7 +258,7 @@
     pub fn role(&self) -> Role {
         match self.state {
             State::Leader(_) => Role::Leader,
-            State::PreCandidate(_) | State::Candidate { .. } => Role::Candidate,
+            State::PreCandidate(_) | State::Candidate(_) => Role::Candidate,
             State::Follower if self.is_voter() => Role::Follower,
             State::Follower if self.is_member(self.settings.me) => Role::Learner,
             State::Follower => Role::Unformed,
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -142,7 +142,9 @@
         };
         self.verified = self.verified.max(last);
         self.commit_through(commit_index.min(self.verified), out);
-        if last <= self.log.synced() {
+        // New entries are acknowledged once they are synced. Heartbeats are answered at once, so
+        // that a slow disk does not cost the leader its lease.
+        if self.journal.is_empty() {
             let match_index = self.synced_match();
             self.acknowledge(from.vm, true, match_index, sent_ms, out);
         } else {
--- a/crates/consensus/src/snapshot.rs
+++ b/crates/consensus/src/snapshot.rs
@@ -13,10 +13,6 @@
 /// Size of a chunk.
 const CHUNK_BYTES: usize = 64 * 1024;
 
-/// Largest state that is received; a larger size in a message is an error, not a reason to
-/// reserve memory.
-const MAX_STATE_BYTES: u64 = 64 * 1024 * 1024;
-
 /// Snapshot that is being received.
 #[derive(Debug)]
 pub(crate) struct Incoming {
@@ -133,9 +129,6 @@
             }
             return;
         }
-        if total_bytes > MAX_STATE_BYTES {
-            return;
-        }
         let incoming = match self.incoming.take() {
             Some(incoming) if incoming.is_for(from, index, snapshot_term, total_bytes) => incoming,
             _ => Incoming {
--- a/crates/consensus/src/transfer.rs
+++ b/crates/consensus/src/transfer.rs
@@ -106,7 +106,7 @@
         };
         leadership.transfer = None;
         if leadership.handed_over {
-            self.campaign(now_ms, true);
+            self.campaign(true);
             return;
         }
         for command in std::mem::take(&mut leadership.held) {
@@ -144,9 +144,9 @@
     }
 
     /// Starts an election on the leader's request.
-    pub(crate) fn on_take_over(&mut self, now_ms: Millis, from: MemberId, term: Term) {
+    pub(crate) fn on_take_over(&mut self, from: MemberId, term: Term) {
         if term == self.term && self.leader == Some(from.vm) && self.is_voter() {
-            self.campaign(now_ms, true);
+            self.campaign(true);
         }
     }
 }
--- a/crates/consensus/tests/replica/main.rs
+++ b/crates/consensus/tests/replica/main.rs
@@ -9,4 +9,5 @@
 mod leadership;
 mod measures;
 mod membership;
+mod protocol;
 mod transfer;
--- a/crates/consensus/tests/replica/transfer.rs
+++ b/crates/consensus/tests/replica/transfer.rs
@@ -11,8 +11,13 @@
         let mut network = Network::formed(seed, 3);
         let leader = network.commit(0..10);
         let next = leader % 3 + 1;
+        network.run(200);
         network.transfer((seed % 2 == 0).then_some(next));
 
+        assert!(
+            network.lease_holders().is_empty(),
+            "lease kept after the request"
+        );
         let waited_ms = network.run_until(300, |network| {
             network.leader().is_some_and(|now| now != leader)
         });
