--- a/crates/consensus/tests/replica/chaos.rs
+++ b/crates/consensus/tests/replica/chaos.rs
@@ -15,7 +15,7 @@
         9 => network.leader().into_iter().for_each(|vm| network.kill(vm)),
         // A power cut: what was promised before its sync is lost everywhere at once.
         10 => (1..=voters).for_each(|vm| network.kill(vm)),
-        11 => network.freeze(vm, false),
+        11 => network.freeze(vm, other > 2),
         12 => network
             .leader()
             .into_iter()
--- a/crates/consensus/tests/replica/protocol.rs
+++ b/crates/consensus/tests/replica/protocol.rs
@@ -71,11 +71,12 @@
 }
 
 fn sent(out: &[Output]) -> Vec<&Message> {
-    let message = |output| match output {
-        &Output::Send { ref message, .. } => Some(message),
-        _ => None,
-    };
-    out.iter().filter_map(message).collect()
+    out.iter()
+        .filter_map(|output| match output {
+            Output::Send { message, .. } => Some(message),
+            _ => None,
+        })
+        .collect()
 }
 
 fn request(term: u64, transfer: bool) -> Message {
@@ -158,8 +159,9 @@
     let after_contact = receive(&mut voter, 11_599, id(3), request(2, false));
     let transferred = receive(&mut voter, 11_599, id(3), request(2, true));
 
-    let votes = |out: &[Output]| out.iter().any(|o| matches!(o, Output::Persist { .. }));
-    assert!(!votes(&after_start) && !votes(&after_contact) && votes(&transferred));
+    let persists = |out: &[Output]| out.iter().any(|o| matches!(o, Output::Persist { .. }));
+    assert!(!persists(&after_start) && !persists(&after_contact));
+    assert!(persists(&transferred));
 }
 
 /// Guards against a leader that counts entries which a crash takes back.
@@ -176,7 +178,8 @@
     let first = give(&mut follower, 11_003, Input::Synced { ticket: 1 });
     let second = give(&mut follower, 11_004, Input::Synced { ticket: 2 });
 
-    assert!(sent(&before).is_empty() && sent(&heartbeat).is_empty() && sent(&first).is_empty());
+    assert!(sent(&before).is_empty() && sent(&first).is_empty());
+    assert_eq!(sent(&heartbeat), [&appended(2, 1, 77)]);
     assert_eq!(sent(&second), [&appended(3, 3, 77)]);
 }
 
--- a/crates/node/tests/cluster/sim.rs
+++ b/crates/node/tests/cluster/sim.rs
@@ -94,8 +94,8 @@
 }
 
 impl Sim {
-    /// Starts VMs 1 to `per_domain * 3` in three domains, with `workers` in each domain.
-    pub fn new(seed: u64, per_domain: u32, workers: u32) -> Self {
+    /// Starts VMs 1 to `per_domain * 3` in three domains, with workers in each domain.
+    pub fn new(seed: u64, per_domain: u32, workers: [u32; 3]) -> Self {
         let mut sim = Self {
             now_ms: 0,
             random: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1,
@@ -122,7 +122,7 @@
                 let vm = u32::try_from(index).expect("small") * per_domain + n;
                 sim.vms.insert(vm, Vm::new(domain(index)));
             }
-            for n in 0..workers {
+            for n in 0..workers[index] {
                 let report = worker_report(index, n);
                 let worker = FakeWorker::new(report.clone(), 0);
                 sim.workers.insert(report.worker, worker);
@@ -632,7 +632,7 @@
                 continue;
             }
             worker.tick(now_ms, &mut self.runs);
-            if !reachable {
+            if !reachable || worker.silent {
                 continue;
             }
             if now_ms >= worker.next_post_ms {
@@ -644,6 +644,8 @@
             if now_ms >= worker.next_announce_ms {
                 worker.next_announce_ms = now_ms + 1_000;
                 let report = worker.current_report();
+                let bytes = 350 + report.running.len() * 250 + 2 * HTTP_OVERHEAD;
+                self.vms.get_mut(&vm).expect("known VM").received_bytes += bytes;
                 self.announcing
                     .insert(self.next + 1, (id.clone(), report.leaving));
                 self.connect(vm, |connection| Event::Announce { connection, report });
@@ -658,6 +660,8 @@
         posts: Vec<(acaciareel_types::TaskId, acaciareel_types::Answer)>,
     ) {
         for (task, answer) in posts {
+            let bytes = 250 + answer.body.len() + 2 * HTTP_OVERHEAD;
+            self.vms.get_mut(&vm).expect("known VM").received_bytes += bytes;
             self.posts
                 .insert(self.next + 1, (worker.clone(), task.clone()));
             let worker = worker.clone();
@@ -686,6 +690,22 @@
         self.checks.tables_in_force(self.now_ms, &connected);
     }
 
+    /// Returns the bytes per second of each VM, sent and received, and the messages it sends.
+    pub fn traffic_over(&mut self, duration_ms: u64) -> Vec<(u32, usize, usize)> {
+        for vm in self.vms.values_mut() {
+            (vm.sent_bytes, vm.received_bytes, vm.sent_messages) = (0, 0, 0);
+        }
+        self.run_for(duration_ms);
+        let seconds = usize::try_from(duration_ms / 1_000).expect("small");
+        self.vms
+            .iter()
+            .map(|(id, vm)| {
+                let bytes = (vm.sent_bytes + vm.received_bytes) / seconds;
+                (*id, bytes, vm.sent_messages / seconds)
+            })
+            .collect()
+    }
+
     /// Returns the VM that announces itself as a domain's ledger leader to others.
     pub fn placer(&mut self, of: usize) -> Option<u32> {
         let domain = domain(of).to_string();
@@ -721,6 +741,10 @@
 
     /// Starts a deployment with tables in force and all workers announced.
     pub fn ready(seed: u64, per_domain: u32, workers: u32) -> Self {
+        Self::ready_with(seed, per_domain, [workers; 3])
+    }
+
+    pub fn ready_with(seed: u64, per_domain: u32, workers: [u32; 3]) -> Self {
         let mut sim = Self::new(seed, per_domain, workers);
         sim.run_for(3_000);
         let applied = sim.apply(1, "first", 0, tables(4));
--- a/crates/node/tests/cluster/worker.rs
+++ b/crates/node/tests/cluster/worker.rs
@@ -41,6 +41,8 @@
     pub next_post_ms: u64,
     /// Whether calls arrive but replies are lost.
     pub mute: bool,
+    /// Whether it sends nothing of its own accord.
+    pub silent: bool,
     pub fails_everything: bool,
     pub violations: Vec<String>,
 }
@@ -59,6 +61,7 @@
             next_announce_ms: now_ms,
             next_post_ms: now_ms,
             mute: false,
+            silent: false,
             fails_everything: false,
             violations: Vec::new(),
         }
