--- a/crates/scheduler/src/scheduler/ends.rs
+++ b/crates/scheduler/src/scheduler/ends.rs
@@ -57,9 +57,10 @@
         self.tenants.hold(running.tenant, &task.reserved);
         if let Some(pool) = running.pool {
             let pool = &mut self.pools[pool];
-            let share_ppm = pool.change_tenant(running.tenant, &task.reserved, true);
             let weight = self.tenants.get(running.tenant).weight();
-            pool.queue.set_share(running.tenant, share_ppm / weight);
+            pool.shares.enter(running.tenant, weight);
+            pool.shares.change(running.tenant, &task.reserved, true);
+            pool.update_level(running.tenant);
             if let Some(rack) = task.rack {
                 *pool.kinds_by_rack.entry((running.kind, rack)).or_default() += 1;
             }
@@ -120,9 +121,9 @@
         self.tenants.release(running.tenant, &task.reserved);
         if let Some(pool) = running.pool {
             let pool = &mut self.pools[pool];
-            let share_ppm = pool.change_tenant(running.tenant, &task.reserved, false);
-            let weight = self.tenants.get(running.tenant).weight();
-            pool.queue.set_share(running.tenant, share_ppm / weight);
+            pool.shares.change(running.tenant, &task.reserved, false);
+            pool.shares.leave(running.tenant);
+            pool.update_level(running.tenant);
             pool.victims.remove(&(Reverse(task.started_ms), task.key));
             pool.preempted.retain(|(_, key)| *key != task.key);
             pool.rate.ended(now_ms, task.work, pool.queue.len() > 0);
@@ -211,7 +212,7 @@
         let Some(worker) = self.workers.get_mut(index) else {
             return;
         };
-        if !worker.health.trusted() {
+        if worker.health.quarantined() {
             if ok {
                 self.update_trust(index, |health| health.probe_succeeded(now_ms));
             } else if !blamed {
@@ -221,12 +222,12 @@
         }
         worker.health.record(ended.kind, ok);
         let kinds = &self.kinds;
-        let failing = !ok
-            && worker
-                .health
-                .failing(|kind| kinds.get(kind).health.blamed());
-        if failing && self.may_quarantine(index) {
+        let blamed = |kind| kinds.get(kind).health.blamed();
+        let failing = worker.health.failing(blamed);
+        if failing && !ok && self.may_quarantine(index) {
             self.quarantine(now_ms, index);
+        } else {
+            self.update_trust(index, |health| health.suspect(failing));
         }
     }
 
@@ -252,8 +253,10 @@
     /// Trusts workers again whose failures are explained by kinds that are blamed now.
     fn release_unjustly_quarantined(&mut self) {
         for pool in 0..self.pools.len() {
-            let quarantined: Vec<_> = self.pools[pool].quarantined.iter().copied().collect();
-            for (_, index) in quarantined {
+            let quarantined = self.pools[pool].quarantined.iter().map(|(_, index)| *index);
+            let suspects = self.pools[pool].suspects.iter().copied();
+            let listed: Vec<_> = quarantined.chain(suspects).collect();
+            for index in listed {
                 let kinds = &self.kinds;
                 let worker = self.workers.get(index);
                 let explained = worker.is_some_and(|worker| {
@@ -284,12 +287,17 @@
         let Some(place) = worker.place.filter(|_| before != after) else {
             return;
         };
-        let listed = &mut self.pools[place.pool].quarantined;
+        let pool = &mut self.pools[place.pool];
         if let Some(until_ms) = probe_time(before) {
-            listed.remove(&(until_ms, index));
+            pool.quarantined.remove(&(until_ms, index));
         }
         if let Some(until_ms) = probe_time(after) {
-            listed.insert((until_ms, index));
+            pool.quarantined.insert((until_ms, index));
+        }
+        if after == Trust::Suspect {
+            pool.suspects.insert(index);
+        } else {
+            pool.suspects.remove(&index);
         }
     }
 
@@ -337,11 +345,10 @@
         let (tenant, pool, index) = (running.tenant, running.pool, task.worker);
         self.tenants.release(tenant, &freed);
         if let Some(pool) = pool {
-            let share_ppm = self.pools[pool].change_tenant(tenant, &freed, false);
-            let weight = self.tenants.get(tenant).weight();
             let pool = &mut self.pools[pool];
             pool.preempted.retain(|(_, preempted)| *preempted != key);
-            pool.queue.set_share(tenant, share_ppm / weight);
+            pool.shares.change(tenant, &freed, false);
+            pool.update_level(tenant);
         }
         if let Some(worker) = self.workers.get_mut(index) {
             worker.resize(key, reserved);
@@ -353,7 +360,7 @@
 /// Returns the key under which a pool lists a worker in quarantine.
 fn probe_time(trust: Trust) -> Option<Millis> {
     match trust {
-        Trust::Trusted => None,
+        Trust::Trusted | Trust::Suspect => None,
         Trust::Quarantined { until_ms } => Some(until_ms),
         Trust::Probing => Some(Millis(u64::MAX)),
     }
