--- a/crates/node/src/entry/workers.rs
+++ b/crates/node/src/entry/workers.rs
@@ -11,9 +11,9 @@
 const REPORT_KEPT_MS: Millis = Millis(30_000);
 const MIN_ANNOUNCEMENT_MS: u64 = 1_000;
 const MAX_ANNOUNCEMENT_MS: u64 = 5_000;
-/// Interval added per known worker: 250 workers announce every 5 s, as 3,700 full reports per
-/// second would exceed the 23 KB/s of control traffic.
-const ANNOUNCEMENT_MS_PER_WORKER: u64 = 20;
+/// Interval added per known worker. With 20 ms, 50 workers' reports alone took 3.6 KB/s of the
+/// placer's 23 KB/s of control traffic; news such as leaving is announced at once anyway.
+const ANNOUNCEMENT_MS_PER_WORKER: u64 = 100;
 const RESULT_RESEND_MS: Millis = Millis(1_000);
 /// Time after which the worker is told to post the result again; it covers an election.
 const RESULT_GIVE_UP_MS: Millis = Millis(5_000);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,7 +13,7 @@
     io::Io,
     ledger_state::Ledger,
     operator::Operators,
-    peers::Peers,
+    peers::{Beat, Peers},
     placer::{Mode, Placer, Site},
     submissions::{Submissions, Submitter},
     tables_state::TablesState,
@@ -86,11 +86,19 @@
 
     /// Takes one event and appends the effects to carry out.
     pub fn reduce(&mut self, now_ms: Millis, event: Event, out: &mut Vec<Effect>) {
+        let earlier = out.len();
         let mut io = Io::new(now_ms, self.settings.vm, out);
         self.event(event, &mut io);
         self.drain_loopback(&mut io);
         self.decide_all(&mut io);
         self.drain_loopback(&mut io);
+        for effect in &out[earlier..] {
+            if let Effect::Send { to, .. } = effect
+                && let Some(peer) = self.peers.get_mut(*to)
+            {
+                peer.sent_ms = now_ms;
+            }
+        }
     }
 
     fn drain_loopback(&mut self, io: &mut Io<'_>) {
@@ -253,19 +261,16 @@
     /// Sends a heartbeat now. A change of role is announced at once, so that requests follow it.
     pub(crate) fn heartbeat(&mut self, io: &mut Io<'_>) {
         self.next_heartbeat_ms = io.now_ms.saturating_add(crate::peers::HEARTBEAT_MS);
-        let placing: Vec<_> = self.placers.values().map(Placer::placing).collect();
-        let stopping = self.stop.stopping();
-        let tables_version = self.tables.version();
-        if let Some(own) = self.peers.get_mut(self.settings.vm) {
-            own.placing.clone_from(&placing);
-            own.stopping = stopping;
-            own.tables_version = tables_version;
-        }
-        for vm in self.peers.others() {
+        let beat = Beat {
+            tables_version: self.tables.version(),
+            stopping: self.stop.stopping(),
+            placing: self.placers.values().map(Placer::placing).collect(),
+        };
+        for vm in self.peers.beat(io.now_ms, &beat) {
             let message = PeerMessage::Heartbeat {
-                tables_version,
-                stopping,
-                placing: placing.clone(),
+                tables_version: beat.tables_version,
+                stopping: beat.stopping,
+                placing: beat.placing.clone(),
             };
             io.send(vm, message);
         }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -4,8 +4,13 @@
 
 use crate::{NodeSettings, Placing};
 
-/// Time between heartbeats.
+/// Longest time without any message to a peer.
 pub(crate) const HEARTBEAT_MS: Millis = Millis(250);
+/// Time after which an unchanged heartbeat is sent although other messages show life: a lost
+/// change is made up for.
+const REPEAT_MS: Millis = Millis(1_000);
+/// Heartbeats that announce a change of role, since each may be lost.
+const CHANGE_REPEATS: u32 = 3;
 /// A peer is suspected after this time without a message; a broken QUIC link gives no error.
 const SUSPECT_MS: Millis = Millis(1_000);
 
@@ -18,6 +23,10 @@
     pub stopping: bool,
     pub tables_version: TableVersion,
     pub placing: Vec<Placing>,
+    /// When any message was last sent to it.
+    pub sent_ms: Millis,
+    /// When a heartbeat was last sent to it.
+    beat_ms: Millis,
 }
 
 /// Every VM of the deployment, this one included.
@@ -25,6 +34,16 @@
 pub(crate) struct Peers {
     me: VmId,
     peers: SortedVec<VmId, Peer>,
+    /// Heartbeats left that go to every peer after a change.
+    repeats: u32,
+}
+
+/// Content of a heartbeat.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Beat {
+    pub tables_version: TableVersion,
+    pub stopping: bool,
+    pub placing: Vec<Placing>,
 }
 
 impl Peers {
@@ -37,13 +56,51 @@
                 stopping: false,
                 tables_version: TableVersion(0),
                 placing: Vec::new(),
+                sent_ms: Millis(0),
+                beat_ms: Millis(0),
             };
             (*vm, peer)
         });
         Self {
             me: settings.vm,
             peers: peers.collect(),
+            repeats: 0,
+        }
+    }
+
+    /// Takes the content of the next heartbeat and returns the peers that need it: all after a
+    /// change, otherwise those that have had no other message for a while.
+    pub fn beat(&mut self, now_ms: Millis, beat: &Beat) -> Vec<VmId> {
+        let me = self.me;
+        let mut rooms_changed = false;
+        if let Some(own) = self.peers.get_mut(&me) {
+            let roles = |placing: &[Placing]| -> Vec<_> {
+                let roles = placing.iter().map(|p| (p.domain.clone(), p.term));
+                roles.collect()
+            };
+            let changed = own.stopping != beat.stopping
+                || own.tables_version != beat.tables_version
+                || roles(&own.placing) != roles(&beat.placing);
+            rooms_changed = own.placing != beat.placing;
+            if changed {
+                self.repeats = CHANGE_REPEATS;
+            }
+            own.placing.clone_from(&beat.placing);
+            own.stopping = beat.stopping;
+            own.tables_version = beat.tables_version;
+        }
+        let to_all = rooms_changed || self.repeats > 0;
+        self.repeats = self.repeats.saturating_sub(1);
+        let mut due = Vec::new();
+        for (vm, peer) in self.peers.iter_mut().filter(|(vm, _)| **vm != me) {
+            let quiet = now_ms.saturating_sub(peer.sent_ms) >= HEARTBEAT_MS;
+            let old = now_ms.saturating_sub(peer.beat_ms) >= REPEAT_MS;
+            if to_all || quiet || old {
+                peer.beat_ms = now_ms;
+                due.push(*vm);
+            }
         }
+        due
     }
 
     /// Notes that a message of a VM arrived; returns whether the VM was suspected until now.
--- a/crates/node/src/placer.rs
+++ b/crates/node/src/placer.rs
@@ -172,6 +172,8 @@
     /// Token of the call that started it, to judge a worker's report.
     pub token: acaciareel_types::FencingToken,
     pub placed_ms: Millis,
+    /// When the worker was told.
+    pub called_ms: Millis,
     /// Whether the scheduler holds room for it.
     pub scheduled: bool,
     /// Whether the worker was asked to stop it, so that a failure is not an answer.
--- a/crates/node/src/placer/lease.rs
+++ b/crates/node/src/placer/lease.rs
@@ -2,7 +2,7 @@
 
 use acaciareel_types::{FencingToken, Millis, TaskId, WorkerId, WorkerReport};
 
-use super::{Mode, Placer, Site};
+use super::{Location, Mode, Placer, Site, TaskState};
 use crate::{
     CallId, WorkerCall, WorkerReply,
     calls::{Call, Purpose},
@@ -11,14 +11,19 @@
     worker::AnyWorker,
 };
 
-/// Interval of renewals for up to 100 workers; beyond, it grows so that their number per second
-/// stays at 100.
 const RENEW_MS: u64 = 1_000;
+/// Renewals are rarer with more workers, as each reply is a full report of about 800 bytes with
+/// its HTTP headers. The longest interval leaves room for a repeated call within a task lease.
+const RENEW_MS_PER_WORKER: u64 = 100;
 const MAX_RENEW_MS: u64 = 4_000;
 /// Length of a lease in renewal intervals.
 const LEASE_INTERVALS: u64 = 3;
 /// Time after which a claim without a reply is repeated.
-const CLAIM_TIMEOUT_MS: Millis = Millis(1_000);
+const CLAIM_TIMEOUT_MS: Millis = Millis(500);
+/// Claims without a reply after which nothing is placed on a worker.
+const MISSED_CLAIMS: u32 = 2;
+/// Time after which a start without a reply makes the placer check the worker.
+const START_TIMEOUT_MS: Millis = Millis(500);
 /// Silence after which a worker is not called any more, so that its task lease runs out.
 const SILENT_MS: Millis = Millis(5_000);
 /// A worker that hears from no placer for 10,000 ms stops its tasks; 2,000 ms more cover delays.
@@ -75,7 +80,9 @@
 
     fn renew_ms(&self) -> u64 {
         let workers = u64::try_from(self.workers.len()).unwrap_or(u64::MAX);
-        workers.saturating_mul(10).clamp(RENEW_MS, MAX_RENEW_MS)
+        workers
+            .saturating_mul(RENEW_MS_PER_WORKER)
+            .clamp(RENEW_MS, MAX_RENEW_MS)
     }
 
     /// Claims or renews one worker if that is due.
@@ -90,9 +97,18 @@
             .claim_sent_ms
             .is_some_and(|sent_ms| now_ms.saturating_sub(sent_ms) < CLAIM_TIMEOUT_MS);
         let silent = now_ms.saturating_sub(registered.heard_ms) > SILENT_MS;
-        if !leads || outstanding || silent || now_ms < registered.next_claim_ms {
+        let missed = registered.claim_sent_ms.is_some() && !outstanding;
+        if !leads || outstanding || silent || (!missed && now_ms < registered.next_claim_ms) {
             return;
         }
+        registered.missed_claims += u32::from(missed);
+        let unreachable = registered.missed_claims >= MISSED_CLAIMS;
+        if unreachable && registered.scheduled {
+            self.suspend(site, worker);
+        }
+        let Some(registered) = self.workers.get_mut(worker) else {
+            return;
+        };
         registered.next_claim_ms = now_ms.saturating_add(Millis(interval));
         registered.claim_sent_ms = Some(now_ms);
         registered.called_ms = now_ms;
@@ -154,6 +170,7 @@
             worker: AnyWorker::Active(active),
             heard_ms: now_ms,
             confirmed_sent_ms: call.sent_ms,
+            missed_claims: 0,
             listed,
             confirmed: true,
             ..registered
@@ -197,8 +214,31 @@
         }
     }
 
+    /// Checks the workers that have not replied to a start in time.
+    fn tick_starts(&mut self, site: &Site<'_, '_>) {
+        let now_ms = site.io.now_ms;
+        let overdue = self
+            .jobs
+            .values()
+            .flat_map(|job| &job.tasks)
+            .filter(|task| {
+                task.state == TaskState::Calling
+                    && now_ms.saturating_sub(task.called_ms) >= START_TIMEOUT_MS
+            });
+        for task in overdue {
+            if let Location::Worker { worker, .. } = &task.location
+                && let Some(registered) = self.workers.get_mut(worker)
+                && registered.claim_sent_ms.is_none()
+                && registered.confirmed_sent_ms < task.called_ms.saturating_add(START_TIMEOUT_MS)
+            {
+                registered.next_claim_ms = now_ms;
+            }
+        }
+    }
+
     /// Renews leases, gives up those that ran out, and notices lost workers.
     pub(super) fn tick_leases(&mut self, site: &mut Site<'_, '_>) {
+        self.tick_starts(site);
         let now_ms = site.now_ms();
         let workers: Vec<WorkerId> = self.workers.keys().cloned().collect();
         for worker in workers {
--- a/crates/node/src/placer/recovery.rs
+++ b/crates/node/src/placer/recovery.rs
@@ -1,7 +1,9 @@
 //! Fate of running tasks after a change of placer, a worker's restart or its loss.
 
 use acaciareel_scheduler::{EndKind, Job as QueuedJob, JobId, Placement};
-use acaciareel_types::{FencingToken, Incarnation, Resources, TaskId, WorkerId, WorkerReport};
+use acaciareel_types::{
+    FencingToken, Incarnation, Millis, Resources, TaskId, WorkerId, WorkerReport,
+};
 
 use super::{
     Job, Location, Owner, Placer, Site, Stage, Task, TaskState, jobs::recorded_job,
@@ -275,6 +277,7 @@
         reserved: Resources::default(),
         token: FencingToken(0),
         placed_ms: site.now_ms(),
+        called_ms: Millis(0),
         scheduled: false,
         stopped: false,
         acks: Vec::new(),
--- a/crates/node/src/placer/roster.rs
+++ b/crates/node/src/placer/roster.rs
@@ -30,6 +30,8 @@
     /// When the latest confirmed claim was sent; replies to earlier ones are stale.
     pub confirmed_sent_ms: Millis,
     pub next_claim_ms: Millis,
+    /// Claims in a row that got no reply.
+    pub missed_claims: u32,
     /// Whether the scheduler knows the worker.
     pub scheduled: bool,
     /// Tasks that the last reply listed.
@@ -73,6 +75,7 @@
                 claim_sent_ms: None,
                 confirmed_sent_ms: Millis(0),
                 next_claim_ms: now_ms,
+                missed_claims: 0,
                 scheduled: false,
                 listed: Vec::new(),
                 confirmed: false,
--- a/crates/node/src/placer/start.rs
+++ b/crates/node/src/placer/start.rs
@@ -56,6 +56,7 @@
             reserved,
             token: FencingToken(0),
             placed_ms: site.now_ms(),
+            called_ms: Millis(0),
             scheduled: false,
             stopped: false,
             acks: Vec::new(),
@@ -165,6 +166,7 @@
         let task = &mut job.tasks[index];
         task.state = TaskState::Calling;
         task.token = permit.token;
+        task.called_ms = site.io.now_ms;
         let request = WorkerCall::Start {
             task: task.id.clone(),
             token: permit.token,
