Keep an offered task until the other domain answers

Cause: a task whose Place message was sent, but not acknowledged, was still in the state of an unsent one, so that a cancellation declared that it never ran. Change: TaskState::Offered.

--- a/crates/node/src/ledger_state.rs
+++ b/crates/node/src/ledger_state.rs
@@ -61,7 +61,7 @@
                 task,
                 answer,
             } => return self.finish(index, &key, attempt, &task, answer),
-            LedgerCommand::Return { key, attempt } => self.give_back(index, &key, attempt),
+            LedgerCommand::Return { key, attempt } => self.give_back(&key, attempt),
             LedgerCommand::Withdraw { key } => self.withdraw(&key),
             LedgerCommand::Lose { key, attempt } => self.lose(index, &key, attempt),
             LedgerCommand::Cancel { key } => self.cancel(&key),
@@ -153,17 +153,12 @@
         LedgerOutcome::Ended
     }
 
-    /// Queues a request again. A cancelled one is not run again: its attempt may have run.
-    fn give_back(&mut self, index: LogIndex, key: &RequestKey, attempt: Attempt) -> bool {
+    /// Queues a request again. The leader withdraws it if it is cancelled.
+    fn give_back(&mut self, key: &RequestKey, attempt: Attempt) -> bool {
         let Some(record) = self.running(key, attempt) else {
             return false;
         };
-        if record.cancelled {
-            record.state = LedgerState::Lost { at: index };
-            record.body = Body::default();
-        } else {
-            record.state = LedgerState::Waiting;
-        }
+        record.state = LedgerState::Waiting;
         true
     }
 
--- a/crates/node/src/placer.rs
+++ b/crates/node/src/placer.rs
@@ -144,7 +144,9 @@
     Recovering,
     /// The worker has accepted the task.
     Running { accepted_ms: Millis },
-    /// Passed to another domain's placer.
+    /// Sent to another domain's placer, which has not acknowledged it.
+    Offered,
+    /// Another domain's placer has it.
     Delegated,
     /// `Finish` is proposed.
     Finishing,
--- a/crates/node/src/placer/applied.rs
+++ b/crates/node/src/placer/applied.rs
@@ -106,14 +106,6 @@
 
     /// Queues a request again whose attempt has ended without an answer.
     fn return_applied(&mut self, site: &mut Site<'_, '_>, id: JobId) {
-        let lost = self
-            .ledger_key(id)
-            .and_then(|key| site.ledger?.get(&key))
-            .is_some_and(|record| matches!(record.state, LedgerState::Lost { .. }));
-        if lost {
-            self.lose_applied(site, id);
-            return;
-        }
         self.drop_tasks(site, id);
         let Some(mut job) = self.jobs.remove(&id) else {
             return;
--- a/crates/node/src/placer/attempts.rs
+++ b/crates/node/src/placer/attempts.rs
@@ -48,7 +48,7 @@
         for (index, state) in states.into_iter().enumerate() {
             match state {
                 TaskState::Unsent => self.never_ran(site, id, index),
-                TaskState::Running { .. } | TaskState::Delegated => {
+                TaskState::Running { .. } | TaskState::Offered | TaskState::Delegated => {
                     self.stop_task(site, id, index);
                 }
                 _ => {}
--- a/crates/node/src/placer/cancel.rs
+++ b/crates/node/src/placer/cancel.rs
@@ -106,7 +106,7 @@
             let state = self.jobs.get(&id).map(|job| job.tasks[index].state);
             if matches!(
                 state,
-                Some(TaskState::Running { .. } | TaskState::Delegated)
+                Some(TaskState::Running { .. } | TaskState::Offered | TaskState::Delegated)
             ) {
                 self.stop_task(site, id, index);
             }
--- a/crates/node/src/placer/remote.rs
+++ b/crates/node/src/placer/remote.rs
@@ -199,7 +199,10 @@
             return;
         };
         let id = task.id.clone();
-        let message = if *term == Some(present) && task.state == TaskState::Unsent {
+        let is_new = matches!(task.state, TaskState::Unsent | TaskState::Offered);
+        let message = if *term == Some(present) && is_new {
+            // From now on only the other placer knows whether the task ran.
+            task.state = TaskState::Offered;
             PeerMessage::Place {
                 task: id,
                 term: present,
@@ -220,7 +223,7 @@
             .iter()
             .flat_map(|(id, job)| job.tasks.iter().enumerate().map(|(i, t)| (*id, i, t)))
             .filter(|(_, _, task)| {
-                task.state == TaskState::Delegated
+                matches!(task.state, TaskState::Offered | TaskState::Delegated)
                     && matches!(task.location, Location::Domain { .. })
             })
             .map(|(id, index, _)| (id, index))
@@ -245,13 +248,15 @@
         let Location::Domain { next_send_ms, .. } = &mut task.location else {
             return;
         };
-        if !matches!(task.state, TaskState::Unsent | TaskState::Delegated) {
+        if !matches!(task.state, TaskState::Offered | TaskState::Delegated) {
             return;
         }
         match news {
             TaskState::Delegated => {
                 *next_send_ms = now_ms.saturating_add(CHECK_MS);
                 task.state = TaskState::Delegated;
+                // An earlier request to stop may have overtaken the task, or was lost.
+                task.stopped = false;
                 self.stop_if_cancelled(site, id, index);
             }
             TaskState::NeverRan => self.never_ran(site, id, index),
--- a/crates/node/tests/cluster/worker.rs
+++ b/crates/node/tests/cluster/worker.rs
@@ -67,11 +67,16 @@
         }
     }
 
-    /// Ends all tasks without a trace, as a crash does.
-    pub fn restart(&mut self, now_ms: u64, runs: &mut [Run]) {
+    /// Ends all tasks without a trace.
+    pub fn crash(&mut self, now_ms: u64, runs: &mut [Run]) {
         for task in std::mem::take(&mut self.running).into_values() {
             runs[task.run].end_ms = Some(now_ms);
         }
+        self.up = false;
+    }
+
+    pub fn restart(&mut self, now_ms: u64, runs: &mut [Run]) {
+        self.crash(now_ms, runs);
         self.unacknowledged.clear();
         self.report.incarnation = Incarnation(self.report.incarnation.0 + 1);
         self.report.token = FencingToken(0);
