--- a/crates/node/tests/cluster/sim.rs
+++ b/crates/node/tests/cluster/sim.rs
@@ -429,7 +429,8 @@
             if let Reply::NextAnnouncement(interval_ms) = reply {
                 worker.next_announce_ms = self.now_ms + interval_ms.0;
             }
-            if leaving {
+            // The reply may concern a life of the worker that has ended.
+            if leaving && worker.report.leaving {
                 worker.leaving_known_ms.get_or_insert(self.now_ms);
             }
             return;
@@ -481,7 +482,10 @@
             body: body.as_bytes().into(),
         };
         if std::env::var_os("TRACE").is_some() {
-            self.note(&format!("connection {}: {kind} {body} on {vm}", self.next + 1));
+            self.note(&format!(
+                "connection {}: {kind} {body} on {vm}",
+                self.next + 1
+            ));
         }
         let sent = Sent { body };
         self.checks.sent(self.next + 1, sent);
