--- a/crates/node/src/placer/recovery.rs
+++ b/crates/node/src/placer/recovery.rs
@@ -1,7 +1,9 @@
 //! Fate of running tasks after a change of placer, a worker's restart or its loss.
 
 use acaciareel_scheduler::{EndKind, Job as QueuedJob, JobId, Placement};
-use acaciareel_types::{FencingToken, Incarnation, Resources, TaskId, WorkerId, WorkerReport};
+use acaciareel_types::{
+    FencingToken, Incarnation, Millis, Reason, Resources, TaskId, WorkerId, WorkerReport,
+};
 
 use super::{
     Job, Location, Owner, Placer, Site, Stage, Task, TaskState, jobs::recorded_job,
@@ -44,10 +46,15 @@
             self.jobs.insert(id, job);
             return;
         }
-        let queued = self.queue(site, &job, true);
+        let refusal = if job.cancelled {
+            Some((Reason::Cancelled, Millis(0)))
+        } else {
+            let queued = self.queue(site, &job, true);
+            queued.err().map(|r| (r.reason, r.retry_after_ms))
+        };
         self.jobs.insert(id, job);
-        if let Err(refusal) = queued {
-            self.refuse_queued(site, id, refusal.reason, refusal.retry_after_ms);
+        if let Some((reason, retry_after_ms)) = refusal {
+            self.refuse_queued(site, id, reason, retry_after_ms);
         }
     }
 
@@ -275,6 +282,7 @@
         reserved: Resources::default(),
         token: FencingToken(0),
         placed_ms: site.now_ms(),
+        called_ms: Millis(0),
         scheduled: false,
         stopped: false,
         acks: Vec::new(),
--- a/crates/node/tests/cluster/worker.rs
+++ b/crates/node/tests/cluster/worker.rs
@@ -41,6 +41,8 @@
     pub next_post_ms: u64,
     /// Whether calls arrive but replies are lost.
     pub mute: bool,
+    /// Whether its VM has failed: calls get no reply at all.
+    pub dead: bool,
     pub fails_everything: bool,
     pub violations: Vec<String>,
 }
@@ -59,16 +61,22 @@
             next_announce_ms: now_ms,
             next_post_ms: now_ms,
             mute: false,
+            dead: false,
             fails_everything: false,
             violations: Vec::new(),
         }
     }
 
-    /// Ends all tasks without a trace, as a crash does.
-    pub fn restart(&mut self, now_ms: u64, runs: &mut [Run]) {
+    /// Ends all tasks without a trace.
+    pub fn crash(&mut self, now_ms: u64, runs: &mut [Run]) {
         for task in std::mem::take(&mut self.running).into_values() {
             runs[task.run].end_ms = Some(now_ms);
         }
+        self.up = false;
+    }
+
+    pub fn restart(&mut self, now_ms: u64, runs: &mut [Run]) {
+        self.crash(now_ms, runs);
         self.unacknowledged.clear();
         self.report.incarnation = Incarnation(self.report.incarnation.0 + 1);
         self.report.token = FencingToken(0);
