Test lost and leaving workers and a domain that is cut off

Cause: the end-to-end tests had no fault of a worker or of a whole domain. Change: three tests with real processes: workers killed during a once and an exclusive request, a worker that leaves, a domain whose VMs are all paused.

--- a/crates/acaciareeld/tests/end_to_end.rs
+++ b/crates/acaciareeld/tests/end_to_end.rs
@@ -8,6 +8,8 @@
 mod client;
 #[path = "end_to_end/env.rs"]
 mod env;
+#[path = "end_to_end/workers.rs"]
+mod workers;
 
 use crate::env::{CALLER, Domain, OPERATOR, TestEnv, WORKER};
 
@@ -109,20 +111,10 @@
     let mut env = TestEnv::start(ONE_DOMAIN, &["--run-ms", "100"]).await;
     let stopping = env.placer("east").await;
     let body = "gate=stop;";
-    let client = env.client.clone();
-    let url = env.url(stopping, "/v1/requests/verify");
     let mut callers = JoinSet::new();
     for number in 0..8 {
-        let (client, url) = (client.clone(), url.clone());
-        callers.spawn(async move {
-            let headers = [
-                ("acaciareel-tenant", "tests".to_owned()),
-                ("idempotency-key", format!("stop-{number}")),
-                ("acaciareel-time-limit-ms", "60000".to_owned()),
-            ];
-            let body = format!("{body}{number}").into_bytes();
-            client.send("POST", &url, CALLER, &headers, body).await
-        });
+        let body = format!("{body}{number}");
+        callers.spawn(env.submit(stopping, "verify", &format!("stop-{number}"), 1, &body));
     }
     env.wait_for("all tasks have started", async || {
         (0..8).all(|number| env.starts(&format!("{body}{number}")) == 1)
--- a/crates/acaciareeld/tests/end_to_end/env.rs
+++ b/crates/acaciareeld/tests/end_to_end/env.rs
@@ -188,7 +188,8 @@
         vm.process = Some(process.expect("started daemon"));
     }
 
-    fn start_worker(&mut self, domain: &str, number: usize, options: &[&str]) {
+    /// Starts a worker.
+    pub fn start_worker(&mut self, domain: &str, number: usize, options: &[&str]) {
         let entries = self.vms.iter().filter(|vm| vm.domain == domain);
         let entries: Vec<_> = entries.map(|vm| vm.http.to_string()).collect();
         let process = Command::new(worker_binary())
@@ -331,15 +332,16 @@
         placer.expect("placer")
     }
 
-    /// Submits a request and waits for its verdict, as long as the connection holds.
-    pub async fn submit(
+    /// Submits a request; the future returns its verdict, as long as the connection holds.
+    pub fn submit(
         &self,
         vm: usize,
         kind: &str,
         key: &str,
         attempt: u32,
         body: &str,
-    ) -> Result<Response, String> {
+    ) -> impl Future<Output = Result<Response, String>> + Send + use<> {
+        let client = self.client.clone();
         let url = self.url(vm, &format!("/v1/requests/{kind}"));
         let headers = [
             ("acaciareel-tenant", "tests".to_owned()),
@@ -348,7 +350,7 @@
             ("acaciareel-time-limit-ms", "60000".to_owned()),
         ];
         let body = body.as_bytes().to_vec();
-        self.client.send("POST", &url, CALLER, &headers, body).await
+        async move { client.send("POST", &url, CALLER, &headers, body).await }
     }
 
     /// Submits and resends, as a caller does, until the request ran.
@@ -424,6 +426,24 @@
         process.wait().expect("ended daemon");
     }
 
+    /// Ends all workers without warning.
+    pub fn kill_workers(&mut self) {
+        for mut process in self.workers.drain(..) {
+            process.kill().expect("killed worker");
+            process.wait().expect("ended worker");
+        }
+    }
+
+    /// Lets a worker leave and waits until it has ended.
+    pub async fn stop_worker(&mut self, index: usize) {
+        let mut process = self.workers.remove(index);
+        signal(&process, "TERM");
+        self.wait_for("the worker has left", async || {
+            process.try_wait().expect("status of worker").is_some()
+        })
+        .await;
+    }
+
     /// Waits until a daemon has ended by itself.
     pub async fn wait_for_exit(&mut self, vm: usize) -> ExitStatus {
         let mut process = self.vms[vm].process.take().expect("running daemon");
