--- a/crates/node/src/placer/remote.rs
+++ b/crates/node/src/placer/remote.rs
@@ -195,7 +195,13 @@
         }
         *next_send_ms = now_ms.saturating_add(RESEND_MS);
         let placer = site.peers.ledger_leader(now_ms, domain);
-        let Some((vm, present)) = placer else {
+        let is_offered = task.state != TaskState::Unsent;
+        let Some((vm, present)) = placer.filter(|(_, now)| is_offered || *term == Some(*now))
+        else {
+            if !is_offered {
+                // The placer that was chosen has gone before it was told.
+                self.never_ran(site, id, index);
+            }
             return;
         };
         let id = task.id.clone();
--- a/crates/node/tests/cluster/worker.rs
+++ b/crates/node/tests/cluster/worker.rs
@@ -43,6 +43,10 @@
     pub mute: bool,
     /// Whether its VM has failed: calls get no reply at all.
     pub dead: bool,
+    /// Whether it runs on without reaching any VM, or being reached.
+    pub isolated: bool,
+    /// VM that it announces itself through, instead of any.
+    pub announces_through: Option<u32>,
     pub fails_everything: bool,
     pub violations: Vec<String>,
 }
@@ -62,6 +66,8 @@
             next_post_ms: now_ms,
             mute: false,
             dead: false,
+            isolated: false,
+            announces_through: None,
             fails_everything: false,
             violations: Vec::new(),
         }
