Serve requests while the load balancer still sends them to a leaving VM

Cause: a stopping VM refused every new request for stop_accept_ms, although the load balancer still sends it an eighth of the traffic for some seconds. Change: /healthz answers 503 at once; the node is told to stop, and the listener closes, only after stop_accept_ms.

--- a/crates/acaciareeld/src/config.rs
+++ b/crates/acaciareeld/src/config.rs
@@ -72,7 +72,7 @@
     pub worker_connect_ms: Millis,
     /// Longest wait for a worker's reply.
     pub worker_reply_ms: Millis,
-    /// How long a stopping VM still accepts connections, because the load balancer sends them.
+    /// How long a stopping VM still serves requests, because the load balancer sends them.
     pub stop_accept_ms: Millis,
 }
 
--- a/crates/acaciareeld/src/daemon.rs
+++ b/crates/acaciareeld/src/daemon.rs
@@ -14,6 +14,7 @@
     select,
     signal::unix::{Signal, SignalKind, signal},
     sync::{mpsc, watch},
+    task::JoinHandle,
     time,
 };
 
@@ -59,6 +60,16 @@
     }
 }
 
+/// A daemon that serves requests.
+struct Running {
+    app: Arc<App>,
+    server: Server,
+    transport: Arc<Transport>,
+    node: JoinHandle<()>,
+    node_stopped: watch::Receiver<bool>,
+    storage_failed: watch::Receiver<bool>,
+}
+
 /// Runs the daemon until it has stopped gracefully.
 ///
 /// # Errors
@@ -66,17 +77,37 @@
 /// Fails if it cannot start, or if the data folder fails while it runs.
 pub async fn run(config: Config, rejoin_as_new: bool) -> Result<(), Report<DaemonError>> {
     let mut signals = StopSignals::new()?;
+    let mut running = start(&config, rejoin_as_new).await?;
+    let mut storage_failed = running.storage_failed.clone();
+    select! {
+        () = signals.next() => {}
+        () = wait_for(&mut storage_failed) => return Err(Report::new(DaemonError::Run)),
+        ended = &mut running.node => {
+            return Err(Report::new(DaemonError::Run).attach(format!("node: {ended:?}")));
+        }
+    }
+    select! {
+        () = running.stop() => Ok(()),
+        () = signals.next() => {
+            warn!(event = "stop_forced"; "a second signal ends the daemon at once");
+            Err(Report::new(DaemonError::Run).attach("ended by a second signal"))
+        }
+        () = wait_for(&mut storage_failed) => Err(Report::new(DaemonError::Run)),
+    }
+}
+
+async fn start(config: &Config, rejoin_as_new: bool) -> Result<Running, Report<DaemonError>> {
     let logger = logging::start(&config.logs)?;
-    let prometheus = metering::start()?;
+    let metrics = metering::start()?;
     let tokens = Tokens::load(&config.tokens)?;
-    let (storage, restored, incarnation) = open_storage(&config, rejoin_as_new)?;
+    let (storage, restored, incarnation) = open_storage(config, rejoin_as_new)?;
     let clock = Clock::start();
     let (inputs, received) = mpsc::channel(INPUT_QUEUE);
     let started = storage::new_incarnation().0;
-    let transport = Transport::start(&config, incarnation, started, inputs.clone())?;
+    let transport = Transport::start(config, incarnation, started, inputs.clone())?;
     let transport = Arc::new(transport);
-    let (stopped, mut node_stopped) = watch::channel(false);
-    let (failed, mut storage_failed) = watch::channel(false);
+    let (stopped, node_stopped) = watch::channel(false);
+    let (failed, storage_failed) = watch::channel(false);
     let shell = Shell {
         transport: Arc::clone(&transport),
         workers: WorkerClient::new(&config.limits, tokens.for_workers()),
@@ -84,17 +115,17 @@
         stopped,
         inputs: inputs.clone(),
     };
-    let node = Node::new(node_settings(&config, incarnation), restored, clock.now());
-    let node_task = tokio::spawn(NodeTask::new(node, clock, shell).run(received));
-    tokio::spawn(run_upkeep(prometheus.clone()));
+    let node = Node::new(node_settings(config, incarnation), restored, clock.now());
+    let node = tokio::spawn(NodeTask::new(node, clock, shell).run(received));
+    tokio::spawn(run_upkeep(metrics.clone()));
     let app = Arc::new(App {
         vm: config.vm,
         failure_domain: config.failure_domain.clone(),
         incarnation,
         limits: config.limits.clone(),
         tokens,
-        inputs: inputs.clone(),
-        metrics: prometheus,
+        inputs,
+        metrics,
         logger,
         stopping: AtomicBool::new(false),
     });
@@ -103,44 +134,31 @@
         event = "started", vm:% = config.vm, incarnation:% = incarnation,
         http:% = server.address, peers:% = config.peers_listen; ""
     );
-    select! {
-        () = signals.next() => {}
-        () = wait_for(&mut storage_failed) => return Err(Report::new(DaemonError::Run)),
-        ended = node_task => {
-            return Err(Report::new(DaemonError::Run).attach(format!("node: {ended:?}")));
-        }
-    }
-    let stop = stop(&app, &server, &inputs, &mut node_stopped);
-    select! {
-        () = stop => {}
-        () = signals.next() => {
-            warn!(event = "stop_forced"; "a second signal ends the daemon at once");
-            return Err(Report::new(DaemonError::Run).attach("ended by a second signal"));
-        }
-        () = wait_for(&mut storage_failed) => return Err(Report::new(DaemonError::Run)),
-    }
-    transport.close(CLOSE_LIMIT).await;
-    info!(event = "stopped", vm:% = config.vm; "");
-    Ok(())
+    Ok(Running {
+        app,
+        server,
+        transport,
+        node,
+        node_stopped,
+        storage_failed,
+    })
 }
 
-/// Stops gracefully: no request in flight is interrupted. The load balancer still sends
-/// connections for some seconds, so they are accepted for that time.
-async fn stop(
-    app: &App,
-    server: &Server,
-    inputs: &mpsc::Sender<Input>,
-    node_stopped: &mut watch::Receiver<bool>,
-) {
-    info!(event = "stopping", vm:% = app.vm; "");
-    app.stopping.store(true, Ordering::Relaxed);
-    let _ = inputs.send(Input::Event(Event::Stop)).await;
-    time::sleep(Duration::from_millis(app.limits.stop_accept_ms.0)).await;
-    server.stop_accepting();
-    server.wait_until_idle().await;
-    wait_for(node_stopped).await;
-    // A request may have arrived on an open connection while the node stopped.
-    server.wait_until_idle().await;
+impl Running {
+    /// Stops gracefully: no request in flight is interrupted. The load balancer still sends
+    /// connections for some seconds, so requests are served for that time.
+    async fn stop(&mut self) {
+        info!(event = "stopping", vm:% = self.app.vm; "");
+        self.app.stopping.store(true, Ordering::Relaxed);
+        time::sleep(Duration::from_millis(self.app.limits.stop_accept_ms.0)).await;
+        self.server.stop_accepting();
+        let _ = self.app.inputs.send(Input::Event(Event::Stop)).await;
+        wait_for(&mut self.node_stopped).await;
+        // Answers that the node has given may still be on their way.
+        self.server.wait_until_idle().await;
+        self.transport.close(CLOSE_LIMIT).await;
+        info!(event = "stopped", vm:% = self.app.vm; "");
+    }
 }
 
 async fn wait_for(flag: &mut watch::Receiver<bool>) {
