Test poor and broken links between real daemons

Cause: loopback has no delay and no loss, and no end-to-end test cut a VM off. Change: relays between the daemons delay, lose and reorder packets or block one direction; two tests use them.

--- a/crates/acaciareeld/tests/end_to_end.rs
+++ b/crates/acaciareeld/tests/end_to_end.rs
@@ -8,6 +8,10 @@
 mod client;
 #[path = "end_to_end/env.rs"]
 mod env;
+#[path = "end_to_end/links.rs"]
+mod links;
+#[path = "end_to_end/partitions.rs"]
+mod partitions;
 #[path = "end_to_end/workers.rs"]
 mod workers;
 
--- a/crates/acaciareeld/tests/end_to_end/env.rs
+++ b/crates/acaciareeld/tests/end_to_end/env.rs
@@ -1,6 +1,7 @@
 //! A deployment of real processes on loopback addresses, in a temporary folder.
 
 use std::{
+    collections::BTreeMap,
     fmt::Write as _,
     fs,
     net::{SocketAddr, TcpListener, UdpSocket},
@@ -14,7 +15,10 @@
 use tempfile::TempDir;
 use tokio::time;
 
-use crate::client::{Client, Response};
+use crate::{
+    client::{Client, Response},
+    links::{LinkFaults, Links},
+};
 
 /// Give-up limit of every wait. A test whose condition holds earlier ends earlier.
 const GIVE_UP: Duration = Duration::from_mins(1);
@@ -48,6 +52,11 @@
 pub struct TestEnv {
     pub vms: Vec<Vm>,
     pub client: Client,
+    pub links: Links,
+    /// Time limit of submitted requests.
+    pub time_limit_ms: u64,
+    /// Addresses that each VM uses for the others, if they are reached over relays.
+    relays: BTreeMap<(usize, usize), SocketAddr>,
     workers: Vec<Child>,
     folder: TempDir,
 }
@@ -107,6 +116,29 @@
     /// Starts a deployment and waits until the tables are in force everywhere and every domain has
     /// its workers.
     pub async fn start(domains: &[Domain], worker_options: &[&str]) -> Self {
+        let mut env = Self::prepare(domains, Links::new(LinkFaults::default()));
+        env.start_all(domains, worker_options).await;
+        env
+    }
+
+    /// Starts a deployment whose daemons reach each other over links with faults.
+    pub async fn start_with_links(
+        domains: &[Domain],
+        worker_options: &[&str],
+        faults: LinkFaults,
+    ) -> Self {
+        let mut env = Self::prepare(domains, Links::new(faults));
+        for from in 0..env.vms.len() {
+            for to in (0..env.vms.len()).filter(|to| *to != from) {
+                let relay = env.links.relay(from, to, env.vms[to].peers).await;
+                env.relays.insert((from, to), relay);
+            }
+        }
+        env.start_all(domains, worker_options).await;
+        env
+    }
+
+    fn prepare(domains: &[Domain], links: Links) -> Self {
         let folder = tempfile::tempdir().expect("temporary folder");
         let mut vms = Vec::new();
         for domain in domains {
@@ -130,30 +162,36 @@
         ] {
             fs::write(folder.path().join(file), token).expect("written file");
         }
-        let mut env = Self {
+        Self {
             vms,
             client: Client::default(),
+            links,
+            time_limit_ms: 60_000,
+            relays: BTreeMap::new(),
             workers: Vec::new(),
             folder,
-        };
-        for vm in 0..env.vms.len() {
-            env.write_settings(vm);
-            env.start_vm(vm);
+        }
+    }
+
+    async fn start_all(&mut self, domains: &[Domain], worker_options: &[&str]) {
+        for vm in 0..self.vms.len() {
+            self.write_settings(vm);
+            self.start_vm(vm);
         }
         for domain in domains {
             for number in 0..domain.workers {
-                env.start_worker(domain.name, number, worker_options);
+                self.start_worker(domain.name, number, worker_options);
             }
         }
-        env.apply_tables().await;
-        env.wait_until_ready(domains).await;
-        env
+        self.apply_tables().await;
+        self.wait_until_ready(domains).await;
     }
 
     fn write_settings(&self, index: usize) {
         let mut peers = String::new();
         for (i, vm) in self.vms.iter().enumerate() {
-            let (id, address, domain) = (i + 1, vm.peers, vm.domain);
+            let address = self.relays.get(&(index, i)).unwrap_or(&vm.peers);
+            let (id, domain) = (i + 1, vm.domain);
             write!(
                 peers,
                 "[peer vm-{id}]\naddress = {address}\nfailure_domain = {domain}\n"
@@ -347,7 +385,7 @@
             ("acaciareel-tenant", "tests".to_owned()),
             ("idempotency-key", key.to_owned()),
             ("acaciareel-attempt", attempt.to_string()),
-            ("acaciareel-time-limit-ms", "60000".to_owned()),
+            ("acaciareel-time-limit-ms", self.time_limit_ms.to_string()),
         ];
         let body = body.as_bytes().to_vec();
         async move { client.send("POST", &url, CALLER, &headers, body).await }
