--- a/crates/scheduler/benches/harness/measure.rs
+++ b/crates/scheduler/benches/harness/measure.rs
@@ -11,7 +11,7 @@
 };
 
 /// Seeds of one measurement.
-const SEEDS: [u64; 3] = [1, 2, 3];
+const SEEDS: [u64; 6] = [1, 2, 3, 4, 5, 6];
 
 /// Creates the scheduler for one failure domain of a mix.
 pub(crate) fn real(mix: &Mix) -> Real {
@@ -36,9 +36,9 @@
 }
 
 /// Runs the scheduler once with real run times and sizes in percent of the declared ones.
-pub(crate) fn off(mix: Mix, load_percent: u64, run_time_percent: u64, usage_percent: u64) -> Stats {
+pub(crate) fn off(mix: Mix, load_percent: u64, time_percent: u64, usage_percent: u64) -> Stats {
     let run = Run {
-        run_time_percent,
+        time_percent,
         usage_percent,
         ..Run::new(mix, load_percent)
     };
