Drop kept room when tables change

Cause: a gang that kept room and whose route moved to another pool went on holding it, and could have started in the old pool.

Change: new tables end all reservations; waiting gangs make new ones.

--- a/crates/scheduler/src/scheduler/tables.rs
+++ b/crates/scheduler/src/scheduler/tables.rs
@@ -9,6 +9,10 @@
         if self.tables == *tables {
             return;
         }
+        // The holder may move to another pool.
+        for pool in 0..self.pools.len() {
+            self.drop_reservation(now_ms, pool);
+        }
         self.unqueue_all();
         self.tables = tables.clone();
         self.tenants.set_quotas(tables.quotas());
@@ -36,7 +40,7 @@
                 let mut pool = Pool::new(now_ms, name.clone());
                 pool.settings = self.tables.pools().get(&name).cloned();
                 match self.pools.iter().position(Pool::unused) {
-                    Some(unused) => self.replace_pool(now_ms, unused, pool),
+                    Some(unused) => self.replace_pool(unused, pool),
                     None => self.pools.push(pool),
                 }
             }
@@ -44,8 +48,7 @@
     }
 
     /// Puts a new pool in the place of an unused one, whose workers settle elsewhere afterwards.
-    fn replace_pool(&mut self, now_ms: Millis, unused: usize, pool: Pool) {
-        self.drop_reservation(now_ms, unused);
+    fn replace_pool(&mut self, unused: usize, pool: Pool) {
         for index in self.workers.indices() {
             if let Some(worker) = self.workers.get_mut(index)
                 && worker.place.is_some_and(|place| place.pool == unused)
--- a/crates/scheduler/tests/scheduler/gangs.rs
+++ b/crates/scheduler/tests/scheduler/gangs.rs
@@ -3,7 +3,7 @@
 use acaciareel_scheduler::{Cancelled, Decision, EndKind, JobId, Placement};
 use acaciareel_types::Millis;
 
-use crate::support::{SMALL, decide, end, job, one_pool, placements, scheduler};
+use crate::support::{SMALL, decide, end, job, one_pool, placements, scheduler, tables};
 
 /// 6 tasks of 10 cores: three workers when they are empty.
 const GANG: &str = "effect=exclusive tasks=6 cpu_millicores=10000 memory_bytes=1000000 \
@@ -92,3 +92,43 @@
     assert!(kept > 3, "no room is kept");
     assert_eq!((cancelled, after), (Cancelled::Waiting, 3));
 }
+
+/// Guards against a gang that starts in its old pool, or keeps room there, after its route moved.
+#[test]
+fn kept_room_does_not_outlast_a_change_of_the_route() {
+    let pools = [("p", "groups=g policy=gang"), ("q", "groups=h policy=gang")];
+    let to = |pool: &str| {
+        let gang = format!("pool={pool} {GANG}");
+        tables(
+            &[("gang", &gang), ("small", &format!("pool=p {SMALL}"))],
+            &pools,
+            &[],
+        )
+    };
+    let mut scheduler = scheduler(&to("p"), 2);
+    for (id, kind) in [
+        (1, "small"),
+        (2, "small"),
+        (3, "small"),
+        (1_000_000, "gang"),
+    ] {
+        let mut waiting = job(id, kind, "t", 60_000);
+        waiting.accepted = true;
+        scheduler.submit(Millis(0), waiting).expect("accepted");
+        decide(&mut scheduler, 0);
+    }
+    for now_ms in (0..10_000).step_by(100) {
+        decide(&mut scheduler, now_ms);
+    }
+
+    scheduler.set_tables(Millis(10_000), &to("q"));
+    let after = decide(&mut scheduler, 10_000);
+
+    let held: u32 = scheduler
+        .worker_summaries()
+        .iter()
+        .map(|w| w.held.slots.0)
+        .sum();
+    assert!(after.is_empty());
+    assert_eq!(held, 3);
+}
