--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -68,7 +68,9 @@
 }
 
 /// Scores what a task would leave over: little is best, and evenly over resources, since what is
-/// left of one resource alone serves no other task.
+/// left of one resource alone serves no other task. Unevenness must not weigh more than the sum: a
+/// task makes a worker more uneven by its largest share at most, so a worker in use still goes
+/// before an empty one.
 fn leftover(entry: &Entry, demand: &Resources) -> u64 {
     let left: Amounts = amounts(&entry.room.minus(demand));
     let whole = amounts(&entry.capacity);
