--- a/crates/node/src/placer/cancel.rs
+++ b/crates/node/src/placer/cancel.rs
@@ -1,6 +1,6 @@
 //! Inquiries after requests and their cancellation, at the placer.
 
-use acaciareel_scheduler::{Cancelled, JobId};
+use acaciareel_scheduler::JobId;
 use acaciareel_types::{FailureDomain, Millis, Reason, VmId};
 
 use super::{Mode, Owner, Placer, Site, Stage, TaskState};
@@ -79,7 +79,7 @@
         job.cancelled = true;
         match job.stage {
             Stage::Queued => {
-                if self.scheduler.cancel(now_ms, id) == Cancelled::Waiting {
+                if self.dequeue(now_ms, id) {
                     self.refuse_queued(site, id, Reason::Cancelled, Millis(0));
                 }
             }
@@ -122,9 +122,7 @@
             return;
         }
         job.cancelled = true;
-        if job.stage == Stage::Queued
-            && self.scheduler.cancel(site.now_ms(), id) == Cancelled::Waiting
-        {
+        if job.stage == Stage::Queued && self.dequeue(site.now_ms(), id) {
             self.refuse_queued(site, id, Reason::Cancelled, Millis(0));
         } else {
             self.stop_running(site, id);
--- a/crates/node/src/placer/foreign.rs
+++ b/crates/node/src/placer/foreign.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use acaciareel_scheduler::{Cancelled, JobId};
+use acaciareel_scheduler::JobId;
 use acaciareel_types::{FailureDomain, Millis, Request, SortedVec, TaskId, Term, VmId};
 
 use super::{
@@ -204,7 +204,7 @@
         }
         job.cancelled = true;
         if job.stage == Stage::Queued {
-            if self.scheduler.cancel(site.now_ms(), id) == Cancelled::Waiting {
+            if self.dequeue(site.now_ms(), id) {
                 self.refuse_foreign(site, id, RETRY_AFTER_MS);
             }
         } else if matches!(job.tasks[0].state, TaskState::Running { .. }) {
--- a/crates/node/src/placer/jobs.rs
+++ b/crates/node/src/placer/jobs.rs
@@ -246,6 +246,11 @@
         self.scheduler.submit(site.now_ms(), queued)
     }
 
+    /// Takes a queued job out of the scheduler; returns whether it does not run.
+    pub(super) fn dequeue(&mut self, now_ms: Millis, id: JobId) -> bool {
+        !matches!(self.scheduler.cancel(now_ms, id), Cancelled::Running(_))
+    }
+
     /// Ends a job that is not in the scheduler any more and did not start.
     pub(super) fn refuse_queued(
         &mut self,
@@ -330,7 +335,7 @@
             .map(|(id, _)| *id)
             .collect();
         for id in overdue {
-            if self.scheduler.cancel(now_ms, id) == Cancelled::Waiting {
+            if self.dequeue(now_ms, id) {
                 self.refuse_queued(site, id, Reason::TimeLimit, RETRY_AFTER_MS);
             }
         }
--- a/crates/node/src/placer/remote.rs
+++ b/crates/node/src/placer/remote.rs
@@ -1,6 +1,6 @@
 //! Delegation of a ledgered task to another domain's placer, seen from its home.
 
-use acaciareel_scheduler::{Cancelled, EndKind, JobId};
+use acaciareel_scheduler::{EndKind, JobId};
 use acaciareel_types::{FailureDomain, Millis, Reason, TaskId, Term, VmId};
 
 use super::{Job, Location, Owner, Placer, Site, Stage, TaskState, task_key};
@@ -129,7 +129,7 @@
             .map(|(id, _)| *id)
             .collect();
         for id in waiting {
-            if self.scheduler.cancel(now_ms, id) == Cancelled::Waiting {
+            if self.dequeue(now_ms, id) {
                 self.refuse_foreign(site, id, RESEND_MS);
             }
         }
@@ -146,7 +146,12 @@
             .map(|(id, _)| *id)
             .collect();
         for id in waiting {
-            if self.scheduler.cancel(now_ms, id) != Cancelled::Waiting {
+            // Each task sent takes room that the next one may have counted on.
+            let still = self
+                .jobs
+                .get(&id)
+                .is_some_and(|job| self.may_go_elsewhere(site, job));
+            if !still || !self.dequeue(now_ms, id) {
                 continue;
             }
             let owner = self.jobs.get(&id).map(|job| &job.owner);
