--- a/crates/node/tests/cluster/main.rs
+++ b/crates/node/tests/cluster/main.rs
@@ -5,6 +5,7 @@
 mod measures;
 mod operators;
 mod path;
+mod placement;
 mod requests;
 mod sim;
 mod stop;
--- /dev/null
+++ b/crates/node/tests/cluster/placement.rs
@@ -0,0 +1,166 @@
+//! Placement without a ledger majority, in other domains, of gangs, and on bad workers.
+
+use acaciareel_node::TablesReply;
+use acaciareel_types::{Reason, TableVersion, Verdict};
+
+use crate::sim::{Sim, gang_tables};
+
+fn not_run(verdict: &Verdict, reason: Reason) -> bool {
+    matches!(verdict, Verdict::NotRun { reason: given, .. } if *given == reason)
+}
+
+/// Guards against a domain that serves nothing, or too much, without a majority of its ledger.
+#[test]
+fn a_domain_without_a_ledger_majority_serves_idempotent_kinds_only() {
+    let mut sim = Sim::ready(201, 2, 2);
+    let others = [1, 2, 5, 6];
+    sim.kill(3);
+    sim.partition(&[4], &others, true);
+    sim.run_for(7_000);
+
+    let lookup = sim.submit(4, "lookup", "fallback", 1, 50);
+    let verdict = sim.verdict_of(lookup, 2_400);
+    assert!(sim.ran(lookup), "{verdict:?}\n{}", sim.tail());
+    assert!(sim.runs.last().expect("run").worker.starts_with("w1"));
+    let verify = sim.submit(4, "verify", "khomas-b/fallback", 1, 50);
+    let verdict = sim.verdict_of(verify, 100);
+    assert!(not_run(&verdict, Reason::HomeUnreachable), "{verdict:?}");
+
+    sim.start(3);
+    sim.heal();
+    sim.run_for(6_000);
+    for (kind, key) in [("lookup", "back"), ("verify", "khomas-b/back")] {
+        let connection = sim.submit(4, kind, key, 1, 50);
+        let verdict = sim.verdict_of(connection, 2_400);
+        assert!(sim.ran(connection), "{verdict:?}\n{}", sim.tail());
+    }
+}
+
+/// Guards against a home without workers that refuses work, and against a delegated task that
+/// runs twice or is lost when either placer dies.
+#[test]
+fn a_home_without_room_delegates_and_either_placer_may_die() {
+    for victim in [None, Some(0), Some(1)] {
+        for kind in ["verify", "credit"] {
+            let mut sim = Sim::ready_with(202, 2, [0, 3, 0]);
+            let connection = sim.submit(6, kind, "khomas-a/away-once", 1, 1_500);
+            sim.run_for(300);
+            assert_eq!(sim.runs_of("khomas-a/away-once"), 1, "{}", sim.tail());
+
+            if let Some(domain) = victim {
+                let leader = sim.placer(domain).expect("placer");
+                sim.kill(leader);
+            }
+            let verdict = sim.verdict_of(connection, 18_000);
+
+            assert!(
+                sim.ran(connection),
+                "{victim:?} {verdict:?}\n{}",
+                sim.tail()
+            );
+            assert_eq!(sim.runs_of("khomas-a/away-once"), 1, "{victim:?}");
+        }
+    }
+}
+
+/// Guards against a cancellation that overtakes a delegated task and frees its key too early
+/// (random faults, seed 90).
+#[test]
+fn a_cancelled_delegated_task_does_not_run_beside_the_next_attempt() {
+    let mut sim = Sim::ready_with(203, 2, [0, 3, 0]);
+    let leader = sim.placer(0).expect("placer");
+    let other = sim.placer(1).expect("placer");
+    sim.slow.insert((leader, other), 800);
+    let first = sim.submit(6, "verify", "khomas-a/cancelled", 1, 3_000);
+    sim.run_for(100);
+    sim.inquire(5, "khomas-a/cancelled", true);
+    sim.run_for(100);
+    let second = sim.submit(6, "verify", "khomas-a/cancelled", 2, 3_000);
+    sim.run_for(10_000);
+
+    assert!(sim.verdict(first).is_some(), "{}", sim.tail());
+    assert!(sim.verdict(second).is_some(), "{}", sim.tail());
+}
+
+/// Guards against a late copy of an attempt that runs after a later attempt was refused.
+#[test]
+fn a_late_attempt_does_not_run_after_a_later_one_was_refused() {
+    let mut sim = Sim::ready(204, 2, 1);
+    let leader = sim.placer(0).expect("placer");
+    sim.slow.insert((6, leader), 3_000);
+    sim.submit(6, "credit", "khomas-a/late-once", 1, 50);
+    for worker in sim.workers.values_mut() {
+        worker.isolated = true;
+    }
+    sim.run_for(1_500);
+    let second = sim.submit_within(2, "credit", "khomas-a/late-once", 2, 50, 500);
+    let verdict = sim.verdict_of(second, 1_000);
+    assert!(matches!(verdict, Verdict::NotRun { .. }), "{verdict:?}");
+
+    for worker in sim.workers.values_mut() {
+        worker.isolated = false;
+    }
+    sim.run_for(8_000);
+
+    assert_eq!(sim.runs_of("khomas-a/late-once"), 0, "{}", sim.tail());
+}
+
+/// Guards against a gang that runs in part, twice, or loses an answer when its leader or one of
+/// its workers dies.
+#[test]
+fn a_gang_ends_as_a_whole() {
+    for fault in 0..3 {
+        let mut sim = Sim::ready(210 + fault, 2, 2);
+        let change = sim.apply(1, "gang", 1, gang_tables());
+        sim.run_for(2_000);
+        let accepted = TablesReply::Accepted(TableVersion(2));
+        assert_eq!(sim.applied(change), Some(&accepted));
+        let connection = sim.submit(6, "season", "khomas-a/gang", 1, 1_500);
+        sim.run_for(400);
+        assert_eq!(sim.runs_of("khomas-a/gang"), 4, "{}", sim.tail());
+
+        match fault {
+            0 => {}
+            1 => {
+                let leader = sim.placer(0).expect("placer");
+                sim.kill(leader);
+            }
+            _ => {
+                let now_ms = sim.now_ms;
+                let busy = sim.workers.values_mut().find(|worker| worker.running() > 0);
+                busy.expect("busy worker").restart(now_ms, &mut sim.runs);
+            }
+        }
+        let verdict = sim.verdict_of(connection, 20_000);
+
+        let Verdict::Ran(answer) = &verdict else {
+            panic!("{fault}: {verdict:?}\n{}", sim.tail());
+        };
+        assert!(answer.ok, "{fault}: {verdict:?}");
+        assert_eq!(answer.body.split(|byte| *byte == b'\n').count(), 4);
+    }
+}
+
+/// Guards against new work on a worker whose leaving was announced to a VM that cannot pass it
+/// on: the worker's next reply to its placer says so too.
+#[test]
+fn leaving_is_known_although_the_announcement_does_not_arrive() {
+    let mut sim = Sim::ready(220, 2, 2);
+    sim.partition(&[6], &[1, 2, 3, 4, 5], true);
+    let name = "w0-0".parse().expect("worker");
+    let worker = sim.workers.get_mut(&name).expect("worker");
+    worker.report.leaving = true;
+    worker.announces_through = Some(6);
+    worker.next_announce_ms = 0;
+    for n in 0..200 {
+        sim.submit(1, "verify", &format!("khomas-a/{n}"), 1, 100);
+        sim.run_for(20);
+    }
+
+    assert!(sim.workers[&name].leaving_known_ms.is_some());
+    let late = sim
+        .runs
+        .iter()
+        .filter(|run| run.worker == "w0-0" && run.start_ms > sim.now_ms - 2_000);
+    assert_eq!(late.count(), 0);
+}
--- a/crates/node/tests/cluster/sim.rs
+++ b/crates/node/tests/cluster/sim.rs
@@ -407,6 +407,7 @@
             } else {
                 delay
             };
+            let delay = delay + self.slow.get(&(from, to)).copied().unwrap_or(0);
             let event = Event::Peer {
                 from: VmId(from),
                 incarnation,
@@ -920,6 +921,17 @@
     }
 }
 
+/// Tables with a gang of four tasks.
+pub fn gang_tables() -> RawTables {
+    let mut raw = tables(4);
+    let mut gang = raw.routes[1].clone();
+    gang.name = "season".into();
+    gang.settings.push(("tasks".into(), "4".into()));
+    raw.routes.push(gang);
+    raw.pools[0].settings[1].1 = "gang".into();
+    raw
+}
+
 /// Tables with one kind of each effect; `weight` makes versions differ.
 pub fn tables(weight: u32) -> RawTables {
     let route = |name: &str, effect: &str, class: &str| {
--- a/crates/node/tests/cluster/worker.rs
+++ b/crates/node/tests/cluster/worker.rs
@@ -14,6 +14,7 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub body: String,
+    pub worker: String,
     pub exclusive: bool,
     pub start_ms: u64,
     pub end_ms: Option<u64>,
@@ -185,6 +186,7 @@
         let run_ms = run_time_ms(&text);
         runs.push(Run {
             body: text,
+            worker: self.report.worker.to_string(),
             exclusive,
             start_ms: now_ms,
             end_ms: None,
