--- a/crates/node/tests/cluster/requests.rs
+++ b/crates/node/tests/cluster/requests.rs
@@ -97,6 +97,34 @@
     assert_eq!(sim.runs_of("khomas-a/2-once"), 1);
 }
 
+/// Guards against records that a snapshot loses: a voter that gets it in place of the log must
+/// answer alone with another one that did.
+#[test]
+fn records_outlive_compaction() {
+    let mut sim = Sim::ready(17, 2, 2);
+    for n in 0..450 {
+        sim.submit(1, "credit", &format!("khomas-a/{n}-once"), 1, 20);
+        sim.run_for(20);
+    }
+    sim.run_for(1_000);
+    for vm in [2, 1] {
+        sim.lose_disk(vm);
+        sim.run_for(200);
+        sim.start(vm);
+        sim.run_for(8_000);
+    }
+    sim.kill(3);
+    sim.run_for(3_000);
+
+    for n in [0, 200, 449] {
+        let key = format!("khomas-a/{n}-once");
+        let again = sim.submit(6, "credit", &key, 2, 20);
+        let verdict = sim.verdict_of(again, 3_000);
+        assert!(sim.ran(again), "{key} {verdict:?}\n{}", sim.tail());
+        assert_eq!(sim.runs_of(&key), 1);
+    }
+}
+
 /// Guards against a refusal that is wrong, or that blocks its key: each refused key is sent
 /// again once the cause has gone, and must then run once.
 #[test]
