--- a/crates/node/tests/cluster/placement.rs
+++ b/crates/node/tests/cluster/placement.rs
@@ -42,6 +42,11 @@
         let verdict = sim.verdict_of(audit, 60_000);
         assert!(sim.ran(audit), "{verdict:?}\n{}", sim.tail());
     }
+    assert!(
+        sim.runs.len() > 40 + 12,
+        "{} runs: nothing was preempted",
+        sim.runs.len()
+    );
 }
 
 /// Guards against a domain that serves nothing, or too much, without a majority of its ledger.
--- a/crates/node/tests/cluster/requests.rs
+++ b/crates/node/tests/cluster/requests.rs
@@ -1,8 +1,9 @@
 //! Single faults at exact moments in the life of a request.
 
+use acaciareel_node::GroupId;
 use acaciareel_types::{Reason, Verdict};
 
-use crate::sim::{Blow, Sim};
+use crate::sim::{Blow, Sim, domain};
 
 fn not_run(verdict: &Verdict, reason: Reason) -> bool {
     matches!(verdict, Verdict::NotRun { reason: given, .. } if *given == reason)
@@ -107,6 +108,8 @@
         sim.run_for(20);
     }
     sim.run_for(1_000);
+    let ledger = GroupId::Ledger(domain(0));
+    assert!(sim.vms[&1].disk[&ledger].snapshot.is_some());
     for vm in [2, 1] {
         sim.lose_disk(vm);
         sim.run_for(200);
