--- a/crates/consensus/tests/replica/chaos.rs
+++ b/crates/consensus/tests/replica/chaos.rs
@@ -8,9 +8,9 @@
     let vm = u32::try_from(network.between((1, voters.into()))).unwrap();
     let other = u32::try_from(network.between((1, voters.into()))).unwrap();
     match network.between((0, 19)) {
-        0..=3 => network.cut(vm, other),
+        0..=3 => network.cuts.extend([(vm, other)]),
         4 => network.isolate(&[vm]),
-        5..=7 => network.heal(),
+        5..=7 => network.cuts.clear(),
         8 => network.kill(vm),
         9 => network.leader().into_iter().for_each(|vm| network.kill(vm)),
         // A power cut: what was promised before its sync is lost everywhere at once.
@@ -48,7 +48,7 @@
         let pause_ms = network.between((1, 300));
         network.run(pause_ms);
     }
-    network.heal();
+    network.cuts.clear();
     network.repair_processes();
     network.loss_percent = 0;
     network.sync_ms = (1, 4);
--- a/crates/consensus/tests/replica/checks.rs
+++ b/crates/consensus/tests/replica/checks.rs
@@ -15,17 +15,13 @@
     committed: BTreeMap<LogIndex, (Entry, Term)>,
     /// Voters of the last committed member list.
     voters: BTreeSet<MemberId>,
-    /// Last entry that each VM has committed.
-    reached: BTreeMap<u32, LogIndex>,
+    /// Last entry that each VM has committed since its start.
+    pub reached: BTreeMap<u32, LogIndex>,
     /// Terms in which a leader has become ready.
     pub ready: Vec<Term>,
 }
 
 impl Checks {
-    pub fn started(&mut self, vm: u32) {
-        self.reached.remove(&vm);
-    }
-
     /// Checks one output: no empty ticket, log matching, order of commits.
     pub fn output(&mut self, vm: u32, output: &Output) {
         match output {
--- a/crates/consensus/tests/replica/leadership.rs
+++ b/crates/consensus/tests/replica/leadership.rs
@@ -32,7 +32,7 @@
         network.propose(leader, 666);
         network.run(5_000);
         network.commit(5..10);
-        network.heal();
+        network.cuts.clear();
         network.converge(5_000);
 
         let expected: Vec<u64> = (0..10).collect();
@@ -52,11 +52,11 @@
             } else {
                 (other, leader)
             };
-            network.cut(from, to);
+            network.cuts.insert((from, to));
         }
         network.await_other_leader(leader, NEW_LEADER_LIMIT_MS);
         network.commit(5..10);
-        network.heal();
+        network.cuts.clear();
         network.converge(5_000);
     }
 }
@@ -72,11 +72,11 @@
         network.run(60_000);
         network.commit(5..40);
         let term = network.replica(leader).term();
-        network.heal();
+        network.cuts.clear();
         network.run(5_000);
 
         assert_eq!(network.replica(leader).term(), term);
-        assert_eq!(network.role(member), Role::Follower);
+        assert_eq!(network.replica(member).role(), Role::Follower);
         assert!(network.has_applied(member, 39));
     }
 }
--- a/crates/consensus/tests/replica/measures.rs
+++ b/crates/consensus/tests/replica/measures.rs
@@ -91,9 +91,7 @@
     network.commit(0..10);
     (6..=80).for_each(|vm| network.add(vm));
 
-    let waited_ms = network.run_until(6_000, |network| {
-        (6..=80).all(|vm| network.role(vm) == Role::Learner && network.has_applied(vm, 9))
+    network.run_until(6_000, |network| {
+        (6..=80).all(|vm| network.replica(vm).role() == Role::Learner && network.has_applied(vm, 9))
     });
-
-    println!("75 learners joined in {waited_ms} ms");
 }
--- a/crates/consensus/tests/replica/membership.rs
+++ b/crates/consensus/tests/replica/membership.rs
@@ -64,13 +64,12 @@
         let leader = network.commit(10..20);
         network.run(5_000);
 
-        assert_eq!(network.role(4), Role::Learner);
+        assert_eq!(network.replica(4).role(), Role::Learner);
         assert!(network.has_applied(4, 19));
-        let change = |change| Input::Change(change);
-        network.input(leader, change(MemberChange::Promote(VmId(4))));
+        network.input(leader, Input::Change(MemberChange::Promote(VmId(4))));
         network.run(1_000);
-        assert_eq!(network.role(4), Role::Follower);
-        network.input(leader, change(MemberChange::Remove(VmId(4))));
+        assert_eq!(network.replica(4).role(), Role::Follower);
+        network.input(leader, Input::Change(MemberChange::Remove(VmId(4))));
         network.kill(4);
         network.commit(20..21);
         assert_eq!(network.replica(leader).members().len(), 3);
@@ -94,7 +93,7 @@
         network.commit(5..505);
         network.loss_percent = 10;
         network.duplicate_percent = 10;
-        network.heal();
+        network.cuts.clear();
         if seed % 3 > 0 {
             network.start(member);
         }
--- a/crates/consensus/tests/replica/network.rs
+++ b/crates/consensus/tests/replica/network.rs
@@ -6,7 +6,7 @@
 };
 
 use acaciareel_consensus::{
-    GroupSettings, Input, MemberId, Message, Output, Record, Replica, Restored, Role,
+    GroupSettings, Input, MemberId, Message, Output, Record, Replica, Restored,
 };
 use acaciareel_types::{Incarnation, LogIndex, Millis, VmId};
 
@@ -70,7 +70,8 @@
     pub state_bytes: usize,
     pub preferred: Vec<VmId>,
     voters: u32,
-    cuts: BTreeSet<(u32, u32)>,
+    /// Links that carry nothing, as sender and receiver.
+    pub cuts: BTreeSet<(u32, u32)>,
     queue: BTreeMap<(u64, u64), (u32, Event)>,
     sequence: u64,
     seed: u64,
@@ -130,10 +131,6 @@
         low + (self.random.wrapping_mul(0x2545_F491_4F6C_DD1D) >> 33) % (high - low + 1)
     }
 
-    fn chance(&mut self, percent: u64) -> bool {
-        percent > 0 && self.between((0, 99)) < percent
-    }
-
     fn schedule(&mut self, vm: u32, delay_ms: u64, event: Event) {
         self.sequence += 1;
         let at_ms = self.now_ms + delay_ms;
@@ -150,7 +147,7 @@
         machine.applied.clear();
         machine.replica = Some(Replica::new(settings, machine.disk.clone(), now_ms));
         let life = machine.life;
-        self.checks.started(vm);
+        self.checks.reached.remove(&vm);
         let delay_ms = self.between((0, TICK_MS));
         self.schedule(vm, delay_ms, Event::Tick { life });
     }
@@ -227,10 +224,6 @@
         }
     }
 
-    pub fn cut(&mut self, from: u32, to: u32) {
-        self.cuts.insert((from, to));
-    }
-
     /// Cuts all links between some VMs and the others in both directions.
     pub fn isolate(&mut self, inside: &[u32]) {
         for other in self.vms.keys().filter(|other| !inside.contains(other)) {
@@ -239,10 +232,6 @@
         }
     }
 
-    pub fn heal(&mut self) {
-        self.cuts.clear();
-    }
-
     pub fn clock(&self, vm: u32) -> Millis {
         let machine = &self.vms[&vm];
         let stopped_at_ms = machine.frozen_at_ms.filter(|_| machine.clock_stops);
@@ -385,9 +374,9 @@
         if self.cuts.contains(&(from, to)) || !self.vms.contains_key(&to) {
             return;
         }
-        let copies = 1 + u32::from(self.chance(self.duplicate_percent));
+        let copies = 1 + u32::from(self.between((1, 100)) <= self.duplicate_percent);
         for _ in 0..copies {
-            if self.chance(self.loss_percent) {
+            if self.between((1, 100)) <= self.loss_percent {
                 continue;
             }
             let delay_ms = self.between(self.delay_ms);
@@ -473,10 +462,6 @@
             member.is_some_and(|member| member.voter && member.incarnation == incarnation)
         })
     }
-
-    pub fn role(&self, vm: u32) -> Role {
-        self.replica(vm).role()
-    }
 }
 
 fn number(bytes: &[u8]) -> u64 {
--- a/crates/consensus/tests/replica/protocol.rs
+++ b/crates/consensus/tests/replica/protocol.rs
@@ -27,22 +27,18 @@
     (1..=3).map(|vm| (VmId(vm), member(vm))).collect()
 }
 
-fn entry(index: u64, term: u64, payload: Payload) -> Entry {
+fn command(index: u64, term: u64, bytes: usize) -> Entry {
     Entry {
         index: LogIndex(index),
         term: Term(term),
-        payload,
+        payload: Payload::Command(vec![0; bytes].into()),
     }
 }
 
-fn command(index: u64, term: u64, bytes: usize) -> Entry {
-    entry(index, term, Payload::Command(vec![0; bytes].into()))
-}
-
 /// A member list in entry 1 and `extra` commands of 60,000 bytes, all of term 1.
 fn restored(extra: u64) -> Restored {
-    let mut entries = vec![entry(1, 1, Payload::Members(members()))];
-    entries.extend((2..2 + extra).map(|index| command(index, 1, 60_000)));
+    let mut entries: Vec<Entry> = (1..2 + extra).map(|i| command(i, 1, 60_000)).collect();
+    entries[0].payload = Payload::Members(members());
     Restored {
         term: Term(1),
         entries,
--- a/crates/consensus/tests/replica/transfer.rs
+++ b/crates/consensus/tests/replica/transfer.rs
@@ -38,7 +38,7 @@
         network.delay_ms = (3, 7);
 
         network.commit(10..20);
-        network.heal();
+        network.cuts.clear();
         network.converge(5_000);
     }
 }
