--- a/crates/node/tests/cluster/worker.rs
+++ b/crates/node/tests/cluster/worker.rs
@@ -14,6 +14,7 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub body: String,
+    pub worker: String,
     pub exclusive: bool,
     pub start_ms: u64,
     pub end_ms: Option<u64>,
@@ -27,6 +28,10 @@
     exclusive: bool,
 }
 
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent faults of one stand-in"
+)]
 pub struct FakeWorker {
     pub report: WorkerReport,
     holder: Option<VmId>,
@@ -47,6 +52,7 @@
     pub isolated: bool,
     /// VM that it announces itself through, instead of any.
     pub announces_through: Option<u32>,
+    /// Whether each task fails.
     pub fails_everything: bool,
     pub violations: Vec<String>,
 }
@@ -185,6 +191,7 @@
         let run_ms = run_time_ms(&text);
         runs.push(Run {
             body: text,
+            worker: self.report.worker.to_string(),
             exclusive,
             start_ms: now_ms,
             end_ms: None,
