Take test ports from below the range of ephemeral ports

Cause: in 2 of 5 runs a port that TestEnv had chosen was taken by a client connection of another test before the daemon started; the daemon then ended and the test gave up after 60 s. Ruled out: the daemon and the node, whose logs show nothing but the bind error.

--- a/crates/acaciareeld/src/transport/tests.rs
+++ b/crates/acaciareeld/src/transport/tests.rs
@@ -1,6 +1,13 @@
 //! Tests of the connections between daemons.
 
-use std::{fs, net::UdpSocket, path::Path, time::Duration};
+use std::{
+    fs,
+    net::{SocketAddr, UdpSocket},
+    path::Path,
+    process,
+    sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
+};
 
 use acaciareel_node::{Event, PeerMessage};
 use acaciareel_settings::IniFile;
@@ -36,10 +43,23 @@
     }
 }
 
+/// Returns a free address below the ports that the system chooses for others, so that it stays free
+/// while the transport is not started.
+fn free_address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let number = process::id() * 10 + NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = u16::try_from(10_000 + number % 2_000).expect("port");
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
 /// Makes the settings of two VMs that know each other.
 fn configs(folder: &Path) -> [Config; 2] {
-    let port = || UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr());
-    let ports = [port().expect("free port"), port().expect("free port")];
+    let ports = [free_address(), free_address()];
     [1, 2].map(|vm| {
         let text = format!(
             "[vm]\nid = vm-{vm}\nfailure_domain = east\n\
--- a/crates/acaciareeld/tests/end_to_end/env.rs
+++ b/crates/acaciareeld/tests/end_to_end/env.rs
@@ -6,7 +6,8 @@
     fs,
     net::{SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
-    process::{Child, Command, ExitStatus, Stdio},
+    process::{self, Child, Command, ExitStatus, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 
@@ -61,12 +62,17 @@
     folder: TempDir,
 }
 
-/// Returns a port that is free for TCP and UDP now.
+/// Returns an address that is free for TCP and UDP.
+///
+/// The ports lie below the range from which the system chooses ports for others, so that none of
+/// them is taken before its daemon starts. Processes begin at different ports.
 fn free_address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
     loop {
-        let tcp = TcpListener::bind("127.0.0.1:0").expect("free port");
-        let address = tcp.local_addr().expect("local address");
-        if UdpSocket::bind(address).is_ok() {
+        let number = process::id() * 200 + NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = u16::try_from(12_000 + number % 20_000).expect("port");
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
@@ -284,22 +290,12 @@
                 "pools": [row("main", &[("groups", "main"), ("policy", "service")])],
             },
         });
-        let deadline = Instant::now() + GIVE_UP;
-        loop {
-            let url = self.url(0, "/v1/tables");
+        let url = self.url(0, "/v1/tables");
+        self.wait_for("the tables are accepted", async || {
             let applied = self.client.json("PUT", &url, OPERATOR, &body).await;
-            if applied
-                .as_ref()
-                .is_ok_and(|response| response.status == 200)
-            {
-                return;
-            }
-            assert!(
-                Instant::now() < deadline,
-                "tables are not accepted: {applied:?}"
-            );
-            time::sleep(POLL).await;
-        }
+            applied.is_ok_and(|response| response.status == 200)
+        })
+        .await;
     }
 
     async fn wait_until_ready(&self, domains: &[Domain]) {
