--- a/crates/scheduler/benches/harness/measure.rs
+++ b/crates/scheduler/benches/harness/measure.rs
@@ -4,7 +4,7 @@
 
 use crate::harness::{
     baseline::{Baseline, Rule},
-    mixes::Mix,
+    mixes::{Mix, vandermeulen},
     placer::Real,
     stats::Stats,
     world::{Run, World},
@@ -45,6 +45,19 @@
     World::new(run, real).finish()
 }
 
+/// Measures slot checks while analyses of twice the capacity saturate the pool.
+pub(crate) fn saturated() -> Stats {
+    let mut mix = vandermeulen();
+    for kind in &mut mix.kinds {
+        kind.load_percent = match kind.name {
+            "posture-analysis" => 200,
+            "slot-check" => 10,
+            _ => 0,
+        };
+    }
+    off(mix, 100, 100, 80)
+}
+
 /// Measures a baseline.
 pub(crate) fn baseline(mix: &Mix, load_percent: u64, rule: Rule) -> Stats {
     over_seeds(mix, load_percent, |run| {
--- a/crates/scheduler/benches/harness/stats.rs
+++ b/crates/scheduler/benches/harness/stats.rs
@@ -1,7 +1,7 @@
 //! Figures of a run.
 
 /// Waiting times and outcomes of one class.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub(crate) struct ClassStats {
     waits_ms: Vec<u64>,
     /// Jobs that ended within their time limit.
@@ -38,11 +38,9 @@
 }
 
 /// Figures of a run.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub(crate) struct Stats {
     pub(crate) classes: [ClassStats; 3],
-    /// Waiting times per kind.
-    pub(crate) kinds: Vec<ClassStats>,
     /// Use of the scarcest resource on workers that run anything, sum of samples in ppm.
     pub(crate) packed_ppm: u64,
     pub(crate) samples: u64,
@@ -59,13 +57,6 @@
         for (class, more) in self.classes.iter_mut().zip(other.classes) {
             class.merge(more);
         }
-        if self.kinds.is_empty() {
-            self.kinds = other.kinds;
-        } else {
-            for (kind, more) in self.kinds.iter_mut().zip(other.kinds) {
-                kind.merge(more);
-            }
-        }
         self.packed_ppm += other.packed_ppm;
         self.samples += other.samples;
         self.useful_work += other.useful_work;
--- a/crates/scheduler/benches/harness/world.rs
+++ b/crates/scheduler/benches/harness/world.rs
@@ -15,7 +15,7 @@
     draw,
     mixes::{KindSpec, Mix, worker_capacity},
     placer::{Action, Placer, Request, TaskRef, worker_name},
-    stats::{ClassStats, Stats},
+    stats::Stats,
 };
 
 /// Time between two reports of a worker.
@@ -118,7 +118,6 @@
             stats: Stats::default(),
             run,
         };
-        world.stats.kinds = vec![ClassStats::default(); world.run.mix.kinds.len()];
         for domain in 0..domains {
             for worker in 0..world.workers[domain].len() {
                 let report = world.make_report(domain, worker);
@@ -214,7 +213,6 @@
             self.jobs.insert(job, state);
         } else if self.measured(self.now_ms) {
             self.stats.classes[spec.class].refused += 1;
-            self.stats.kinds[kind].refused += 1;
         }
     }
 
@@ -250,8 +248,6 @@
                     let wait_ms = self.now_ms - state.arrived_ms;
                     self.stats.classes[spec.class].late += 1;
                     self.stats.classes[spec.class].waited(wait_ms);
-                    self.stats.kinds[state.request.kind].late += 1;
-                    self.stats.kinds[state.request.kind].waited(wait_ms);
                 }
             }
             Action::Preempt { task, mode } => self.preempt(domain, task, mode),
@@ -266,7 +262,6 @@
             let class = self.spec(state.request.kind).class;
             let wait_ms = self.now_ms - state.arrived_ms;
             self.stats.classes[class].waited(wait_ms);
-            self.stats.kinds[state.request.kind].waited(wait_ms);
         }
     }
 
@@ -382,16 +377,11 @@
         if !self.measured(state.arrived_ms) {
             return;
         }
-        let kind = state.request.kind;
-        let spec = self.spec(kind);
+        let spec = self.spec(state.request.kind);
         let in_time = self.now_ms <= state.request.deadline_ms;
-        for stats in [
-            &mut self.stats.classes[spec.class],
-            &mut self.stats.kinds[kind],
-        ] {
-            stats.in_time += u64::from(in_time);
-            stats.late += u64::from(!in_time);
-        }
+        let class = &mut self.stats.classes[spec.class];
+        class.in_time += u64::from(in_time);
+        class.late += u64::from(!in_time);
         if in_time {
             let work = u64::from(spec.tasks) * u64::from(spec.cpu_millicores) * spec.run_ms;
             self.stats.useful_work += work;
--- a/crates/scheduler/benches/measures.rs
+++ b/crates/scheduler/benches/measures.rs
@@ -95,6 +95,14 @@
             }
         }
     }
+    if filter.as_ref().is_none_or(|filter| filter == "saturated") {
+        show(
+            "Vandermeulen",
+            100,
+            "slot checks among analyses",
+            &measure::saturated(),
+        );
+    }
     for mix in [loftbook(), vandermeulen()] {
         for load_percent in [70, 90, 130] {
             let name = format!("{} {load_percent}", mix.name);
--- a/crates/scheduler/tests/scheduler/faults.rs
+++ b/crates/scheduler/tests/scheduler/faults.rs
@@ -233,3 +233,34 @@
     assert!((1..=4).contains(&slow), "{slow}");
     assert_eq!(limit.current(), 8);
 }
+
+/// Guards against a slow worker that is filled like the others.
+#[test]
+fn a_slow_worker_runs_fewer_tasks_at_once() {
+    let mut scheduler = scheduler(&one_pool("service", &[("k", SMALL)]), 4);
+    let mut running: Vec<(u64, Placement)> = Vec::new();
+
+    for now_ms in (0..60_000_u64).step_by(50) {
+        let mut waiting = job(now_ms, "k", "t", now_ms + 60_000);
+        waiting.accepted = true;
+        scheduler.submit(Millis(now_ms), waiting).expect("accepted");
+        let (ended, rest) = running.into_iter().partition(|(at, _)| *at <= now_ms);
+        running = rest;
+        for (_, placed) in ended {
+            scheduler.task_ended(Millis(now_ms), &end(&placed, EndKind::Succeeded, None));
+        }
+        for placed in placements(&decide(&mut scheduler, now_ms)) {
+            let run_ms = if placed.worker.as_str() == "w0" {
+                5_000
+            } else {
+                1_000
+            };
+            running.push((now_ms + run_ms, placed));
+        }
+    }
+
+    let limits = scheduler.worker_summaries().into_iter();
+    let limits: Vec<u32> = limits.map(|worker| worker.concurrency_limit).collect();
+    assert!(limits[0] < 8, "{limits:?}");
+    assert_eq!(limits[1..], [8, 8, 8]);
+}
--- a/crates/scheduler/tests/scheduler/overload.rs
+++ b/crates/scheduler/tests/scheduler/overload.rs
@@ -52,19 +52,19 @@
     }
 }
 
+/// Guards against decisions that depend on anything but the events.
+#[test]
+fn equal_events_give_equal_decisions() {
+    let first = measure::off(vandermeulen(), 130, 100, 80);
+    let second = measure::off(vandermeulen(), 130, 100, 80);
+
+    assert_eq!(first, second);
+}
+
 /// Guards against a till that waits: slot checks while analyses saturate the pool.
 #[test]
 fn slot_checks_start_in_time_while_analyses_saturate_the_pool() {
-    let mut mix = vandermeulen();
-    for kind in &mut mix.kinds {
-        kind.load_percent = match kind.name {
-            "posture-analysis" => 200,
-            "slot-check" => 10,
-            _ => 0,
-        };
-    }
-
-    let stats = measure::off(mix, 100, 100, 80);
+    let stats = measure::saturated();
 
     assert_eq!(stats.classes[0].refused + stats.classes[0].late, 0);
     assert!(stats.classes[0].wait_ms(100) <= 2_400);
