--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,13 +3,27 @@
 //! Drive a [`Node`] with [`Event`]s and carry out its [`Effect`]s in order. The node does no I/O and
 //! reads no clock, so many nodes can run in one process in virtual time.
 
+mod calls;
 mod codec;
 mod command;
 mod effect;
+mod entry;
 mod event;
+mod fallback;
+mod groups;
+mod io;
+mod ledger_state;
 mod message;
 mod node;
+mod operator;
+mod owner;
+mod peers;
+mod placer;
 mod settings;
+mod stop;
+mod submissions;
+mod tables_state;
+mod worker;
 
 pub use crate::{
     codec::{CallBody, GroupIdError},
@@ -21,7 +35,8 @@
         Effect, LogLevel, Observation, OperatorReply, Reply, RequestState, VmStatus, WorkerStatus,
     },
     event::{CallId, ConnectionId, Event, WorkerReply},
-    message::{GroupId, PeerMessage, PoolRoom, TablesReply, WorkerCall},
+    message::{GroupId, PeerMessage, Placing, PoolRoom, TablesReply, WorkerCall},
     node::Node,
     settings::{NodeRestored, NodeSettings, PeerSettings, RestoredGroup},
+    worker::{Active, Draining, Joining, StartPermit, Worker},
 };
