--- a/crates/node/tests/cluster/main.rs
+++ b/crates/node/tests/cluster/main.rs
@@ -2,6 +2,7 @@
 
 mod chaos;
 mod checks;
+mod measures;
 mod operators;
 mod path;
 mod requests;
--- /dev/null
+++ b/crates/node/tests/cluster/measures.rs
@@ -0,0 +1,206 @@
+//! Targets of the design page, measured in virtual time.
+
+use acaciareel_node::TablesReply;
+use acaciareel_types::TableVersion;
+
+use crate::sim::{Conn, Sim, Traffic, tables};
+
+/// Urgent work starts within this time.
+const START_TARGET_MS: u64 = 2_400;
+/// Accepted tables are in force everywhere within this time.
+const TABLES_TARGET_MS: u64 = 6_000;
+/// Control traffic of one VM, sent and received.
+const TRAFFIC_TARGET: usize = 23_000;
+
+/// Requests of one kind sent every 20 ms for 6 s around a fault.
+struct Stream {
+    sent: Vec<(String, u64, Conn)>,
+}
+
+impl Stream {
+    fn around(sim: &mut Sim, kind: &str, home: usize, vm: u32, fault: impl Fn(&mut Sim)) -> Self {
+        let mut sent = Vec::new();
+        for n in 0..300 {
+            if n == 50 {
+                fault(sim);
+            }
+            let key = format!("{}/{kind}-{n}", crate::sim::domain(home));
+            let connection = sim.submit(vm, kind, &key, 1, 20);
+            sent.push((key, sim.now_ms, connection));
+            sim.run_for(20);
+        }
+        sim.run_for(5_000);
+        Self { sent }
+    }
+
+    /// Returns the longest time from sending to the first run, and how many did not run.
+    fn longest_wait(&self, sim: &Sim) -> (u64, usize) {
+        let mut longest_ms = 0;
+        let mut not_run = 0;
+        for (key, sent_ms, _) in &self.sent {
+            let prefix = format!("{key} ");
+            let run = sim.runs.iter().find(|run| run.body.starts_with(&prefix));
+            match run {
+                Some(run) => longest_ms = longest_ms.max(run.start_ms - sent_ms),
+                None => not_run += 1,
+            }
+        }
+        (longest_ms, not_run)
+    }
+}
+
+/// Guards against a pause of service beyond the target when a ledger leader dies.
+#[test]
+fn the_death_of_a_ledger_leader_delays_starts_within_the_target() {
+    for seed in 101..109 {
+        for kind in ["verify", "credit", "lookup"] {
+            let mut sim = Sim::ready(seed, 3, 4);
+            let leader = sim.placer(1).expect("placer");
+            let vm = if leader == 6 { 5 } else { 6 };
+
+            let stream = Stream::around(&mut sim, kind, 1, vm, |sim| sim.kill(leader));
+
+            let (longest_ms, not_run) = stream.longest_wait(&sim);
+            println!("leader death, seed {seed}, {kind}: {longest_ms} ms, {not_run} not run");
+            assert!(
+                longest_ms <= START_TARGET_MS,
+                "seed {seed} {kind}: {longest_ms} ms"
+            );
+            assert_eq!(not_run, 0, "seed {seed} {kind}");
+        }
+    }
+}
+
+/// Guards against a pause of service beyond the target for callers whose VM dies.
+#[test]
+fn the_death_of_an_entry_vm_delays_its_callers_within_the_target() {
+    for kind in ["verify", "credit", "lookup"] {
+        let mut sim = Sim::ready(111, 3, 4);
+        let leader = sim.placer(1).expect("placer");
+        let vm = (4..=6).find(|vm| *vm != leader).expect("another VM");
+        let first = sim.submit(vm, kind, "khomas-b/entry", 1, 400);
+        sim.run_for(100);
+        sim.kill(vm);
+        let killed_ms = sim.now_ms;
+
+        let again = sim.submit(1, kind, "khomas-b/entry", 2, 400);
+        sim.verdict_of(again, 5_000);
+
+        assert!(sim.ran(again) && !sim.ran(first));
+        let waited_ms = sim.now_ms - killed_ms;
+        println!("entry VM death, {kind}: answered after {waited_ms} ms");
+        assert!(waited_ms <= START_TARGET_MS + 400, "{waited_ms} ms");
+    }
+}
+
+/// Guards against new work that waits for a dead worker, and against running work that is not
+/// run again in time.
+#[test]
+fn the_death_of_a_worker_delays_new_work_within_the_target() {
+    for (seed, kind) in [(121, "verify"), (122, "lookup"), (123, "credit")] {
+        let mut sim = Sim::ready(seed, 3, 3);
+
+        let stream = Stream::around(&mut sim, kind, 1, 5, |sim| {
+            let name = "w1-0".parse().expect("worker");
+            let worker = sim.workers.get_mut(&name).expect("worker");
+            worker.dead = true;
+        });
+
+        let (longest_ms, not_run) = stream.longest_wait(&sim);
+        println!("worker death, {kind}: {longest_ms} ms, {not_run} sent to the dead worker");
+        assert!(longest_ms <= START_TARGET_MS, "{kind}: {longest_ms} ms");
+        // Their fate is known only once the worker's task lease has run out.
+        let bound = if kind == "lookup" { 0 } else { 8 };
+        assert!(not_run <= bound, "{kind}: {not_run}");
+    }
+}
+
+/// Guards against other domains that suffer from the loss of one, and against idempotent work
+/// that waits for it.
+#[test]
+fn the_death_of_a_domain_delays_the_others_within_the_target() {
+    for (kind, home) in [("verify", 0), ("verify", 2), ("lookup", 0), ("lookup", 1)] {
+        let mut sim = Sim::ready(131, 3, 4);
+
+        let stream = Stream::around(&mut sim, kind, home, 8, |sim| {
+            for vm in 4..=6 {
+                sim.kill(vm);
+            }
+            for (name, worker) in &mut sim.workers {
+                worker.up &= !name.as_str().starts_with("w1");
+            }
+        });
+
+        let (longest_ms, not_run) = stream.longest_wait(&sim);
+        println!("domain death, {kind} of domain {home}: {longest_ms} ms, {not_run} not run");
+        assert!(
+            longest_ms <= START_TARGET_MS,
+            "{kind} {home}: {longest_ms} ms"
+        );
+        assert_eq!(not_run, 0, "{kind} {home}");
+    }
+}
+
+/// Guards against tables that come into force too late with many VMs and a lossy network.
+#[test]
+fn tables_are_in_force_everywhere_within_the_target() {
+    for seed in 141..145 {
+        let mut sim = Sim::ready(seed, 3, 2);
+        sim.loss_percent = 5;
+        for version in 1..=10 {
+            let change = sim.apply(9, &format!("op-{version}"), version, tables(3));
+            sim.run_while(10_000, |sim| sim.applied(change).is_none());
+            let accepted = TablesReply::Accepted(TableVersion(version + 1));
+            assert_eq!(sim.applied(change), Some(&accepted));
+            let took_ms = sim.run_while(TABLES_TARGET_MS, |sim| {
+                sim.vms.values().any(|vm| vm.tables_version <= version)
+            });
+            println!("tables in force everywhere after {took_ms} ms");
+        }
+    }
+}
+
+fn assert_traffic(name: &str, traffic: &[Traffic]) {
+    for vm in traffic {
+        println!("{name}: {vm:?}");
+    }
+    let most = traffic.iter().map(|vm| vm.control_bytes_per_s).max();
+    assert!(most.expect("VMs") <= TRAFFIC_TARGET, "{name}: {most:?} B/s");
+}
+
+/// Guards against control traffic beyond the target in a deployment of today's size.
+#[test]
+fn an_idle_vm_stays_within_the_traffic_target() {
+    let mut sim = Sim::ready(151, 3, 17);
+
+    let traffic = sim.traffic(|sim| sim.run_for(10_000));
+
+    assert_traffic("idle", &traffic);
+}
+
+/// Guards against control traffic beyond the target at 39 task starts a second in one domain.
+#[test]
+fn a_vm_at_39_starts_a_second_stays_within_the_traffic_target() {
+    let mut sim = Sim::ready(152, 3, 17);
+    let kinds = ["lookup", "lookup", "verify", "credit"];
+
+    let traffic = sim.traffic(|sim| {
+        for n in 0..390 {
+            let vm = 1 + u32::try_from(n % 3).expect("small");
+            sim.submit(vm, kinds[n % 4], &format!("khomas-a/load-{n}"), 1, 500);
+            sim.run_for(if n % 39 < 25 { 26 } else { 25 });
+        }
+    });
+
+    assert_traffic("39 starts/s", &traffic);
+}
+
+/// Guards against control traffic beyond the target with 370 workers in one domain.
+#[test]
+fn a_placer_of_370_workers_stays_within_the_traffic_target() {
+    let mut sim = Sim::ready_with(153, 3, [370, 0, 0]);
+
+    let traffic = sim.traffic(|sim| sim.run_for(10_000));
+
+    assert_traffic("370 workers", &traffic);
+}
--- a/crates/node/tests/cluster/sim.rs
+++ b/crates/node/tests/cluster/sim.rs
@@ -39,6 +39,8 @@
     pub stopped: bool,
     /// When the VM was last down, paused or cut off from another one.
     pub apart_ms: u64,
+    /// Bytes of requests and answers, on their way between caller and worker.
+    pub request_bytes: usize,
     pub sent_bytes: usize,
     pub received_bytes: usize,
     pub sent_messages: usize,
@@ -52,6 +54,16 @@
     WorkerTick,
 }
 
+/// Traffic of one VM, sent and received; messages as sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Traffic {
+    pub vm: u32,
+    /// Everything except the ways of requests and answers between caller and worker.
+    pub control_bytes_per_s: usize,
+    pub request_bytes_per_s: usize,
+    pub messages_per_s: usize,
+}
+
 /// What befalls the VM that sends the start of a certain request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Blow {
@@ -94,8 +106,8 @@
 }
 
 impl Sim {
-    /// Starts VMs 1 to `per_domain * 3` in three domains, with `workers` in each domain.
-    pub fn new(seed: u64, per_domain: u32, workers: u32) -> Self {
+    /// Starts VMs 1 to `per_domain * 3` in three domains, with workers in each domain.
+    pub fn new(seed: u64, per_domain: u32, workers: [u32; 3]) -> Self {
         let mut sim = Self {
             now_ms: 0,
             random: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1,
@@ -122,7 +134,7 @@
                 let vm = u32::try_from(index).expect("small") * per_domain + n;
                 sim.vms.insert(vm, Vm::new(domain(index)));
             }
-            for n in 0..workers {
+            for n in 0..workers[index] {
                 let report = worker_report(index, n);
                 let worker = FakeWorker::new(report.clone(), 0);
                 sim.workers.insert(report.worker, worker);
@@ -208,6 +220,11 @@
         vm.incarnation += 1;
     }
 
+    /// Notes something for the trace of a failed run.
+    pub fn note(&mut self, text: &str) {
+        self.log.push(format!("{} {text}", self.now_ms));
+    }
+
     pub fn freeze(&mut self, id: u32, duration_ms: u64) {
         self.vms.get_mut(&id).expect("known VM").frozen_until_ms = self.now_ms + duration_ms;
     }
@@ -340,19 +357,32 @@
     }
 
     fn count_http(&mut self, id: u32, request: &WorkerCall) {
-        let body = match request {
-            WorkerCall::Start { body, .. } => 400 + body.len(),
-            _ => 60,
-        };
         let vm = self.vms.get_mut(&id).expect("known VM");
-        vm.sent_bytes += body + HTTP_OVERHEAD;
+        match request {
+            WorkerCall::Start { body, .. } => {
+                vm.request_bytes += 400 + body.len() + 20 + 2 * HTTP_OVERHEAD;
+            }
+            _ => vm.sent_bytes += 60 + HTTP_OVERHEAD,
+        }
         vm.sent_messages += 1;
     }
 
     fn send(&mut self, from: u32, to: u32, message: PeerMessage) {
         let bytes = message.to_bytes();
+        let carries_request = matches!(
+            message,
+            PeerMessage::Submit { .. }
+                | PeerMessage::SubmitReply { .. }
+                | PeerMessage::Place { .. }
+                | PeerMessage::TaskResult { .. }
+        );
+        let size = bytes.len() + MESSAGE_OVERHEAD;
         let vm = self.vms.get_mut(&from).expect("known VM");
-        vm.sent_bytes += bytes.len() + MESSAGE_OVERHEAD;
+        if carries_request {
+            vm.request_bytes += size;
+        } else {
+            vm.sent_bytes += size;
+        }
         vm.sent_messages += 1;
         let incarnation = Incarnation(vm.incarnation);
         let message = PeerMessage::from_bytes(&bytes).expect("own message");
@@ -375,7 +405,11 @@
                 message: message.clone(),
             };
             let receiver = self.vms.get_mut(&to).expect("known VM");
-            receiver.received_bytes += bytes.len() + MESSAGE_OVERHEAD;
+            if carries_request {
+                receiver.request_bytes += size;
+            } else {
+                receiver.received_bytes += size;
+            }
             self.at(delay, Ev::Deliver(to, event));
         }
     }
@@ -440,11 +474,7 @@
             time_limit_ms: Millis(limit_ms),
             body: body.as_bytes().into(),
         };
-        let sent = Sent {
-            at_ms: self.now_ms,
-            kind: kind.to_owned(),
-            body,
-        };
+        let sent = Sent { body };
         self.checks.sent(self.next + 1, sent);
         self.connect(vm, |connection| Event::Submit {
             connection,
@@ -464,6 +494,7 @@
     }
 
     pub fn apply(&mut self, vm: u32, operation: &str, expected: u64, tables: RawTables) -> Conn {
+        self.checks.applying(self.next + 1, operation);
         let operation = operation.parse().expect("operation");
         self.connect(vm, |connection| Event::Apply {
             connection,
@@ -509,7 +540,10 @@
 
     pub fn runs_of(&self, key: &str) -> usize {
         let prefix = format!("{key} ");
-        self.runs.iter().filter(|run| run.body.starts_with(&prefix)).count()
+        self.runs
+            .iter()
+            .filter(|run| run.body.starts_with(&prefix))
+            .count()
     }
 
     /// Runs until a condition holds; returns the time it took.
@@ -584,6 +618,9 @@
     fn call(&mut self, id: u32, starts: u64, call: CallId, worker: &WorkerId, request: WorkerCall) {
         let unreachable = self.cut_workers.contains(&(id, worker.clone()));
         let target = self.workers.get_mut(worker).expect("known worker");
+        if target.dead {
+            return;
+        }
         let text = format!("{request:?}");
         let reply = if unreachable || !target.up {
             WorkerReply::NotSent
@@ -607,11 +644,9 @@
         if vm.starts != starts {
             return;
         }
-        let body = match &reply {
-            WorkerReply::Leased { report, .. } => 350 + report.running.len() * 250,
-            _ => 20,
-        };
-        vm.received_bytes += body + HTTP_OVERHEAD;
+        if let WorkerReply::Leased { report, .. } = &reply {
+            vm.received_bytes += 350 + report.running.len() * 250 + HTTP_OVERHEAD;
+        }
         self.at(delay, Ev::Deliver(id, Event::WorkerReplied { call, reply }));
     }
 
@@ -629,7 +664,7 @@
                 continue;
             }
             worker.tick(now_ms, &mut self.runs);
-            if !reachable {
+            if !reachable || worker.dead {
                 continue;
             }
             if now_ms >= worker.next_post_ms {
@@ -641,6 +676,8 @@
             if now_ms >= worker.next_announce_ms {
                 worker.next_announce_ms = now_ms + 1_000;
                 let report = worker.current_report();
+                let bytes = 350 + report.running.len() * 250 + 2 * HTTP_OVERHEAD;
+                self.vms.get_mut(&vm).expect("known VM").received_bytes += bytes;
                 self.announcing
                     .insert(self.next + 1, (id.clone(), report.leaving));
                 self.connect(vm, |connection| Event::Announce { connection, report });
@@ -655,6 +692,8 @@
         posts: Vec<(acaciareel_types::TaskId, acaciareel_types::Answer)>,
     ) {
         for (task, answer) in posts {
+            let bytes = 250 + answer.body.len() + 2 * HTTP_OVERHEAD;
+            self.vms.get_mut(&vm).expect("known VM").request_bytes += bytes;
             self.posts
                 .insert(self.next + 1, (worker.clone(), task.clone()));
             let worker = worker.clone();
@@ -683,6 +722,26 @@
         self.checks.tables_in_force(self.now_ms, &connected);
     }
 
+    /// Measures the traffic of each VM per second while `act` runs.
+    pub fn traffic(&mut self, act: impl FnOnce(&mut Self)) -> Vec<Traffic> {
+        for vm in self.vms.values_mut() {
+            (vm.sent_bytes, vm.received_bytes, vm.request_bytes) = (0, 0, 0);
+            vm.sent_messages = 0;
+        }
+        let start_ms = self.now_ms;
+        act(self);
+        let passed_ms = usize::try_from(self.now_ms - start_ms).expect("small");
+        let per_s = |count: usize| count * 1_000 / passed_ms;
+        let vms = self.vms.iter();
+        vms.map(|(id, vm)| Traffic {
+            vm: *id,
+            control_bytes_per_s: per_s(vm.sent_bytes + vm.received_bytes),
+            request_bytes_per_s: per_s(vm.request_bytes),
+            messages_per_s: per_s(vm.sent_messages),
+        })
+        .collect()
+    }
+
     /// Returns the VM that announces itself as a domain's ledger leader to others.
     pub fn placer(&mut self, of: usize) -> Option<u32> {
         let domain = domain(of).to_string();
@@ -718,6 +777,10 @@
 
     /// Starts a deployment with tables in force and all workers announced.
     pub fn ready(seed: u64, per_domain: u32, workers: u32) -> Self {
+        Self::ready_with(seed, per_domain, [workers; 3])
+    }
+
+    pub fn ready_with(seed: u64, per_domain: u32, workers: [u32; 3]) -> Self {
         let mut sim = Self::new(seed, per_domain, workers);
         sim.run_for(3_000);
         let applied = sim.apply(1, "first", 0, tables(4));
@@ -743,6 +806,7 @@
             tables_version: 0,
             stopped: false,
             apart_ms: 0,
+            request_bytes: 0,
             sent_bytes: 0,
             received_bytes: 0,
             sent_messages: 0,
