--- a/crates/acaciareeld/src/http.rs
+++ b/crates/acaciareeld/src/http.rs
@@ -33,7 +33,7 @@
     time,
 };
 
-use crate::{config::LimitsConfig, error::DaemonError, logging, node_task::Input};
+use crate::{config::LimitsConfig, error::DaemonError, logging, metering, node_task::Input};
 
 mod auth;
 mod connection;
@@ -104,6 +104,7 @@
             limits.connections,
             limits.header_bytes,
             Duration::from_millis(limits.header_timeout_ms.0),
+            Duration::from_millis(limits.idle_timeout_ms.0),
         ));
         let shared = Shared {
             announcements: RateLimit::new(limits.announcements, Instant::now()),
@@ -237,7 +238,10 @@
         }
         let body = self.read_body(received.body).await?;
         match endpoint {
-            Endpoint::Metrics => Ok(response::text(StatusCode::OK, self.app.metrics.render())),
+            Endpoint::Metrics => {
+                metering::measure_process();
+                Ok(response::text(StatusCode::OK, self.app.metrics.render()))
+            }
             Endpoint::Status => self.status().await,
             Endpoint::LogLevel => self.set_log_level(&body),
             endpoint => {
@@ -352,3 +356,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
