--- a/crates/node/src/placer/remote.rs
+++ b/crates/node/src/placer/remote.rs
@@ -1,6 +1,6 @@
 //! Delegation of a ledgered task to another domain's placer, seen from its home.
 
-use acaciareel_scheduler::{Cancelled, EndKind, JobId};
+use acaciareel_scheduler::{EndKind, JobId};
 use acaciareel_types::{FailureDomain, Millis, Reason, TaskId, Term, VmId};
 
 use super::{Job, Location, Owner, Placer, Site, Stage, TaskState, task_key};
@@ -129,7 +129,7 @@
             .map(|(id, _)| *id)
             .collect();
         for id in waiting {
-            if self.scheduler.cancel(now_ms, id) == Cancelled::Waiting {
+            if self.dequeue(now_ms, id) {
                 self.refuse_foreign(site, id, RESEND_MS);
             }
         }
@@ -146,7 +146,12 @@
             .map(|(id, _)| *id)
             .collect();
         for id in waiting {
-            if self.scheduler.cancel(now_ms, id) != Cancelled::Waiting {
+            // Each task sent takes room that the next one may have counted on.
+            let still = self
+                .jobs
+                .get(&id)
+                .is_some_and(|job| self.may_go_elsewhere(site, job));
+            if !still || !self.dequeue(now_ms, id) {
                 continue;
             }
             let owner = self.jobs.get(&id).map(|job| &job.owner);
@@ -195,7 +200,13 @@
         }
         *next_send_ms = now_ms.saturating_add(RESEND_MS);
         let placer = site.peers.ledger_leader(now_ms, domain);
-        let Some((vm, present)) = placer else {
+        let is_offered = task.state != TaskState::Unsent;
+        let Some((vm, present)) = placer.filter(|(_, now)| is_offered || *term == Some(*now))
+        else {
+            if !is_offered {
+                // The placer that was chosen has gone before it was told.
+                self.never_ran(site, id, index);
+            }
             return;
         };
         let id = task.id.clone();
