--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -69,8 +69,12 @@
 /// Message between replicas of one group.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Message {
-    /// An unformed replica tells the others that it holds no state for the group.
-    Unformed,
+    /// The founder asks whether the receiver holds no state for the group, or the receiver
+    /// answers that it holds none.
+    Unformed {
+        /// In an answer, the incarnation of the founder that asked; `None` in the question.
+        asked_by: Option<Incarnation>,
+    },
     /// Asks the leader to be added, as a learner first, under the sender's incarnation.
     Join,
     /// Asks for a vote.
@@ -214,7 +218,7 @@
     AddLearner(MemberId),
     /// Makes a learner a voter.
     Promote(VmId),
-    /// Removes a member.
+    /// Removes a member. A VM that still runs asks to join again, so it is stopped first.
     Remove(VmId),
 }
 
--- /dev/null
+++ b/crates/consensus/tests/replica/checks.rs
@@ -0,0 +1,114 @@
+//! Invariants that hold after every event.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use acaciareel_consensus::{Entry, MemberId, Output, Payload, Record, Replica, Role};
+use acaciareel_types::{Incarnation, LogIndex, Term, VmId};
+
+/// What all replicas together have shown so far.
+#[derive(Default)]
+pub struct Checks {
+    leaders: BTreeMap<Term, MemberId>,
+    /// Every entry ever written, by index and term.
+    written: BTreeMap<(LogIndex, Term), Entry>,
+    /// Every committed entry and the term in which its commit was first seen.
+    committed: BTreeMap<LogIndex, (Entry, Term)>,
+    /// Voters of the last committed member list.
+    voters: BTreeSet<MemberId>,
+    /// Last entry that each VM has committed since its start.
+    pub reached: BTreeMap<u32, LogIndex>,
+    /// Terms in which a leader has become ready.
+    pub ready: Vec<Term>,
+}
+
+impl Checks {
+    /// Checks one output: no empty ticket, log matching, order of commits.
+    pub fn output(&mut self, vm: u32, output: &Output) {
+        match output {
+            Output::Persist { records, .. } => {
+                assert!(!records.is_empty(), "vm-{vm} asks for a sync of nothing");
+                for record in records {
+                    if let Record::Append(entry) = record {
+                        self.check_written(vm, entry);
+                    }
+                }
+            }
+            Output::Commit { index, .. } => {
+                let reached = self.reached.get(&vm).copied().unwrap_or_default();
+                assert!(*index > reached, "vm-{vm} applies {index} after {reached}");
+                self.reached.insert(vm, *index);
+            }
+            Output::Restore { index, .. } => {
+                self.reached.insert(vm, *index);
+            }
+            Output::Ready { term } => self.ready.push(*term),
+            Output::Send { .. } | Output::RoleChanged { .. } => {}
+        }
+    }
+
+    fn check_written(&mut self, vm: u32, entry: &Entry) {
+        let key = (entry.index, entry.term);
+        let known = self.written.entry(key).or_insert_with(|| entry.clone());
+        assert_eq!(known, entry, "vm-{vm} wrote another entry under {key:?}");
+    }
+
+    /// Checks one leader per term, and that committed entries never change or disappear.
+    pub fn replica(&mut self, vm: u32, incarnation: Incarnation, replica: &Replica) {
+        let commit_index = replica.commit_index();
+        let known = self.committed.last_key_value().map_or(0, |(i, _)| i.0);
+        for index in known + 1..=commit_index.0 {
+            let entry = replica.entry(LogIndex(index));
+            let entry = entry.expect("a newly committed entry is in memory").clone();
+            self.check_members(&entry);
+            let committed = (entry, replica.term());
+            self.committed.insert(LogIndex(index), committed);
+        }
+        let recent = commit_index.0.saturating_sub(5)..=commit_index.0;
+        for entry in recent.filter_map(|index| replica.entry(LogIndex(index))) {
+            let committed = self.committed.get(&entry.index);
+            assert_eq!(Some(entry), committed.map(|(entry, _)| entry), "vm-{vm}");
+        }
+        if replica.role() == Role::Leader {
+            self.check_leader(vm, incarnation, replica);
+        }
+    }
+
+    /// Checks that at most one voter changes at a time, so that majorities overlap.
+    fn check_members(&mut self, entry: &Entry) {
+        let Payload::Members(members) = &entry.payload else {
+            return;
+        };
+        let voters = members.iter().filter(|(_, member)| member.voter);
+        let voters: BTreeSet<MemberId> = voters
+            .map(|(vm, member)| MemberId {
+                vm: *vm,
+                incarnation: member.incarnation,
+            })
+            .collect();
+        let changes = voters.symmetric_difference(&self.voters).count();
+        let allowed = changes <= 1 || self.voters.is_empty();
+        assert!(allowed, "{changes} voters change at once");
+        self.voters = voters;
+    }
+
+    fn check_leader(&mut self, vm: u32, incarnation: Incarnation, replica: &Replica) {
+        let id = MemberId {
+            vm: VmId(vm),
+            incarnation,
+        };
+        let term = replica.term();
+        if let Some(known) = self.leaders.get(&term) {
+            assert_eq!(*known, id, "two leaders in term {term}");
+            return;
+        }
+        self.leaders.insert(term, id);
+        // A candidate may win an earlier term late, on delayed votes; it commits nothing.
+        let earlier = self.committed.iter().filter(|(_, (_, seen))| *seen < term);
+        for (index, (entry, _)) in earlier {
+            let held = replica.entry(*index);
+            let covered = *index <= replica.snapshot_index() && held.is_none();
+            let kept = covered || held == Some(entry);
+            assert!(kept, "leader vm-{vm} lost {index}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/tests/replica/sizes.rs
@@ -0,0 +1,26 @@
+//! Estimated sizes of messages on the wire, from above.
+
+use acaciareel_consensus::{Entry, Message};
+
+/// Group name, nested message headers, length prefix of the envelope (40), and up to five varint
+/// fields of a message with its tag (25).
+const MESSAGE_BYTES: u64 = 65;
+
+/// IPv4 and UDP headers (28), QUIC short header, stream frame and authentication tag.
+const PACKET_BYTES: u64 = 60;
+
+/// Largest share of a message in one packet.
+const PACKET_PAYLOAD_BYTES: u64 = 1_200;
+
+/// Returns the size of a message with the headers of its packets.
+pub fn on_wire(message: &Message) -> u64 {
+    let content_bytes = match message {
+        Message::Append { entries, .. } => entries.iter().map(Entry::size_bytes).sum(),
+        Message::InstallSnapshot { members, chunk, .. } => {
+            20 * members.len() as u64 + chunk.len() as u64
+        }
+        _ => 0,
+    };
+    let bytes = MESSAGE_BYTES + content_bytes;
+    bytes + PACKET_BYTES * bytes.div_ceil(PACKET_PAYLOAD_BYTES)
+}
