--- a/crates/node/src/placer.rs
+++ b/crates/node/src/placer.rs
@@ -221,7 +221,8 @@
     scheduler: Scheduler,
     due: bool,
     workers: SortedVec<WorkerId, Registered>,
-    jobs: SortedVec<JobId, Job>,
+    /// Boxed, so that the end of one of 10,000 queued jobs moves 160 KB instead of 5 MB.
+    jobs: SortedVec<JobId, Box<Job>>,
     by_task: SortedVec<TaskId, JobId>,
     by_key: SortedVec<RequestKey, JobId>,
     /// Ended tasks of other domains' ledgers, so that a late copy of `Place` is not run.
--- a/crates/node/src/placer/foreign.rs
+++ b/crates/node/src/placer/foreign.rs
@@ -107,7 +107,7 @@
             home,
             task: task.clone(),
         };
-        let mut job = new_job(site, owner, request, &route);
+        let mut job = Box::new(new_job(site, owner, request, &route));
         if job.effect == acaciareel_types::Effect::Idempotent {
             // The home's ledger decides how often a task may run, whatever this VM's tables say.
             job.effect = acaciareel_types::Effect::Exclusive;
--- a/crates/node/src/placer/jobs.rs
+++ b/crates/node/src/placer/jobs.rs
@@ -126,7 +126,7 @@
         request: Request,
         route: &Route,
     ) {
-        let job = new_job(site, Owner::Direct(submitter), request, route);
+        let job = Box::new(new_job(site, Owner::Direct(submitter), request, route));
         match self.queue(site, &job, false) {
             Ok(()) => {
                 site.submissions.pending(submitter, &self.domain, job.id);
@@ -207,7 +207,7 @@
             time_limit_ms: request.time_limit_ms,
             once: route.effect == RunEffect::Once,
         };
-        let mut job = new_job(site, owner, request, route);
+        let mut job = Box::new(new_job(site, owner, request, route));
         let queued = self.queue(site, &job, false);
         if let Err(refusal) = queued
             && self.remote_target(site, &job).is_none()
@@ -287,7 +287,7 @@
     }
 
     /// Forgets a job and its tasks.
-    pub(super) fn remove_job(&mut self, id: JobId) -> Option<Job> {
+    pub(super) fn remove_job(&mut self, id: JobId) -> Option<Box<Job>> {
         let job = self.jobs.remove(&id)?;
         for task in &job.tasks {
             self.by_task.remove(&task.id);
--- a/crates/node/src/placer/recovery.rs
+++ b/crates/node/src/placer/recovery.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{
-    Job, Location, Owner, Placer, Site, Stage, Task, TaskState, jobs::recorded_job,
+    Location, Owner, Placer, Site, Stage, Task, TaskState, jobs::recorded_job,
     lease::TASKS_ENDED_MS, task_key,
 };
 use crate::{LedgerRecord, LedgerState, RequestKey, StartedOn, calls::Call};
@@ -31,7 +31,7 @@
     }
 
     fn recover_record(&mut self, site: &mut Site<'_, '_>, key: &RequestKey, record: &LedgerRecord) {
-        let mut job = recorded_job(site, key, record);
+        let mut job = Box::new(recorded_job(site, key, record));
         let id = job.id;
         self.by_key.insert(key.clone(), id);
         if let LedgerState::Running(tasks) = &record.state {
@@ -249,7 +249,7 @@
     }
 
     pub(super) fn stop_if_cancelled(&mut self, site: &mut Site<'_, '_>, id: JobId, index: usize) {
-        if self.jobs.get(&id).is_some_and(|job: &Job| job.cancelled) {
+        if self.jobs.get(&id).is_some_and(|job| job.cancelled) {
             self.stop_task(site, id, index);
         }
     }
