Follow workers that stop tasks without an answer

Cause: a worker ends a stopped task, or one whose task lease ran out, without an answer. Change: a worker that stops tasks for want of a placer takes a new incarnation; for workers that do not, a missing task counts as never run only if a placer was there during the last 4 s. An accepted stop is followed by a claim at once, so that its room is free before the next renewal.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -128,6 +128,12 @@
         self.retry_budget = (self.retry_budget + RETRY_GAIN).min(RETRY_BUDGET_MAX);
     }
 
+    /// Returns the time since a domain's ledger leader was last known.
+    pub fn leader_gap_ms(&self, now_ms: Millis, domain: &FailureDomain) -> Option<Millis> {
+        let seen_ms = self.leader_seen_ms.get(domain)?;
+        Some(now_ms.saturating_sub(*seen_ms))
+    }
+
     /// Returns whether a domain has had no ledger leader for longer than an election takes.
     fn home_unreachable(&self, now_ms: Millis, home: &FailureDomain) -> bool {
         let seen_ms = self.leader_seen_ms.get(home);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -415,7 +415,8 @@
             ("term", mode.term().to_string()),
         ];
         io.log(LogLevel::Info, "placer_started", fields);
-        self.with_placer(domain, io, Placer::take_over);
+        let gap_ms = self.entry.leader_gap_ms(io.now_ms, domain);
+        self.with_placer(domain, io, |placer, site| placer.take_over(site, gap_ms));
         self.heartbeat(io);
         self.placers_changed(io);
     }
--- a/crates/node/src/placer.rs
+++ b/crates/node/src/placer.rs
@@ -218,6 +218,8 @@
     /// Number of this placer role among those of the VM.
     life: u64,
     ready_ms: Millis,
+    /// Time without any placer before this role, if an earlier placer was known.
+    gap_ms: Option<Millis>,
     scheduler: Scheduler,
     due: bool,
     workers: SortedVec<WorkerId, Registered>,
@@ -246,6 +248,7 @@
             mode,
             life,
             ready_ms: now_ms,
+            gap_ms: None,
             scheduler: Scheduler::new(SchedulerSettings { seed }),
             due: true,
             workers: SortedVec::new(),
@@ -280,7 +283,8 @@
     }
 
     /// Starts from the tables in force and the ledger.
-    pub fn take_over(&mut self, site: &mut Site<'_, '_>) {
+    pub fn take_over(&mut self, site: &mut Site<'_, '_>, gap_ms: Option<Millis>) {
+        self.gap_ms = gap_ms;
         self.scheduler
             .set_tables(site.now_ms(), site.tables.tables());
         self.recover_records(site);
--- a/crates/node/src/placer/lease.rs
+++ b/crates/node/src/placer/lease.rs
@@ -68,6 +68,12 @@
                 self.suspend(site, &call.worker);
             }
             (Purpose::Lease, _) => self.claim_ended(&call.worker),
+            (Purpose::Other, WorkerReply::Accepted) => {
+                // The next report shows whether a stopped task has ended without an answer.
+                if let Some(registered) = self.workers.get_mut(&call.worker) {
+                    registered.next_claim_ms = site.now_ms();
+                }
+            }
             (Purpose::Other, _) => {}
         }
     }
--- a/crates/node/src/placer/recovery.rs
+++ b/crates/node/src/placer/recovery.rs
@@ -11,6 +11,10 @@
 };
 use crate::{LedgerRecord, LedgerState, RequestKey, StartedOn, calls::Call};
 
+/// Time without a placer in which no worker stops its tasks: the task lease of 10,000 ms less the
+/// longest renewal interval, and less 2,000 ms in which a lost leader still seems to be there.
+const ALONE_MS: Millis = Millis(4_000);
+
 impl Placer {
     /// Takes over the records of the ledger.
     pub(super) fn recover_records(&mut self, site: &mut Site<'_, '_>) {
@@ -85,7 +89,8 @@
         report: &WorkerReport,
     ) {
         for (id, index, incarnation) in self.tasks_on(&call.worker) {
-            if incarnation == report.incarnation {
+            // A new incarnation lists the tasks that it has kept.
+            if incarnation == report.incarnation || self.lists(&call.worker, id, index) {
                 self.reconcile_task(site, call, report, id, index);
             } else {
                 // The worker has restarted: what it ran has ended.
@@ -94,6 +99,15 @@
         }
     }
 
+    fn lists(&self, worker: &WorkerId, id: JobId, index: usize) -> bool {
+        let task = self.jobs.get(&id).map(|job| &job.tasks[index].id);
+        let listed = self
+            .workers
+            .get(worker)
+            .map(|registered| &registered.listed);
+        matches!((task, listed), (Some(task), Some(listed)) if listed.contains(task))
+    }
+
     fn reconcile_task(
         &mut self,
         site: &mut Site<'_, '_>,
@@ -118,10 +132,15 @@
             }
             // The worker keeps each result until it is acknowledged, and each acknowledged result
             // is in the ledger. So it never had this task, and refuses it from now on.
-            TaskState::Recovering | TaskState::Uncertain if fenced => {
+            TaskState::Uncertain if fenced => {
+                self.never_ran(site, id, index);
+                self.settle(site, id);
+            }
+            TaskState::Recovering if fenced && self.claimed_in_time(call) => {
                 self.never_ran(site, id, index);
                 self.settle(site, id);
             }
+            TaskState::Recovering if fenced => self.fate_unknown(site, id, index),
             TaskState::Running { .. } if listed => {
                 self.adopt(site, id, index, report);
             }
@@ -132,6 +151,13 @@
         }
     }
 
+    /// Returns whether a worker cannot have stopped tasks for want of a placer before this claim.
+    fn claimed_in_time(&self, call: &Call) -> bool {
+        let claimed_ms = call.sent_ms.saturating_sub(self.ready_ms);
+        let alone_ms = self.gap_ms.map(|gap_ms| gap_ms.saturating_add(claimed_ms));
+        alone_ms.is_some_and(|alone_ms| alone_ms < ALONE_MS)
+    }
+
     fn set_running(&mut self, site: &Site<'_, '_>, id: JobId, index: usize, call: &Call) {
         let accepted_ms = site.now_ms();
         if let Some(task) = self.task_mut(task_key(id, index)) {
@@ -149,6 +175,9 @@
         // The scheduler adopts whole jobs. The tasks of a gang hold room as reported ones.
         let single = job.tasks.len() == 1;
         let task = &mut job.tasks[index];
+        if let Location::Worker { incarnation, .. } = &mut task.location {
+            *incarnation = report.incarnation;
+        }
         let running = report.running.iter().find(|run| run.task == task.id);
         let Some(running) = running.filter(|_| !task.scheduled && single) else {
             return;
@@ -203,7 +232,18 @@
         match state {
             Some(TaskState::Finishing | TaskState::Committing) | None => return,
             Some(TaskState::Unsent) => self.never_ran(site, id, index),
-            Some(_) => self.end_task(site, id, index, TaskState::Gone, EndKind::Lost),
+            Some(_) => {
+                let stopped = self
+                    .jobs
+                    .get(&id)
+                    .is_some_and(|job| job.tasks[index].stopped);
+                let kind = if stopped {
+                    EndKind::Stopped
+                } else {
+                    EndKind::Lost
+                };
+                self.end_task(site, id, index, TaskState::Gone, kind);
+            }
         }
         self.settle(site, id);
     }
--- a/crates/node/tests/cluster/worker.rs
+++ b/crates/node/tests/cluster/worker.rs
@@ -126,7 +126,7 @@
             }
             WorkerCall::Stop { task, .. } | WorkerCall::Checkpoint { task, .. } => {
                 self.heard_ms = now_ms;
-                self.end(now_ms, &task, false, b"stopped", runs);
+                self.stop(now_ms, &task, runs);
                 WorkerReply::Accepted
             }
             WorkerCall::Throttle { .. } => WorkerReply::Accepted,
@@ -204,6 +204,13 @@
         WorkerReply::Accepted
     }
 
+    /// Ends a task without an answer.
+    fn stop(&mut self, now_ms: u64, task: &TaskId, runs: &mut [Run]) {
+        if let Some(ended) = self.running.remove(task) {
+            runs[ended.run].end_ms = Some(now_ms);
+        }
+    }
+
     fn end(&mut self, now_ms: u64, task: &TaskId, ok: bool, body: &[u8], runs: &mut [Run]) {
         let Some(ended) = self.running.remove(task) else {
             return;
@@ -215,19 +222,29 @@
         self.next_post_ms = now_ms;
     }
 
-    /// Ends tasks that are done, and exclusive ones when no placer was heard for too long.
+    /// Ends tasks that are done. When no placer was heard for too long, exclusive ones are stopped
+    /// and a new incarnation begins, so that no placer takes them for tasks that never ran.
     pub fn tick(&mut self, now_ms: u64, runs: &mut [Run]) {
-        let alone = now_ms >= self.heard_ms + TASK_LEASE_MS;
-        let due: Vec<(TaskId, bool)> = self
+        let done = self
             .running
             .iter()
-            .filter(|(_, task)| now_ms >= task.end_ms || (alone && task.exclusive))
-            .map(|(id, task)| (id.clone(), now_ms >= task.end_ms))
-            .collect();
-        for (task, done) in due {
+            .filter(|(_, task)| now_ms >= task.end_ms);
+        for task in done.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
             let body = self.running[&task].body.clone();
             let answer = [b"answer to ".as_slice(), &body].concat();
-            self.end(now_ms, &task, done, &answer, runs);
+            self.end(now_ms, &task, true, &answer, runs);
+        }
+        if now_ms < self.heard_ms + TASK_LEASE_MS {
+            return;
+        }
+        let exclusive = self.running.iter().filter(|(_, task)| task.exclusive);
+        let stopped: Vec<TaskId> = exclusive.map(|(id, _)| id.clone()).collect();
+        for task in &stopped {
+            self.stop(now_ms, task, runs);
+        }
+        if !stopped.is_empty() {
+            self.report.incarnation = Incarnation(self.report.incarnation.0 + 1);
+            self.next_announce_ms = now_ms;
         }
     }
 
