--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -176,7 +176,8 @@
         /// Task.
         task: TaskId,
     },
-    /// An entry VM passes on a worker's announcement to the placer of the worker's domain.
+    /// An entry VM passes on a worker's announcement to the placer of the worker's domain. Also
+    /// the answer to `Drain` from a placer that knows the worker.
     Announce {
         /// Report.
         report: WorkerReport,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -192,7 +192,7 @@
             PeerMessage::ApplyReply { submission, reply } => {
                 self.apply_answered(submission, reply, io);
             }
-            PeerMessage::Drain { worker } => self.drain_received(&worker, io),
+            PeerMessage::Drain { worker } => self.drain_received(vm, &worker, io),
             other => self.work_message(vm, other, io),
         }
     }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -14,6 +14,9 @@
 /// Time after which an operator is told that the outcome is unknown; it covers several elections.
 const GIVE_UP_MS: Millis = Millis(10_000);
 
+/// Time for a placer to say that it knows a drained worker.
+const DRAIN_GIVE_UP_MS: Millis = Millis(1_000);
+
 /// A change that an operator on this VM waits for.
 #[derive(Debug)]
 struct WaitingApply {
@@ -32,16 +35,19 @@
     next: u64,
     /// VMs that wait for the commit of an operation, with their numbers.
     proposed: SortedVec<OperationId, Vec<(VmId, u64)>>,
+    /// Drains whose worker no placer has confirmed yet.
+    drains: Vec<(ConnectionId, WorkerId, Millis)>,
 }
 
 impl Operators {
     pub fn connection_gone(&mut self, connection: ConnectionId) {
         self.waiting
             .retain(|_, waiting| waiting.connection != connection);
+        self.drains.retain(|(waiting, _, _)| *waiting != connection);
     }
 
     pub fn is_idle(&self) -> bool {
-        self.waiting.is_empty()
+        self.waiting.is_empty() && self.drains.is_empty()
     }
 }
 
@@ -71,10 +77,7 @@
                 let workers = self.worker_statuses(io.now_ms);
                 (connection, OperatorReply::Workers(workers))
             }
-            Event::Drain { connection, worker } => {
-                let known = self.drain(&worker, io);
-                (connection, OperatorReply::Drained(known))
-            }
+            Event::Drain { connection, worker } => return self.drain(connection, worker, io),
             _ => return,
         };
         io.reply(connection, Reply::Operator(reply));
@@ -93,19 +96,46 @@
         statuses.collect()
     }
 
-    /// Takes a worker out of service on every VM, since each may become its placer.
-    fn drain(&mut self, worker: &WorkerId, io: &mut Io<'_>) -> bool {
-        let known = self.entry.reports.contains_key(worker)
-            || self.placers.values().any(|placer| placer.knows(worker));
+    /// Takes a worker out of service on every VM, since each may become its placer. The operator
+    /// is answered once a placer says that it knows the worker.
+    fn drain(&mut self, connection: ConnectionId, worker: WorkerId, io: &mut Io<'_>) {
+        let give_up_ms = io.now_ms.saturating_add(DRAIN_GIVE_UP_MS);
         for vm in self.peers.others() {
             let worker = worker.clone();
             io.send(vm, PeerMessage::Drain { worker });
         }
-        self.drain_received(worker, io);
-        known
+        self.drain_received(self.settings.vm, &worker, io);
+        let waiting = (connection, worker, give_up_ms);
+        self.operators.drains.push(waiting);
+    }
+
+    /// A placer knows a worker: the operators who drain it are answered.
+    pub(crate) fn worker_known(&mut self, worker: &WorkerId, io: &mut Io<'_>) {
+        let drains = self
+            .operators
+            .drains
+            .extract_if(.., |(_, on, _)| on == worker);
+        for (connection, _, _) in drains {
+            io.reply(connection, Reply::Operator(OperatorReply::Drained(true)));
+        }
     }
 
-    pub(crate) fn drain_received(&mut self, worker: &WorkerId, io: &mut Io<'_>) {
+    fn tick_drains(&mut self, io: &mut Io<'_>) {
+        let now_ms = io.now_ms;
+        let drains = &mut self.operators.drains;
+        for (connection, _, _) in drains.extract_if(.., |(_, _, until)| now_ms >= *until) {
+            io.reply(connection, Reply::Operator(OperatorReply::Drained(false)));
+        }
+    }
+
+    pub(crate) fn drain_received(&mut self, from: VmId, worker: &WorkerId, io: &mut Io<'_>) {
+        let report = self
+            .placers
+            .values()
+            .find_map(|placer| placer.report_of(worker));
+        if let Some(report) = report.cloned() {
+            io.send(from, PeerMessage::Announce { report });
+        }
         let cached = self.entry.reports.get(worker);
         let incarnation = cached.map(|cached| cached.report.incarnation);
         self.entry.drains.insert(worker.clone(), incarnation);
@@ -233,6 +263,7 @@
     }
 
     pub(crate) fn tick_operators(&mut self, io: &mut Io<'_>) {
+        self.tick_drains(io);
         if !self.groups.leads(&GroupId::Tables) {
             // The senders ask the next leader, which knows the outcome or proposes again.
             self.operators.proposed.clear();
--- a/crates/node/src/placer/roster.rs
+++ b/crates/node/src/placer/roster.rs
@@ -43,14 +43,16 @@
 impl Node {
     /// Takes an announcement that some entry VM has passed on.
     pub(crate) fn announcement_received(&mut self, report: WorkerReport, io: &mut Io<'_>) {
+        self.worker_known(&report.worker, io);
         let domain = report.failure_domain.clone();
         self.with_placer(&domain, io, |placer, site| placer.announced(site, report));
     }
 }
 
 impl Placer {
-    pub fn knows(&self, worker: &WorkerId) -> bool {
-        self.workers.contains_key(worker)
+    pub fn report_of(&self, worker: &WorkerId) -> Option<&WorkerReport> {
+        let registered = self.workers.get(worker)?;
+        Some(registered.worker.report())
     }
 
     pub(super) fn incarnation_of(&self, worker: &WorkerId) -> Incarnation {
--- a/crates/node/tests/cluster/requests.rs
+++ b/crates/node/tests/cluster/requests.rs
@@ -1,9 +1,12 @@
 //! Single faults at exact moments in the life of a request.
 
-use acaciareel_node::GroupId;
-use acaciareel_types::{Reason, Verdict};
+use acaciareel_node::{Event, GroupId, OperatorReply, Reply};
+use acaciareel_types::{Reason, Verdict, WorkerId};
 
-use crate::sim::{Sim, StartFault, domain};
+use crate::{
+    sim::{Sim, StartFault, domain},
+    worker::Run,
+};
 
 fn not_run(verdict: &Verdict, reason: Reason) -> bool {
     matches!(verdict, Verdict::NotRun { reason: given, .. } if *given == reason)
@@ -231,6 +234,43 @@
     }
 }
 
+const DRAINED: Reply = Reply::Operator(OperatorReply::Drained(true));
+
+/// Guards against new work on a drained worker, although the leader changes meanwhile, and
+/// against a drain that outlasts the worker's life.
+#[test]
+fn a_drained_worker_gets_nothing_new_until_it_restarts() {
+    let mut sim = Sim::ready(23, 2, 2);
+    let name: WorkerId = "w1-0".parse().expect("worker");
+    let leader = sim.placer(1).expect("placer");
+    let drained = ["w1-0", "nobody"].map(|name| {
+        let worker = name.parse().expect("worker");
+        sim.connect(6, |connection| Event::Drain { connection, worker })
+    });
+    let drained_ms = sim.now_ms;
+    sim.run_for(1_200);
+    let known = drained.map(|connection| sim.replies[&connection].1 == DRAINED);
+    assert_eq!(known, [true, false]);
+    sim.kill(leader);
+    let load = |sim: &mut Sim, from: u32| {
+        for n in from..from + 200 {
+            sim.submit(5, "verify", &format!("khomas-b/drain-{n}"), 1, 100);
+            sim.run_for(20);
+        }
+    };
+
+    load(&mut sim, 0);
+    let on_it = |run: &&Run| run.worker == "w1-0" && run.start_ms > drained_ms + 2_000;
+    assert_eq!(sim.runs.iter().filter(on_it).count(), 0);
+    let now_ms = sim.now_ms;
+    let worker = sim.workers.get_mut(&name).expect("worker");
+    worker.restart(now_ms, &mut sim.runs);
+    sim.run_for(7_000);
+    load(&mut sim, 200);
+
+    assert!(sim.runs.iter().filter(on_it).count() > 0);
+}
+
 /// Guards against new work on a leaving worker, although the leader changes meanwhile.
 #[test]
 fn a_leaving_worker_gets_nothing_new_during_a_leader_change() {
