Accept tables of the target size

Cause: a change of tables with 700 quotas and 100 kinds exceeds the body limit of 256 KiB and got 413. Change: tables_bytes, 2 MiB by default, bounds the body of PUT /v1/tables.

--- a/crates/acaciareeld/src/config.rs
+++ b/crates/acaciareeld/src/config.rs
@@ -56,8 +56,10 @@
 /// Bounds on what others can make this VM do.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LimitsConfig {
-    /// Largest HTTP body.
+    /// Largest HTTP body, except that of the tables.
     pub body_bytes: usize,
+    /// Largest body of a change of the tables; those with 700 quotas have about 300 KB.
+    pub tables_bytes: usize,
     /// Largest HTTP request head.
     pub header_bytes: usize,
     /// Longest wait for a complete request head, and for a complete body.
@@ -330,6 +332,7 @@
 
 const LIMIT_KEYS: &[&str] = &[
     "body_bytes",
+    "tables_bytes",
     "header_bytes",
     "header_timeout_ms",
     "idle_timeout_ms",
@@ -344,6 +347,7 @@
     let mut reader = SectionReader::new(raw, "limits", LIMIT_KEYS, settings)?;
     Ok(LimitsConfig {
         body_bytes: reader.in_range("body_bytes", 256 << 10, &(1 << 10), &(16 << 20))?,
+        tables_bytes: reader.in_range("tables_bytes", 2 << 20, &(1 << 10), &(16 << 20))?,
         header_bytes: reader.in_range("header_bytes", 16 << 10, &(1 << 10), &(256 << 10))?,
         header_timeout_ms: reader.in_range(
             "header_timeout_ms",
--- a/crates/acaciareeld/src/http.rs
+++ b/crates/acaciareeld/src/http.rs
@@ -236,7 +236,11 @@
         {
             return Err(HttpError::too_many());
         }
-        let body = self.read_body(received.body).await?;
+        let limit_bytes = match endpoint {
+            Endpoint::Apply => limits.tables_bytes,
+            _ => limits.body_bytes,
+        };
+        let body = self.read_body(received.body, limit_bytes).await?;
         match endpoint {
             Endpoint::Metrics => {
                 metering::measure_process();
@@ -258,14 +262,14 @@
         }
     }
 
-    async fn read_body(&self, body: Body) -> Result<Bytes, HttpError> {
+    async fn read_body(&self, body: Body, limit_bytes: usize) -> Result<Bytes, HttpError> {
         let limits = &self.app.limits;
         let limit = Duration::from_millis(limits.header_timeout_ms.0);
-        let collected = Limited::new(body, limits.body_bytes).collect();
+        let collected = Limited::new(body, limit_bytes).collect();
         match time::timeout(limit, collected).await {
             Ok(Ok(collected)) => Ok(collected.to_bytes()),
             Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-                let reason = format!("body exceeds {} bytes", limits.body_bytes);
+                let reason = format!("body exceeds {limit_bytes} bytes");
                 Err(HttpError::new(StatusCode::PAYLOAD_TOO_LARGE, reason))
             }
             Ok(Err(error)) => Err(HttpError::bad_request(format!("body: {error}"))),
--- a/crates/acaciareeld/src/http/tests.rs
+++ b/crates/acaciareeld/src/http/tests.rs
@@ -36,6 +36,7 @@
 fn limits() -> LimitsConfig {
     LimitsConfig {
         body_bytes: 256 << 10,
+        tables_bytes: 2 << 20,
         header_bytes: 1 << 10,
         header_timeout_ms: Millis(30_000),
         idle_timeout_ms: Millis(30_000),
--- a/crates/acaciareeld/src/worker_client/tests.rs
+++ b/crates/acaciareeld/src/worker_client/tests.rs
@@ -15,6 +15,7 @@
 fn client() -> WorkerClient {
     let limits = LimitsConfig {
         body_bytes: 0,
+        tables_bytes: 2 << 20,
         header_bytes: 0,
         header_timeout_ms: Millis(0),
         idle_timeout_ms: Millis(30_000),
--- a/crates/acaciareeld/tests/end_to_end.rs
+++ b/crates/acaciareeld/tests/end_to_end.rs
@@ -2,6 +2,7 @@
 
 use std::{fs, sync::Arc};
 
+use serde_json::json;
 use tokio::task::JoinSet;
 
 #[path = "end_to_end/client.rs"]
@@ -183,6 +184,47 @@
     assert_eq!((env.starts("loft-1"), env.starts("loft-2")), (1, 1));
 }
 
+/// Guards against tables of the target size, with 700 quotas and 100 kinds, that are too large for the interface.
+#[tokio::test(flavor = "multi_thread")]
+async fn tables_with_seven_hundred_quotas_are_accepted() {
+    let env = TestEnv::start(ONE_DOMAIN, &[]).await;
+    let url = env.url(0, "/v1/tables");
+    let shown = env.client.json("GET", &url, OPERATOR, &json!({})).await;
+    let mut tables = shown.expect("tables").json()["tables"].take();
+    let limits = [
+        ("weight", "10"),
+        ("cpu_millicores", "4294967295"),
+        ("memory_bytes", "18446744073709551615"),
+        ("accelerators", "4294967295"),
+        ("slots", "4294967295"),
+        ("connections", "4294967295"),
+    ];
+    let quotas = (0..700).map(|tenant| {
+        let settings = limits.map(|(key, value)| json!({"key": key, "value": value}));
+        json!({"name": format!("team-with-a-name-of-usual-length-{tenant}"), "settings": settings})
+    });
+    tables["quotas"] = quotas.collect();
+    let routes = tables["routes"].as_array_mut().expect("routes");
+    for kind in 0..100 {
+        let mut route = routes[0].clone();
+        route["name"] = json!(format!("kind-{kind}"));
+        routes.push(route);
+    }
+
+    let body = json!({"operation_id": "quotas", "expected_version": 1, "tables": tables});
+    let applied = env.client.json("PUT", &url, OPERATOR, &body).await;
+
+    let applied = applied.expect("answer");
+    assert_eq!(applied.json()["outcome"], "accepted", "{}", applied.text());
+    assert!(body.to_string().len() > 256 << 10);
+    for vm in 0..3 {
+        env.wait_for("the change is in force", async || {
+            env.status(vm).await["tables_version"] == 2
+        })
+        .await;
+    }
+}
+
 /// Guards against a token that opens a part of the interface that is not its own, and against bad
 /// input that is answered without a reason.
 #[tokio::test(flavor = "multi_thread")]
