Commit a cancellation before its task is stopped

Cause: a worker ends a stopped task without a trace. Change: tasks of recorded requests are stopped only after the committed Cancel, and a cancelled request that is missing on its worker has an unknown fate. Tasks of effect once are neither preempted nor stopped with their gang.

--- a/crates/node/src/placer.rs
+++ b/crates/node/src/placer.rs
@@ -202,6 +202,9 @@
     pub stage: Stage,
     pub tasks: Vec<Task>,
     pub cancelled: bool,
+    /// Whether its running tasks may be stopped. A stopped task leaves no trace on its worker, so
+    /// for a recorded job `Cancel` is committed first: a new placer must not think that it never ran.
+    pub may_stop: bool,
     /// Whether an earlier attempt may have run.
     pub may_have_run: bool,
     /// Verdict to give once `Withdraw` is committed.
--- a/crates/node/src/placer/applied.rs
+++ b/crates/node/src/placer/applied.rs
@@ -142,13 +142,16 @@
     }
 
     fn cancel_applied(&mut self, site: &mut Site<'_, '_>, id: JobId) {
-        if let Some(job) = self.jobs.get_mut(&id)
-            && let Owner::Ledger { inquirers, .. } = &mut job.owner
-        {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.may_stop = true;
+        if let Owner::Ledger { inquirers, .. } = &mut job.owner {
             for inquirer in std::mem::take(inquirers) {
                 site.answer_inquiry(inquirer, RequestState::Running);
             }
         }
+        self.stop_running(site, id);
     }
 
     /// Forgets the tasks of an ended attempt and acknowledges results that came too late.
--- a/crates/node/src/placer/attempts.rs
+++ b/crates/node/src/placer/attempts.rs
@@ -45,9 +45,15 @@
             .get(&id)
             .map(|job| job.tasks.iter().map(|task| task.state).collect())
             .unwrap_or_default();
+        // A stopped task leaves no trace, and a new placer could take it for one that never ran.
+        let once = self
+            .jobs
+            .get(&id)
+            .is_some_and(|job| job.effect == RunEffect::Once);
         for (index, state) in states.into_iter().enumerate() {
             match state {
                 TaskState::Unsent => self.never_ran(site, id, index),
+                _ if once => {}
                 TaskState::Running { .. } | TaskState::Offered | TaskState::Delegated => {
                     self.stop_task(site, id, index);
                 }
--- a/crates/node/src/placer/cancel.rs
+++ b/crates/node/src/placer/cancel.rs
@@ -94,13 +94,12 @@
                 });
                 if sent {
                     self.propose(site, LedgerCommand::Cancel { key });
-                    self.stop_running(site, id);
                 }
             }
         }
     }
 
-    fn stop_running(&mut self, site: &mut Site<'_, '_>, id: JobId) {
+    pub(super) fn stop_running(&mut self, site: &mut Site<'_, '_>, id: JobId) {
         let count = self.jobs.get(&id).map_or(0, |job| job.tasks.len());
         for index in 0..count {
             let state = self.jobs.get(&id).map(|job| job.tasks[index].state);
@@ -122,6 +121,7 @@
             return;
         }
         job.cancelled = true;
+        job.may_stop = true;
         if job.stage == Stage::Queued && self.dequeue(site.now_ms(), id) {
             self.refuse_queued(site, id, Reason::Cancelled, Millis(0));
         } else {
--- a/crates/node/src/placer/foreign.rs
+++ b/crates/node/src/placer/foreign.rs
@@ -203,6 +203,7 @@
             return;
         }
         job.cancelled = true;
+        job.may_stop = true;
         if job.stage == Stage::Queued {
             if self.dequeue(site.now_ms(), id) {
                 self.refuse_foreign(site, id, RETRY_AFTER_MS);
--- a/crates/node/src/placer/jobs.rs
+++ b/crates/node/src/placer/jobs.rs
@@ -363,6 +363,7 @@
         stage: Stage::Queued,
         tasks: Vec::new(),
         cancelled: false,
+        may_stop: false,
         may_have_run: false,
         refusal: None,
         refused_by: Vec::new(),
@@ -407,6 +408,7 @@
         stage: Stage::Queued,
         tasks: Vec::new(),
         cancelled: record.cancelled,
+        may_stop: record.cancelled,
         // The earlier placer knew whether the last attempt ran; this one does not.
         may_have_run: !record.once && record.attempt.0 > 0,
         refusal: None,
--- a/crates/node/src/placer/recovery.rs
+++ b/crates/node/src/placer/recovery.rs
@@ -119,9 +119,11 @@
         let Some(registered) = self.workers.get(&call.worker) else {
             return;
         };
-        let Some(task) = self.jobs.get(&id).map(|job| &job.tasks[index]) else {
+        let Some(job) = self.jobs.get(&id) else {
             return;
         };
+        let may_stop = job.may_stop;
+        let task = &job.tasks[index];
         let listed = registered.listed.contains(&task.id);
         let fenced = task.token < call.token;
         match task.state {
@@ -136,7 +138,7 @@
                 self.never_ran(site, id, index);
                 self.settle(site, id);
             }
-            TaskState::Recovering if fenced && self.claimed_in_time(call) => {
+            TaskState::Recovering if fenced && !may_stop && self.claimed_in_time(call) => {
                 self.never_ran(site, id, index);
                 self.settle(site, id);
             }
@@ -289,7 +291,7 @@
     }
 
     pub(super) fn stop_if_cancelled(&mut self, site: &mut Site<'_, '_>, id: JobId, index: usize) {
-        if self.jobs.get(&id).is_some_and(|job| job.cancelled) {
+        if self.jobs.get(&id).is_some_and(|job| job.may_stop) {
             self.stop_task(site, id, index);
         }
     }
--- a/crates/node/src/placer/start.rs
+++ b/crates/node/src/placer/start.rs
@@ -313,6 +313,14 @@
         worker: &WorkerId,
         mode: PreemptMode,
     ) {
+        let once = self
+            .jobs
+            .get(&key.job)
+            .is_some_and(|job| job.effect == RunEffect::Once);
+        if once && mode != PreemptMode::Throttle {
+            // It could not run again.
+            return;
+        }
         let Some(task) = self.task_mut(key) else {
             return;
         };
