--- a/crates/node/tests/cluster/requests.rs
+++ b/crates/node/tests/cluster/requests.rs
@@ -324,6 +324,30 @@
     assert!(sim.ran(after), "{verdict:?}");
 }
 
+/// Guards against a second run of a cancelled request whose leader dies around the stop, which
+/// leaves no trace on the worker (random faults, seeds 1024 and 1117).
+#[test]
+fn a_cancelled_once_request_does_not_run_again_after_a_leader_change() {
+    for wait_ms in [2, 6, 12, 20, 40] {
+        let mut sim = Sim::ready(24, 2, 2);
+        let leader = sim.placer(1).expect("placer");
+        sim.submit(6, "credit", "khomas-b/stop-once", 1, 5_000);
+        sim.run_for(300);
+        sim.inquire(6, "khomas-b/stop-once", true);
+        sim.run_for(wait_ms);
+        sim.kill(leader);
+
+        let again = sim.submit(5, "credit", "khomas-b/stop-once", 2, 5_000);
+        let verdict = sim.verdict_of(again, 21_000);
+
+        assert!(
+            !matches!(verdict, Verdict::NotRun { .. }),
+            "{wait_ms}: {verdict:?}"
+        );
+        assert_eq!(sim.runs_of("khomas-b/stop-once"), 1, "{wait_ms}");
+    }
+}
+
 /// Guards against callers that wait in vain because their VM hears others but is not heard. Once
 /// it is told so, it refuses at once; what it sent before has an unknown fate.
 #[test]
