--- /dev/null
+++ b/crates/acaciareeld/src/daemon.rs
@@ -0,0 +1,222 @@
+//! Life of the daemon: start, run, graceful stop.
+
+use std::{
+    sync::{Arc, atomic::AtomicBool, atomic::Ordering},
+    time::Duration,
+};
+
+use acaciareel_node::{Event, Node, NodeRestored, NodeSettings, PeerSettings};
+use acaciareel_types::Incarnation;
+use error_stack::{Report, ResultExt};
+use log::{info, warn};
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::{
+    select,
+    signal::unix::{Signal, SignalKind, signal},
+    sync::{mpsc, watch},
+    task::JoinHandle,
+    time,
+};
+
+use crate::{
+    config::Config,
+    error::DaemonError,
+    http::{App, Server, Tokens},
+    logging, metering,
+    node_task::{Clock, Input, NodeTask, Shell},
+    storage::{self, Opened, Storage, StorageError},
+    storage_task::StorageTask,
+    transport::Transport,
+    worker_client::WorkerClient,
+};
+
+/// Inputs that may wait for the node. A sender that finds the queue full waits.
+const INPUT_QUEUE: usize = 4_096;
+/// Interval at which histograms are tidied.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+/// Time for the last messages to the other daemons, such as acknowledgements of results.
+const CLOSE_LIMIT: Duration = Duration::from_millis(500);
+
+/// Signals that stop the daemon.
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    fn new() -> Result<Self, Report<DaemonError>> {
+        let listen = |kind| signal(kind).change_context(DaemonError::Start);
+        Ok(Self {
+            terminate: listen(SignalKind::terminate())?,
+            interrupt: listen(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn next(&mut self) {
+        select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
+/// A daemon that serves requests.
+struct Running {
+    app: Arc<App>,
+    server: Server,
+    transport: Arc<Transport>,
+    node: JoinHandle<()>,
+    node_stopped: watch::Receiver<bool>,
+    storage_failed: watch::Receiver<bool>,
+}
+
+/// Runs the daemon until it has stopped gracefully.
+///
+/// # Errors
+///
+/// Fails if it cannot start, or if the data folder fails while it runs.
+pub async fn run(config: Config, rejoin_as_new: bool) -> Result<(), Report<DaemonError>> {
+    let mut signals = StopSignals::new()?;
+    let mut running = start(&config, rejoin_as_new).await?;
+    let mut storage_failed = running.storage_failed.clone();
+    select! {
+        () = signals.next() => {}
+        () = wait_for(&mut storage_failed) => return Err(Report::new(DaemonError::Run)),
+        ended = &mut running.node => {
+            return Err(Report::new(DaemonError::Run).attach(format!("node: {ended:?}")));
+        }
+    }
+    select! {
+        () = running.stop() => Ok(()),
+        () = signals.next() => {
+            warn!(event = "stop_forced"; "a second signal ends the daemon at once");
+            Err(Report::new(DaemonError::Run).attach("ended by a second signal"))
+        }
+        () = wait_for(&mut storage_failed) => Err(Report::new(DaemonError::Run)),
+    }
+}
+
+async fn start(config: &Config, rejoin_as_new: bool) -> Result<Running, Report<DaemonError>> {
+    let logger = logging::start(&config.logs)?;
+    let metrics = metering::start()?;
+    let tokens = Tokens::load(&config.tokens)?;
+    let (storage, restored, incarnation) = open_storage(config, rejoin_as_new)?;
+    let clock = Clock::start();
+    let (inputs, received) = mpsc::channel(INPUT_QUEUE);
+    let started = storage::new_incarnation().0;
+    let transport = Transport::start(config, incarnation, started, inputs.clone())?;
+    let transport = Arc::new(transport);
+    let (stopped, node_stopped) = watch::channel(false);
+    let (failed, storage_failed) = watch::channel(false);
+    let shell = Shell {
+        transport: Arc::clone(&transport),
+        workers: WorkerClient::new(&config.limits, tokens.for_workers()),
+        storage: storage.map(|storage| StorageTask::start(storage, inputs.clone(), failed)),
+        stopped,
+        inputs: inputs.clone(),
+    };
+    let node = Node::new(node_settings(config, incarnation), restored, clock.now());
+    let node = tokio::spawn(NodeTask::new(node, clock, shell).run(received));
+    tokio::spawn(run_upkeep(metrics.clone()));
+    let app = Arc::new(App {
+        vm: config.vm,
+        failure_domain: config.failure_domain.clone(),
+        incarnation,
+        limits: config.limits.clone(),
+        tokens,
+        inputs,
+        metrics,
+        logger,
+        stopping: AtomicBool::new(false),
+    });
+    let server = Server::start(config.http, Arc::clone(&app)).await?;
+    info!(
+        event = "started", vm:% = config.vm, incarnation:% = incarnation,
+        http:% = server.address, peers:% = config.peers_listen; ""
+    );
+    Ok(Running {
+        app,
+        server,
+        transport,
+        node,
+        node_stopped,
+        storage_failed,
+    })
+}
+
+impl Running {
+    /// Stops gracefully: no request in flight is interrupted. The load balancer still sends
+    /// connections for some seconds, so requests are served for that time.
+    async fn stop(&mut self) {
+        info!(event = "stopping", vm:% = self.app.vm; "");
+        self.app.stopping.store(true, Ordering::Relaxed);
+        time::sleep(Duration::from_millis(self.app.limits.stop_accept_ms.0)).await;
+        self.server.stop_accepting();
+        let _ = self.app.inputs.send(Input::Event(Event::Stop)).await;
+        wait_for(&mut self.node_stopped).await;
+        // Answers that the node has given may still be on their way.
+        self.server.wait_until_idle().await;
+        self.transport.close(CLOSE_LIMIT).await;
+        info!(event = "stopped", vm:% = self.app.vm; "");
+    }
+}
+
+async fn wait_for(flag: &mut watch::Receiver<bool>) {
+    if flag.wait_for(|set| *set).await.is_err() {
+        // The sender is gone without a word; whoever held it tells the reason elsewhere.
+        std::future::pending::<()>().await;
+    }
+}
+
+async fn run_upkeep(prometheus: PrometheusHandle) {
+    let mut interval = time::interval(UPKEEP_INTERVAL);
+    loop {
+        interval.tick().await;
+        prometheus.run_upkeep();
+    }
+}
+
+fn open_storage(
+    config: &Config,
+    rejoin_as_new: bool,
+) -> Result<(Option<Storage>, NodeRestored, Incarnation), Report<DaemonError>> {
+    let Some(folder) = &config.data_folder else {
+        let incarnation = storage::new_incarnation();
+        return Ok((None, NodeRestored::default(), incarnation));
+    };
+    if rejoin_as_new {
+        let aside = Storage::set_aside(folder).change_context(DaemonError::Start)?;
+        warn!(event = "state_set_aside", folder:% = aside.display(); "");
+    }
+    let opened = Storage::open(folder, config.vm).map_err(|report| {
+        let kind = match report.current_context() {
+            StorageError::Damaged { .. } => DaemonError::Damaged,
+            _ => DaemonError::Start,
+        };
+        report.change_context(kind)
+    })?;
+    let Opened {
+        storage,
+        restored,
+        incarnation,
+    } = opened;
+    Ok((Some(storage), restored, incarnation))
+}
+
+fn node_settings(config: &Config, incarnation: Incarnation) -> NodeSettings {
+    let peer = |domain| PeerSettings {
+        failure_domain: domain,
+    };
+    NodeSettings {
+        vm: config.vm,
+        incarnation,
+        failure_domain: config.failure_domain.clone(),
+        vms: config
+            .vms
+            .iter()
+            .map(|(vm, settings)| (*vm, peer(settings.failure_domain.clone())))
+            .collect(),
+        groups: config.groups.clone(),
+        seed: config.seed,
+    }
+}
