--- a/crates/node/src/placer/recovery.rs
+++ b/crates/node/src/placer/recovery.rs
@@ -1,7 +1,9 @@
 //! Fate of running tasks after a change of placer, a worker's restart or its loss.
 
 use acaciareel_scheduler::{EndKind, Job as QueuedJob, JobId, Placement};
-use acaciareel_types::{FencingToken, Incarnation, Resources, TaskId, WorkerId, WorkerReport};
+use acaciareel_types::{
+    FencingToken, Incarnation, Millis, Resources, TaskId, WorkerId, WorkerReport,
+};
 
 use super::{
     Job, Location, Owner, Placer, Site, Stage, Task, TaskState, jobs::recorded_job,
@@ -76,15 +78,12 @@
         site: &mut Site<'_, '_>,
         call: &Call,
         report: &WorkerReport,
-        restarted: bool,
     ) {
-        if restarted {
-            self.worker_restarted(site, &call.worker);
-        }
         for (id, index, incarnation) in self.tasks_on(&call.worker) {
             if incarnation == report.incarnation {
                 self.reconcile_task(site, call, report, id, index);
             } else {
+                // The worker has restarted: what it ran has ended.
                 self.fate_unknown(site, id, index);
             }
         }
@@ -184,16 +183,6 @@
         }
     }
 
-    /// A worker has lost its tasks by a restart: what it ran has ended.
-    pub(super) fn worker_restarted(&mut self, site: &mut Site<'_, '_>, worker: &WorkerId) {
-        let now = self.incarnation_of(worker);
-        for (id, index, incarnation) in self.tasks_on(worker) {
-            if incarnation != now {
-                self.fate_unknown(site, id, index);
-            }
-        }
-    }
-
     /// A worker's task lease has run out: what it ran has ended.
     pub(super) fn worker_lost(&mut self, site: &mut Site<'_, '_>, worker: &WorkerId) {
         self.suspend(site, worker);
@@ -288,6 +277,7 @@
         reserved: Resources::default(),
         token: FencingToken(0),
         placed_ms: site.now_ms(),
+        called_ms: Millis(0),
         scheduled: false,
         stopped: false,
         acks: Vec::new(),
--- a/crates/node/tests/cluster/main.rs
+++ b/crates/node/tests/cluster/main.rs
@@ -2,6 +2,10 @@
 
 mod chaos;
 mod checks;
+mod measures;
+mod operators;
 mod path;
+mod requests;
 mod sim;
+mod stop;
 mod worker;
--- a/crates/node/tests/cluster/sim.rs
+++ b/crates/node/tests/cluster/sim.rs
@@ -37,6 +37,10 @@
     held: Vec<Event>,
     pub tables_version: u64,
     pub stopped: bool,
+    /// When the VM was last down, paused or cut off from another one.
+    pub apart_ms: u64,
+    /// Bytes of requests and answers, on their way between caller and worker.
+    pub request_bytes: usize,
     pub sent_bytes: usize,
     pub received_bytes: usize,
     pub sent_messages: usize,
@@ -50,6 +54,25 @@
     WorkerTick,
 }
 
+/// Traffic of one VM, sent and received; messages as sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Traffic {
+    pub vm: u32,
+    /// Everything except the ways of requests and answers between caller and worker.
+    pub control_bytes_per_s: usize,
+    pub request_bytes_per_s: usize,
+    pub messages_per_s: usize,
+}
+
+/// What befalls the VM that sends the start of a certain request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Blow {
+    KillBefore,
+    FreezeBefore,
+    KillAfter,
+    FreezeAfter,
+}
+
 /// A caller's connection that a test follows.
 pub type Conn = u64;
 
@@ -64,6 +87,9 @@
     pub cut: BTreeSet<(u32, u32)>,
     pub cut_workers: BTreeSet<(u32, WorkerId)>,
     pub loss_percent: u64,
+    /// Fault that strikes once, when the start of a body with this text is sent.
+    pub blow: Option<(String, Blow)>,
+    pub struck: Option<u32>,
     pub replies: BTreeMap<Conn, (u64, Reply)>,
     connections: BTreeMap<Conn, (u32, u64)>,
     posts: BTreeMap<Conn, (WorkerId, acaciareel_types::TaskId)>,
@@ -80,8 +106,8 @@
 }
 
 impl Sim {
-    /// Starts VMs 1 to `per_domain * 3` in three domains, with `workers` in each domain.
-    pub fn new(seed: u64, per_domain: u32, workers: u32) -> Self {
+    /// Starts VMs 1 to `per_domain * 3` in three domains, with workers in each domain.
+    pub fn new(seed: u64, per_domain: u32, workers: [u32; 3]) -> Self {
         let mut sim = Self {
             now_ms: 0,
             random: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1,
@@ -93,6 +119,8 @@
             cut: BTreeSet::new(),
             cut_workers: BTreeSet::new(),
             loss_percent: 0,
+            blow: None,
+            struck: None,
             replies: BTreeMap::new(),
             connections: BTreeMap::new(),
             posts: BTreeMap::new(),
@@ -106,7 +134,7 @@
                 let vm = u32::try_from(index).expect("small") * per_domain + n;
                 sim.vms.insert(vm, Vm::new(domain(index)));
             }
-            for n in 0..workers {
+            for n in 0..workers[index] {
                 let report = worker_report(index, n);
                 let worker = FakeWorker::new(report.clone(), 0);
                 sim.workers.insert(report.worker, worker);
@@ -192,6 +220,11 @@
         vm.incarnation += 1;
     }
 
+    /// Notes something for the trace of a failed run.
+    pub fn note(&mut self, text: &str) {
+        self.log.push(format!("{} {text}", self.now_ms));
+    }
+
     pub fn freeze(&mut self, id: u32, duration_ms: u64) {
         self.vms.get_mut(&id).expect("known VM").frozen_until_ms = self.now_ms + duration_ms;
     }
@@ -229,11 +262,60 @@
         let mut effects = Vec::new();
         node.reduce(now_ms, event, &mut effects);
         for effect in effects {
-            self.effect(id, effect);
+            let blow = self.blow_of(&effect);
+            match blow {
+                Some(Blow::KillBefore) => {
+                    self.kill(id);
+                    return true;
+                }
+                Some(Blow::FreezeBefore) => {
+                    self.freeze(id, 5_000);
+                    // The process was paused just before the call left it.
+                    if let Effect::CallWorker {
+                        call,
+                        worker,
+                        request,
+                        ..
+                    } = effect
+                    {
+                        let starts = self.vms[&id].starts;
+                        self.at(5_000, Ev::Call(id, starts, call, worker, request));
+                    }
+                    continue;
+                }
+                _ => self.effect(id, effect),
+            }
+            match blow {
+                Some(Blow::KillAfter) => {
+                    self.kill(id);
+                    return true;
+                }
+                Some(Blow::FreezeAfter) => self.freeze(id, 5_000),
+                _ => {}
+            }
+            if blow.is_some() {
+                self.struck = Some(id);
+            }
         }
         true
     }
 
+    fn blow_of(&mut self, effect: &Effect) -> Option<Blow> {
+        let (text, blow) = self.blow.clone()?;
+        let Effect::CallWorker {
+            request: WorkerCall::Start { body, .. },
+            ..
+        } = effect
+        else {
+            return None;
+        };
+        if !String::from_utf8_lossy(body).starts_with(&text) {
+            return None;
+        }
+        self.blow = None;
+        Some(blow)
+    }
+
     fn effect(&mut self, id: u32, effect: Effect) {
         match effect {
             Effect::Send { to, message } => self.send(id, to.0, message),
@@ -275,19 +357,32 @@
     }
 
     fn count_http(&mut self, id: u32, request: &WorkerCall) {
-        let body = match request {
-            WorkerCall::Start { body, .. } => 400 + body.len(),
-            _ => 60,
-        };
         let vm = self.vms.get_mut(&id).expect("known VM");
-        vm.sent_bytes += body + HTTP_OVERHEAD;
+        match request {
+            WorkerCall::Start { body, .. } => {
+                vm.request_bytes += 400 + body.len() + 20 + 2 * HTTP_OVERHEAD;
+            }
+            _ => vm.sent_bytes += 60 + HTTP_OVERHEAD,
+        }
         vm.sent_messages += 1;
     }
 
     fn send(&mut self, from: u32, to: u32, message: PeerMessage) {
         let bytes = message.to_bytes();
+        let carries_request = matches!(
+            message,
+            PeerMessage::Submit { .. }
+                | PeerMessage::SubmitReply { .. }
+                | PeerMessage::Place { .. }
+                | PeerMessage::TaskResult { .. }
+        );
+        let size = bytes.len() + MESSAGE_OVERHEAD;
         let vm = self.vms.get_mut(&from).expect("known VM");
-        vm.sent_bytes += bytes.len() + MESSAGE_OVERHEAD;
+        if carries_request {
+            vm.request_bytes += size;
+        } else {
+            vm.sent_bytes += size;
+        }
         vm.sent_messages += 1;
         let incarnation = Incarnation(vm.incarnation);
         let message = PeerMessage::from_bytes(&bytes).expect("own message");
@@ -310,7 +405,11 @@
                 message: message.clone(),
             };
             let receiver = self.vms.get_mut(&to).expect("known VM");
-            receiver.received_bytes += bytes.len() + MESSAGE_OVERHEAD;
+            if carries_request {
+                receiver.request_bytes += size;
+            } else {
+                receiver.received_bytes += size;
+            }
             self.at(delay, Ev::Deliver(to, event));
         }
     }
@@ -375,11 +474,7 @@
             time_limit_ms: Millis(limit_ms),
             body: body.as_bytes().into(),
         };
-        let sent = Sent {
-            at_ms: self.now_ms,
-            kind: kind.to_owned(),
-            body,
-        };
+        let sent = Sent { body };
         self.checks.sent(self.next + 1, sent);
         self.connect(vm, |connection| Event::Submit {
             connection,
@@ -399,6 +494,7 @@
     }
 
     pub fn apply(&mut self, vm: u32, operation: &str, expected: u64, tables: RawTables) -> Conn {
+        self.checks.applying(self.next + 1, operation);
         let operation = operation.parse().expect("operation");
         self.connect(vm, |connection| Event::Apply {
             connection,
@@ -422,6 +518,12 @@
             self.now_ms = at_ms;
             self.step(event);
             self.checks.check(at_ms, &self.runs, &mut self.workers);
+            if !self.checks.violations.is_empty() {
+                if std::env::var_os("TRACE").is_some() {
+                    std::fs::write("/tmp/node-trace.txt", self.log.join("\n")).expect("trace");
+                }
+                panic!("{:#?}", self.checks.violations);
+            }
         }
         self.now_ms = until_ms;
     }
@@ -430,6 +532,20 @@
         self.run_until(self.now_ms + duration_ms);
     }
 
+    /// Runs until a connection has its verdict.
+    pub fn verdict_of(&mut self, connection: Conn, limit_ms: u64) -> Verdict {
+        self.run_while(limit_ms, |sim| sim.verdict(connection).is_none());
+        self.verdict(connection).expect("answered").clone()
+    }
+
+    pub fn runs_of(&self, key: &str) -> usize {
+        let prefix = format!("{key} ");
+        self.runs
+            .iter()
+            .filter(|run| run.body.starts_with(&prefix))
+            .count()
+    }
+
     /// Runs until a condition holds; returns the time it took.
     pub fn run_while(&mut self, limit_ms: u64, mut waiting: impl FnMut(&Self) -> bool) -> u64 {
         let start_ms = self.now_ms;
@@ -502,6 +618,10 @@
     fn call(&mut self, id: u32, starts: u64, call: CallId, worker: &WorkerId, request: WorkerCall) {
         let unreachable = self.cut_workers.contains(&(id, worker.clone()));
         let target = self.workers.get_mut(worker).expect("known worker");
+        if target.dead {
+            return;
+        }
+        let text = format!("{request:?}");
         let reply = if unreachable || !target.up {
             WorkerReply::NotSent
         } else {
@@ -512,16 +632,21 @@
                 reply
             }
         };
+        if std::env::var_os("TRACE").is_some() {
+            let reply: String = format!("{reply:?}").chars().take(40).collect();
+            self.log.push(format!(
+                "{} vm-{id} {worker} {text} -> {reply}",
+                self.now_ms
+            ));
+        }
         let delay = 1 + self.random(2);
         let vm = self.vms.get_mut(&id).expect("known VM");
         if vm.starts != starts {
             return;
         }
-        let body = match &reply {
-            WorkerReply::Leased { report, .. } => 350 + report.running.len() * 250,
-            _ => 20,
-        };
-        vm.received_bytes += body + HTTP_OVERHEAD;
+        if let WorkerReply::Leased { report, .. } = &reply {
+            vm.received_bytes += 350 + report.running.len() * 250 + HTTP_OVERHEAD;
+        }
         self.at(delay, Ev::Deliver(id, Event::WorkerReplied { call, reply }));
     }
 
@@ -539,7 +664,7 @@
                 continue;
             }
             worker.tick(now_ms, &mut self.runs);
-            if !reachable {
+            if !reachable || worker.dead {
                 continue;
             }
             if now_ms >= worker.next_post_ms {
@@ -551,6 +676,8 @@
             if now_ms >= worker.next_announce_ms {
                 worker.next_announce_ms = now_ms + 1_000;
                 let report = worker.current_report();
+                let bytes = 350 + report.running.len() * 250 + 2 * HTTP_OVERHEAD;
+                self.vms.get_mut(&vm).expect("known VM").received_bytes += bytes;
                 self.announcing
                     .insert(self.next + 1, (id.clone(), report.leaving));
                 self.connect(vm, |connection| Event::Announce { connection, report });
@@ -565,6 +692,8 @@
         posts: Vec<(acaciareel_types::TaskId, acaciareel_types::Answer)>,
     ) {
         for (task, answer) in posts {
+            let bytes = 250 + answer.body.len() + 2 * HTTP_OVERHEAD;
+            self.vms.get_mut(&vm).expect("known VM").request_bytes += bytes;
             self.posts
                 .insert(self.next + 1, (worker.clone(), task.clone()));
             let worker = worker.clone();
@@ -580,19 +709,39 @@
 
     /// Checks that each accepted change is in force wherever it can be known, 6 s later.
     fn check_tables(&mut self) {
-        let connected: Vec<(u32, u64)> = self
-            .vms
-            .iter()
-            .filter(|(id, vm)| {
-                vm.node.is_some()
-                    && self.now_ms >= vm.frozen_until_ms
-                    && !self.cut.iter().any(|(a, b)| a == *id || b == *id)
-            })
-            .map(|(id, vm)| (*id, vm.tables_version))
-            .collect();
+        let (now_ms, cut) = (self.now_ms, &self.cut);
+        let mut connected = Vec::new();
+        for (id, vm) in &mut self.vms {
+            let is_cut = cut.iter().any(|(a, b)| a == id || b == id);
+            if vm.node.is_none() || now_ms < vm.frozen_until_ms || is_cut {
+                vm.apart_ms = now_ms;
+            } else if now_ms >= vm.apart_ms + 6_000 {
+                connected.push((*id, vm.tables_version));
+            }
+        }
         self.checks.tables_in_force(self.now_ms, &connected);
     }
 
+    /// Measures the traffic of each VM per second while `act` runs.
+    pub fn traffic(&mut self, act: impl FnOnce(&mut Self)) -> Vec<Traffic> {
+        for vm in self.vms.values_mut() {
+            (vm.sent_bytes, vm.received_bytes, vm.request_bytes) = (0, 0, 0);
+            vm.sent_messages = 0;
+        }
+        let start_ms = self.now_ms;
+        act(self);
+        let passed_ms = usize::try_from(self.now_ms - start_ms).expect("small");
+        let per_s = |count: usize| count * 1_000 / passed_ms;
+        let vms = self.vms.iter();
+        vms.map(|(id, vm)| Traffic {
+            vm: *id,
+            control_bytes_per_s: per_s(vm.sent_bytes + vm.received_bytes),
+            request_bytes_per_s: per_s(vm.request_bytes),
+            messages_per_s: per_s(vm.sent_messages),
+        })
+        .collect()
+    }
+
     /// Returns the VM that announces itself as a domain's ledger leader to others.
     pub fn placer(&mut self, of: usize) -> Option<u32> {
         let domain = domain(of).to_string();
@@ -628,6 +777,10 @@
 
     /// Starts a deployment with tables in force and all workers announced.
     pub fn ready(seed: u64, per_domain: u32, workers: u32) -> Self {
+        Self::ready_with(seed, per_domain, [workers; 3])
+    }
+
+    pub fn ready_with(seed: u64, per_domain: u32, workers: [u32; 3]) -> Self {
         let mut sim = Self::new(seed, per_domain, workers);
         sim.run_for(3_000);
         let applied = sim.apply(1, "first", 0, tables(4));
@@ -652,6 +805,8 @@
             held: Vec::new(),
             tables_version: 0,
             stopped: false,
+            apart_ms: 0,
+            request_bytes: 0,
             sent_bytes: 0,
             received_bytes: 0,
             sent_messages: 0,
--- a/crates/node/tests/cluster/worker.rs
+++ b/crates/node/tests/cluster/worker.rs
@@ -41,6 +41,8 @@
     pub next_post_ms: u64,
     /// Whether calls arrive but replies are lost.
     pub mute: bool,
+    /// Whether its VM has failed: calls get no reply at all.
+    pub dead: bool,
     pub fails_everything: bool,
     pub violations: Vec<String>,
 }
@@ -59,6 +61,7 @@
             next_announce_ms: now_ms,
             next_post_ms: now_ms,
             mute: false,
+            dead: false,
             fails_everything: false,
             violations: Vec::new(),
         }
--- /dev/null
+++ b/crates/scheduler/benches/measures.rs
@@ -0,0 +1,119 @@
+//! Waiting time and packing of the scheduler and of simple baselines, in virtual time.
+//!
+//! Run with `cargo bench -p acaciareel-scheduler --bench measures`. The figures are the same on
+//! every run and machine.
+
+#[allow(dead_code)]
+#[path = "harness/harness.rs"]
+mod harness;
+
+use std::time::Instant;
+
+use crate::harness::{
+    baseline::Rule,
+    fleet::Fleet,
+    measure,
+    mixes::{loftbook, vandermeulen},
+    stats::{Stats, percentile},
+};
+
+fn show(name: &str, load_percent: u64, who: &str, stats: &Stats) {
+    let classes = stats.classes.iter().map(|class| {
+        format!(
+            "p50 {} p99 {} mean {} ms, {} in time, {} late, {} refused",
+            class.wait_ms(50),
+            class.wait_ms(99),
+            class.mean_wait_us() / 1_000,
+            class.in_time,
+            class.late,
+            class.refused
+        )
+    });
+    println!(
+        "{name} {load_percent}% {who}: packing {:.1}%, work in time {}, examined p99 {}, {} preempted",
+        stats.packing_ppm() as f64 / 10_000.0,
+        stats.useful_work / 1_000_000,
+        percentile(&stats.examined, 99),
+        stats.preempted,
+    );
+    for (class, line) in ["urgent", "standard", "batch"].iter().zip(classes) {
+        println!("    {class:9}{line}");
+    }
+    if std::env::var_os("KINDS").is_some() {
+        for (i, class) in stats.kinds.iter().enumerate() {
+            println!(
+                "       kind {i} p50 {} p99 {} mean {} in time {} late {} refused {}",
+                class.wait_ms(50),
+                class.wait_ms(99),
+                class.mean_wait_us() / 1_000,
+                class.in_time,
+                class.late,
+                class.refused
+            );
+        }
+    }
+}
+
+/// Prints the wall time of placements on one core; the only figures that depend on the machine.
+fn show_speed(workers: u64) {
+    const STEPS: u32 = 50_000;
+    let mut fleet = Fleet::new(workers);
+    let before = fleet.running();
+    let mut examined = Vec::new();
+    let mut times_ns: Vec<u64> = Vec::new();
+    let begin = Instant::now();
+    for _ in 0..STEPS {
+        let step = Instant::now();
+        let cost = fleet.step();
+        times_ns.push(u64::try_from(step.elapsed().as_nanos()).unwrap_or(u64::MAX));
+        if cost.tasks > 0 {
+            examined.push(cost.most_examined.into());
+        }
+    }
+    let per_s = f64::from(STEPS) / begin.elapsed().as_secs_f64();
+    println!(
+        "{workers} workers, {before} to {} running tasks: {per_s:.0} placements/s, p50 {} us, p99 {} us, \
+         max {} us, examined p50 {} p99 {} max {}",
+        fleet.running(),
+        percentile(&times_ns, 50) / 1_000,
+        percentile(&times_ns, 99) / 1_000,
+        percentile(&times_ns, 100) / 1_000,
+        percentile(&examined, 50),
+        percentile(&examined, 99),
+        percentile(&examined, 100),
+    );
+}
+
+fn main() {
+    // Cargo passes `--bench`; anything else is a filter by name, as with other benchmarks.
+    let filter = std::env::args().skip(1).find(|arg| !arg.starts_with("--"));
+    if filter.as_ref().is_none_or(|filter| filter == "speed") {
+        for workers in [50, 500, 3_700] {
+            show_speed(workers);
+        }
+    }
+    for mix in [loftbook(), vandermeulen()] {
+        for load_percent in [70, 90, 130] {
+            let name = format!("{} {load_percent}", mix.name);
+            if filter
+                .as_ref()
+                .is_some_and(|filter| !name.contains(filter.as_str()))
+            {
+                continue;
+            }
+            show(
+                mix.name,
+                load_percent,
+                "scheduler",
+                &measure::scheduler(&mix, load_percent),
+            );
+            if std::env::var_os("ONLY").is_some() {
+                continue;
+            }
+            for rule in Rule::ALL {
+                let stats = measure::baseline(&mix, load_percent, rule);
+                show(mix.name, load_percent, &format!("{rule:?}"), &stats);
+            }
+        }
+    }
+}
--- a/crates/scheduler/src/scheduler/pass.rs
+++ b/crates/scheduler/src/scheduler/pass.rs
@@ -6,7 +6,7 @@
     Decision, DecisionCost, JobId, Placement, Refusal, TaskKey,
     amounts::times,
     index::WorkerIndex,
-    jobs::{RunningTask, Waiting},
+    jobs::{RunningTask, Tentative, Waiting},
     kinds::KindId,
     placement,
     scheduler::Scheduler,
@@ -14,14 +14,18 @@
 
 /// Longest time between two passes over a pool with waiting jobs.
 const PASS_INTERVAL_MS: Millis = Millis(100);
-/// Wait after which a job counts as aged: the oldest of them gets every eighth start of its pool,
-/// whatever its class, and may keep room free.
-const AGED_MS: Millis = Millis(10_000);
-/// See [`AGED_MS`]; the predicted rate of lower classes counts on the same part.
-const STARTS_PER_AGED: u64 = 8;
+/// Aged jobs get this part of the started work. Counting starts would give a few long jobs the
+/// whole pool in return for many short ones.
+const WORK_PER_AGED: u64 = 8;
 /// Delay of a probe beyond which urgent work probes too, since a pool may have no other work.
 const PROBE_OVERDUE_MS: Millis = Millis(10_000);
 
+/// Failing workers outside quarantine that one decision looks at.
+const SUSPECTS: usize = 32;
+
+/// Workers that a decision on a blamed kind looks at for one that does not fail it.
+const UNTRIED: usize = 32;
+
 /// Outcome of an attempt to place a job.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Attempt {
@@ -32,13 +36,6 @@
     Gone,
 }
 
-/// A task that holds room while the rest of its job is placed.
-struct Tentative {
-    key: TaskKey,
-    worker: WorkerIndex,
-    rack: Option<u32>,
-}
-
 /// What is placed: a job's tasks with their demand.
 struct Wanted {
     job: JobId,
@@ -99,11 +96,16 @@
 
     fn pass(&mut self, now_ms: Millis, pool: usize, out: &mut Vec<Decision>) {
         let mut skip = Vec::new();
-        self.try_holder(now_ms, pool, &mut skip, out);
+        let mut holder_tried = false;
         let mut aged_tried = false;
         loop {
             let aged = self.aged_turn(now_ms, pool).filter(|_| !aged_tried);
             let next = aged.or_else(|| self.pools[pool].queue.next(&skip));
+            if !holder_tried && self.holder_first(pool, next) {
+                holder_tried = true;
+                self.try_holder(now_ms, pool, &mut skip, out);
+                continue;
+            }
             let Some((kind, job)) = next else {
                 break;
             };
@@ -114,7 +116,10 @@
                 self.attempt(now_ms, pool, job, out)
             };
             match attempt {
-                Attempt::Placed => aged_tried = false,
+                Attempt::Placed => {
+                    aged_tried = false;
+                    self.pools[pool].count_start(aged.is_some());
+                }
                 Attempt::NoRoom => {
                     skip.push(kind);
                     self.make_room(now_ms, pool, job, aged.is_some(), out);
@@ -135,13 +140,12 @@
     /// Returns the oldest job, if it is its turn.
     fn aged_turn(&self, now_ms: Millis, pool: usize) -> Option<(KindId, JobId)> {
         let pool = &self.pools[pool];
-        if pool.starts % STARTS_PER_AGED != STARTS_PER_AGED - 1 {
+        if pool.aged_work > pool.other_work / (WORK_PER_AGED - 1) {
             return None;
         }
-        let job = pool.queue.oldest()?;
+        let job = pool.queue.aged(now_ms)?;
         let waiting = self.waiting.get(&job)?;
-        (now_ms.saturating_sub(waiting.submitted_ms) >= AGED_MS)
-            .then_some((waiting.queued.kind, job))
+        Some((waiting.queued.kind, job))
     }
 
     fn wanted(&self, job: JobId) -> Option<Wanted> {
@@ -178,11 +182,14 @@
             self.start(now_ms, pool, &wanted, &[probe], out);
             return Attempt::Placed;
         }
-        let mut placed = Vec::new();
+        let mut placed = self.take_kept(now_ms, pool, job);
         for index in 0..wanted.tasks {
             let key = TaskKey { job, index };
+            if placed.iter().any(|tentative| tentative.key == key) {
+                continue;
+            }
             let Some(tentative) = self.place_one(now_ms, pool, &wanted, key) else {
-                self.undo(now_ms, &placed);
+                self.keep_or_undo(now_ms, pool, job, placed);
                 return Attempt::NoRoom;
             };
             placed.push(tentative);
@@ -202,10 +209,12 @@
         let mut examined = 0;
         let state = &self.pools[pool];
         let kept = self.kept_worker(now_ms, pool, wanted.job, &wanted.demand, &mut examined);
-        let chosen = kept.or_else(|| {
+        let untried = kept.or_else(|| self.untried(pool, wanted, &mut examined));
+        let chosen = untried.or_else(|| {
             let slot = placement::choose(state, wanted.kind, &wanted.demand, &mut examined)?;
             state.index.entry(slot).map(|entry| entry.worker)
         });
+        let chosen = chosen.or_else(|| self.suspect(now_ms, pool, wanted, &mut examined));
         self.cost.tasks += 1;
         self.cost.examined += examined;
         self.cost.most_examined = self.cost.most_examined.max(examined);
@@ -229,10 +238,11 @@
             key,
             worker: index,
             rack: entry.map(|entry| entry.rack),
+            reserved: demand,
         })
     }
 
-    fn undo(&mut self, now_ms: Millis, placed: &[Tentative]) {
+    pub(super) fn undo(&mut self, now_ms: Millis, placed: &[Tentative]) {
         for tentative in placed {
             if let Some(worker) = self.workers.get_mut(tentative.worker) {
                 worker.release(now_ms, tentative.key, false);
@@ -241,6 +251,38 @@
         }
     }
 
+    /// Chooses a worker that does not fail a blamed kind, if there is one. Whether the kind or a
+    /// few workers are at fault shows only if other workers run it too.
+    fn untried(&self, pool: usize, wanted: &Wanted, examined: &mut u32) -> Option<WorkerIndex> {
+        let health = &self.kinds.get(wanted.kind).health;
+        if !health.blamed() {
+            return None;
+        }
+        let index = &self.pools[pool].index;
+        let entries = index.emptiest().filter_map(|slot| index.entry(slot));
+        let mut entries = entries.take(UNTRIED).inspect(|_| *examined += 1);
+        let untried = entries
+            .find(|entry| wanted.demand.fits_in(&entry.room) && !health.fails_on(entry.worker));
+        untried.map(|entry| entry.worker)
+    }
+
+    /// Chooses among the workers that fail but may not be quarantined; they are the last resort.
+    fn suspect(
+        &self,
+        now_ms: Millis,
+        pool: usize,
+        wanted: &Wanted,
+        examined: &mut u32,
+    ) -> Option<WorkerIndex> {
+        let suspects = self.pools[pool].suspects.iter().take(SUSPECTS);
+        let mut suspects = suspects.copied();
+        suspects.find(|index| {
+            *examined += 1;
+            let worker = self.workers.get(*index);
+            worker.is_some_and(|worker| wanted.demand.fits_in(&worker.last_room(now_ms)))
+        })
+    }
+
     /// Chooses a worker in quarantine whose probe is due.
     ///
     /// Work that may run only once is no probe, since a failure would be final.
@@ -285,7 +327,7 @@
             let task = RunningTask {
                 key: tentative.key,
                 worker: tentative.worker,
-                reserved: wanted.demand,
+                reserved: tentative.reserved,
                 started_ms: now_ms,
                 rack: tentative.rack,
                 work: queued.work / u64::from(wanted.tasks),
@@ -297,11 +339,11 @@
                 placements.push(Placement {
                     task: tentative.key,
                     worker: worker.id.clone(),
-                    reserved: wanted.demand,
+                    reserved: tentative.reserved,
                 });
             }
         }
-        self.pools[pool].starts += 1;
+        self.pools[pool].last_work = queued.work;
         out.push(Decision::Place {
             job: wanted.job,
             placements,
