Look through all jobs, workers and waiting requests less often

Cause: a placer with 370 workers and 2,300 running tasks took 10.3 % of a core, 7.7 % of it for ticks, and any other VM 4.3 %. Each tick of 20 ms looked through all jobs six times and through all workers, and searched all peers for the leader of each of 1,150 waiting requests.

Ruled out: an index of jobs by stage, as a pass each 100 ms costs little and keeps one source of truth; longer ticks, as consensus needs them.

Change: leases, unsent tasks and delegations are looked through every 100 ms, as deadlines already were. Leaders are found once per tick, and a waiting request is handled only if something is due.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -259,19 +259,47 @@
 
     /// Resends, retries and answers at the time limit.
     pub(crate) fn tick_entry(&mut self, io: &mut Io<'_>) {
+        let mut leaders = SortedVec::new();
         for domain in self.entry.domains.clone() {
-            if self.peers.ledger_leader(io.now_ms, &domain).is_some() {
-                self.entry.leader_seen_ms.insert(domain, io.now_ms);
+            if let Some(leader) = self.peers.ledger_leader(io.now_ms, &domain) {
+                self.entry.leader_seen_ms.insert(domain.clone(), io.now_ms);
+                leaders.insert(domain, leader);
             }
         }
-        let ids: Vec<u64> = self.entry.waiting.keys().copied().collect();
-        for id in ids {
+        let due: Vec<u64> = self
+            .entry
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| self.needs_attention(io.now_ms, waiting, &leaders))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in due {
             self.tick_waiting(id, io);
         }
         self.tick_inquiries(io);
         self.tick_results(io);
     }
 
+    /// Returns whether a waiting request is not simply with its placer. The leaders are found once
+    /// per tick: 1,150 searches for them, one per request, took 3 % of a core.
+    fn needs_attention(
+        &self,
+        now_ms: Millis,
+        waiting: &Waiting,
+        leaders: &SortedVec<FailureDomain, (VmId, Term)>,
+    ) -> bool {
+        let Some(forward) = &waiting.forward else {
+            return true;
+        };
+        let leader = leaders.get(&forward.domain);
+        let replaced = waiting.effect != RunEffect::Idempotent
+            && leader.is_some_and(|leader| *leader != (forward.to, forward.term));
+        now_ms >= waiting.deadline_ms
+            || now_ms >= forward.next_send_ms
+            || replaced
+            || self.is_forward_lost(now_ms, forward)
+    }
+
     fn tick_waiting(&mut self, id: u64, io: &mut Io<'_>) {
         let Some(waiting) = self.entry.waiting.get(&id) else {
             return;
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -126,11 +126,7 @@
         let Some(forward) = &waiting.forward else {
             return;
         };
-        let restarted = self
-            .peers
-            .get(forward.to)
-            .is_some_and(|peer| peer.incarnation != forward.incarnation);
-        let lost = restarted || self.peers.suspected(io.now_ms, forward.to);
+        let lost = self.is_forward_lost(io.now_ms, forward);
         if waiting.effect == RunEffect::Idempotent {
             if lost {
                 self.retry_elsewhere(id, Reason::OwnerLost, io);
@@ -149,6 +145,15 @@
         }
     }
 
+    /// Returns whether the VM that a request was passed to has restarted or is silent.
+    pub(super) fn is_forward_lost(&self, now_ms: Millis, forward: &Forward) -> bool {
+        let restarted = self
+            .peers
+            .get(forward.to)
+            .is_some_and(|peer| peer.incarnation != forward.incarnation);
+        restarted || self.peers.suspected(now_ms, forward.to)
+    }
+
     /// Takes a request back from its placer, which may have run it if `unresolved` says so.
     fn unforward(&mut self, id: u64, unresolved: bool) {
         let Some(waiting) = self.entry.waiting.get_mut(&id) else {
--- a/crates/node/src/placer.rs
+++ b/crates/node/src/placer.rs
@@ -30,6 +30,10 @@
 
 pub(crate) use roster::Registered;
 
+/// Time between passes over all jobs and workers. A pass at each tick of 20 ms took 7.7 % of a core
+/// with 370 workers and 2,300 running tasks.
+const SCAN_INTERVAL_MS: Millis = Millis(100);
+
 /// On what right a placer places work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Mode {
@@ -334,13 +338,13 @@
 
     /// Lets time pass.
     pub fn tick(&mut self, site: &mut Site<'_, '_>) {
-        self.tick_leases(site);
-        self.tick_unsent(site);
-        self.tick_remote(site);
         self.tick_proposals(site);
         self.due = true;
         if site.now_ms() >= self.next_scan_ms {
-            self.next_scan_ms = site.now_ms().saturating_add(Millis(100));
+            self.next_scan_ms = site.now_ms().saturating_add(SCAN_INTERVAL_MS);
+            self.tick_leases(site);
+            self.tick_unsent(site);
+            self.tick_remote(site);
             self.scan_deadlines(site);
             self.refresh_rooms();
             self.tick_retention(site);
--- a/crates/node/src/placer/remote.rs
+++ b/crates/node/src/placer/remote.rs
@@ -159,6 +159,9 @@
     }
 
     fn may_go_elsewhere(&self, site: &Site<'_, '_>, job: &Job) -> bool {
+        if job.stage != Stage::Queued {
+            return false;
+        }
         let waited_ms = site.io.now_ms.saturating_sub(job.accepted_ms);
         let pool = site.tables.tables().routes().get(&job.request.kind);
         let pool = pool.map(|route| &route.pool);
@@ -166,8 +169,7 @@
             .rooms
             .iter()
             .any(|room| Some(&room.pool) == pool && room.free_slots > 0);
-        job.stage == Stage::Queued
-            && matches!(job.owner, Owner::Ledger { .. } | Owner::Direct(_))
+        matches!(job.owner, Owner::Ledger { .. } | Owner::Direct(_))
             && waited_ms >= WAIT_BEFORE_DELEGATION_MS
             && !home_has_room
             && self.remote_target(site, job).is_some()
