Send long-waiting requests to their placer again less often

Cause: entry VMs sent each waiting request again every 8 s, so callers of 2,300 running tasks, half of them on another VM, cost the placer 30 KB/s against a target of 23 KB/s for all control.

Ruled out: no resends, as a lost answer would never arrive.

Change: the interval grows to a quarter of the time waited, between 8 s and 60 s.

Conclusion: a lost answer to a request that waited for minutes may be late by a quarter of that time.

--- a/crates/node/examples/capacity/world.rs
+++ b/crates/node/examples/capacity/world.rs
@@ -12,7 +12,7 @@
 };
 use acaciareel_types::{
     Answer, Attempt, Incarnation, Millis, RawTables, Request, Resources, TableVersion, TaskId,
-    Verdict, VmId,
+    Verdict, VmId, WorkerReport,
 };
 use acaciareel_wire::{Field, GroupRecord, http, types};
 
@@ -390,7 +390,11 @@
 
     fn announce(&mut self, index: usize) {
         let vm = self.random_vm();
-        let report = self.workers[index].report();
+        // Placers take running tasks from replies to claims only, so they are left out here.
+        let report = WorkerReport {
+            running: Vec::new(),
+            ..self.workers[index].report()
+        };
         let json = serde_json::to_vec(&types::WorkerReport::from(&report)).expect("JSON");
         self.stat(vm)
             .received("announcement", json.len() + HTTP_OVERHEAD);
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -9,7 +9,12 @@
 
 /// First time after which an unanswered submission is sent again; messages may be lost.
 const FIRST_RESEND_MS: Millis = Millis(1_000);
-const MAX_RESEND_MS: Millis = Millis(8_000);
+/// Longest interval for requests that have not waited long.
+const LONG_RESEND_MS: Millis = Millis(8_000);
+/// Part of the time waited that a lost answer may cost on top.
+const RESEND_SHARE: u64 = 4;
+/// Longest interval. At 8 s, the callers of 2,300 running tasks cost their placer 30 KB/s.
+const MAX_RESEND_MS: Millis = Millis(60_000);
 /// Time by which a placer's refusal at the time limit arrives before the entry VM gives up.
 const REPLY_MARGIN_MS: Millis = Millis(100);
 
@@ -104,7 +109,9 @@
             return;
         };
         forward.next_send_ms = io.now_ms.saturating_add(forward.interval_ms);
-        forward.interval_ms = Millis(forward.interval_ms.0 * 2).min(MAX_RESEND_MS);
+        let waited_ms = io.now_ms.saturating_sub(waiting.received_ms);
+        let longest_ms = Millis(waited_ms.0 / RESEND_SHARE).clamp(LONG_RESEND_MS, MAX_RESEND_MS);
+        forward.interval_ms = Millis(forward.interval_ms.0 * 2).min(longest_ms);
         let left = waiting.deadline_ms.saturating_sub(io.now_ms);
         let margin = REPLY_MARGIN_MS.min(Millis(left.0 / 10));
         let mut request = waiting.request.clone();
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -33,7 +33,7 @@
 #[derive(Debug)]
 pub(crate) struct Peers {
     me: VmId,
-    peers: SortedVec<VmId, Peer>,
+    by_vm: SortedVec<VmId, Peer>,
     /// Heartbeats left that go to every peer after a change.
     repeats: u32,
 }
@@ -63,7 +63,7 @@
         });
         Self {
             me: settings.vm,
-            peers: peers.collect(),
+            by_vm: peers.collect(),
             repeats: 0,
         }
     }
@@ -73,7 +73,7 @@
     pub fn beat(&mut self, now_ms: Millis, beat: &Beat) -> Vec<VmId> {
         let me = self.me;
         let mut rooms_changed = false;
-        if let Some(own) = self.peers.get_mut(&me) {
+        if let Some(own) = self.by_vm.get_mut(&me) {
             let roles = |placing: &[Placing]| -> Vec<_> {
                 let roles = placing.iter().map(|p| (p.domain.clone(), p.term));
                 roles.collect()
@@ -94,7 +94,7 @@
         let to_all = rooms_changed || self.repeats > 0;
         self.repeats = self.repeats.saturating_sub(1);
         let mut due = Vec::new();
-        for (vm, peer) in self.peers.iter_mut().filter(|(vm, _)| **vm != me) {
+        for (vm, peer) in self.by_vm.iter_mut().filter(|(vm, _)| **vm != me) {
             let quiet = now_ms.saturating_sub(peer.sent_ms) >= HEARTBEAT_MS;
             let old = now_ms.saturating_sub(peer.beat_ms) >= REPEAT_MS;
             if to_all || quiet || old {
@@ -108,7 +108,7 @@
     /// Notes that a message of a VM arrived; returns whether the VM was suspected until now.
     pub fn hear(&mut self, now_ms: Millis, vm: VmId, incarnation: Incarnation) -> bool {
         let was_suspected = self.suspected(now_ms, vm);
-        if let Some(peer) = self.peers.get_mut(&vm) {
+        if let Some(peer) = self.by_vm.get_mut(&vm) {
             if peer.incarnation != Some(incarnation) {
                 peer.placing.clear();
                 peer.stopping = false;
@@ -124,32 +124,32 @@
         if vm == self.me {
             return false;
         }
-        let heard_ms = self.peers.get(&vm).and_then(|peer| peer.heard_ms);
+        let heard_ms = self.by_vm.get(&vm).and_then(|peer| peer.heard_ms);
         heard_ms.is_none_or(|heard_ms| now_ms.saturating_sub(heard_ms) > SUSPECT_MS)
     }
 
     /// Returns how long a VM has been silent, or `None` if it was never heard of.
     pub fn silent_ms(&self, now_ms: Millis, vm: VmId) -> Option<Millis> {
-        let heard_ms = self.peers.get(&vm)?.heard_ms?;
+        let heard_ms = self.by_vm.get(&vm)?.heard_ms?;
         Some(now_ms.saturating_sub(heard_ms))
     }
 
     pub fn get(&self, vm: VmId) -> Option<&Peer> {
-        self.peers.get(&vm)
+        self.by_vm.get(&vm)
     }
 
     pub fn get_mut(&mut self, vm: VmId) -> Option<&mut Peer> {
-        self.peers.get_mut(&vm)
+        self.by_vm.get_mut(&vm)
     }
 
     pub fn iter(&self) -> impl Iterator<Item = (VmId, &Peer)> {
-        self.peers.iter().map(|(vm, peer)| (*vm, peer))
+        self.by_vm.iter().map(|(vm, peer)| (*vm, peer))
     }
 
     /// Returns the other VMs.
     pub fn others(&self) -> impl Iterator<Item = VmId> {
         let me = self.me;
-        self.peers.keys().copied().filter(move |vm| *vm != me)
+        self.by_vm.keys().copied().filter(move |vm| *vm != me)
     }
 
     /// Returns the reachable placer of a domain; the one with the highest term counts.
