--- a/crates/node/tests/cluster/worker.rs
+++ b/crates/node/tests/cluster/worker.rs
@@ -14,6 +14,7 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub body: String,
+    pub worker: String,
     pub exclusive: bool,
     pub start_ms: u64,
     pub end_ms: Option<u64>,
@@ -43,6 +44,10 @@
     pub mute: bool,
     /// Whether its VM has failed: calls get no reply at all.
     pub dead: bool,
+    /// Whether it runs on without reaching any VM, or being reached.
+    pub isolated: bool,
+    /// VM that it announces itself through, instead of any.
+    pub announces_through: Option<u32>,
     pub fails_everything: bool,
     pub violations: Vec<String>,
     /// What the last full report said, with its sequence.
@@ -67,6 +72,8 @@
             next_post_ms: now_ms,
             mute: false,
             dead: false,
+            isolated: false,
+            announces_through: None,
             fails_everything: false,
             violations: Vec::new(),
             told: None,
@@ -202,6 +209,7 @@
         let run_ms = run_time_ms(&text);
         runs.push(Run {
             body: text,
+            worker: self.report.worker.to_string(),
             exclusive,
             start_ms: now_ms,
             end_ms: None,
