--- a/crates/acaciareeld/src/transport.rs
+++ b/crates/acaciareeld/src/transport.rs
@@ -17,9 +17,10 @@
 use error_stack::{Report, ResultExt};
 use log::{debug, info, warn};
 use metrics::counter;
-use quinn::{Connection, Endpoint, RecvStream, SendStream, VarInt};
+use quinn::{Connection, Endpoint, RecvStream, SendStream, UdpStats, VarInt};
 use tokio::{
     sync::{Notify, mpsc},
+    task::JoinSet,
     time,
 };
 
@@ -42,11 +43,13 @@
 /// Interval at which the traffic of a connection is added to the metrics.
 const TRAFFIC_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Connections to the other daemons.
+/// Connections to the other daemons. They end when this value is dropped.
 #[derive(Debug)]
 pub struct Transport {
     endpoint: Endpoint,
     peers: SortedVec<VmId, Arc<Peer>>,
+    /// Aborted on drop.
+    _tasks: JoinSet<()>,
 }
 
 /// Outgoing side of one peer.
@@ -114,11 +117,16 @@
             .filter(|(vm, _)| **vm != config.vm)
             .map(|(vm, peer)| (*vm, Arc::new(Peer::new(*vm, peer.address))))
             .collect();
+        let mut tasks = JoinSet::new();
         for peer in peers.values() {
-            tokio::spawn(connect_forever(endpoint.clone(), Arc::clone(peer), hello));
+            tasks.spawn(connect_forever(endpoint.clone(), Arc::clone(peer), hello));
         }
-        tokio::spawn(accept_forever(endpoint.clone(), peers.clone(), events));
-        Ok(Self { endpoint, peers })
+        tasks.spawn(accept_forever(endpoint.clone(), peers.clone(), events));
+        Ok(Self {
+            endpoint,
+            peers,
+            _tasks: tasks,
+        })
     }
 
     /// Queues a message. It may be dropped, as any message may be lost.
@@ -319,7 +327,10 @@
     Ok(bytes)
 }
 
-/// Bytes of one connection that are already in the metrics, UDP headers excluded.
+/// IPv4 and UDP headers of each datagram.
+const HEADER_BYTES: u64 = 28;
+
+/// Bytes of one connection that are already in the metrics.
 #[derive(Debug)]
 struct Traffic {
     peer: String,
@@ -338,7 +349,8 @@
 
     fn add(&mut self, connection: &Connection) {
         let stats = connection.stats();
-        let (sent, received) = (stats.udp_tx.bytes, stats.udp_rx.bytes);
+        let bytes = |udp: &UdpStats| udp.bytes + HEADER_BYTES * udp.datagrams;
+        let (sent, received) = (bytes(&stats.udp_tx), bytes(&stats.udp_rx));
         counter!("acaciareel_peer_sent_bytes_total", "peer" => self.peer.clone())
             .increment(sent.saturating_sub(self.sent_bytes));
         counter!("acaciareel_peer_received_bytes_total", "peer" => self.peer.clone())
@@ -346,3 +358,6 @@
         (self.sent_bytes, self.received_bytes) = (sent, received);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/acaciareeld/tests/end_to_end/env.rs
+++ b/crates/acaciareeld/tests/end_to_end/env.rs
@@ -1,11 +1,13 @@
 //! A deployment of real processes on loopback addresses, in a temporary folder.
 
 use std::{
+    collections::BTreeMap,
     fmt::Write as _,
     fs,
     net::{SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
-    process::{Child, Command, ExitStatus, Stdio},
+    process::{self, Child, Command, ExitStatus, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 
@@ -14,10 +16,13 @@
 use tempfile::TempDir;
 use tokio::time;
 
-use crate::client::{Client, Response};
+use crate::{
+    client::{Client, Response},
+    links::{LinkFaults, Links},
+};
 
 /// Give-up limit of every wait. A test whose condition holds earlier ends earlier.
-const GIVE_UP: Duration = Duration::from_secs(60);
+const GIVE_UP: Duration = Duration::from_mins(1);
 const POLL: Duration = Duration::from_millis(20);
 
 pub const OPERATOR: &str = "operator-token-0123456789";
@@ -48,16 +53,26 @@
 pub struct TestEnv {
     pub vms: Vec<Vm>,
     pub client: Client,
+    pub links: Links,
+    /// Time limit of submitted requests.
+    pub time_limit_ms: u64,
+    /// Addresses that each VM uses for the others, if they are reached over relays.
+    relays: BTreeMap<(usize, usize), SocketAddr>,
     workers: Vec<Child>,
     folder: TempDir,
 }
 
-/// Returns a port that is free for TCP and UDP now.
+/// Returns an address that is free for TCP and UDP.
+///
+/// The ports lie below the range from which the system chooses ports for others, so that none of
+/// them is taken before its daemon starts. Processes begin at different ports.
 fn free_address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
     loop {
-        let tcp = TcpListener::bind("127.0.0.1:0").expect("free port");
-        let address = tcp.local_addr().expect("local address");
-        if UdpSocket::bind(address).is_ok() {
+        let number = process::id() * 200 + NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = u16::try_from(12_000 + number % 20_000).expect("port");
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
@@ -107,6 +122,29 @@
     /// Starts a deployment and waits until the tables are in force everywhere and every domain has
     /// its workers.
     pub async fn start(domains: &[Domain], worker_options: &[&str]) -> Self {
+        let mut env = Self::prepare(domains, Links::new(LinkFaults::default()));
+        env.start_all(domains, worker_options).await;
+        env
+    }
+
+    /// Starts a deployment whose daemons reach each other over links with faults.
+    pub async fn start_with_links(
+        domains: &[Domain],
+        worker_options: &[&str],
+        faults: LinkFaults,
+    ) -> Self {
+        let mut env = Self::prepare(domains, Links::new(faults));
+        for from in 0..env.vms.len() {
+            for to in (0..env.vms.len()).filter(|to| *to != from) {
+                let relay = env.links.relay(from, to, env.vms[to].peers).await;
+                env.relays.insert((from, to), relay);
+            }
+        }
+        env.start_all(domains, worker_options).await;
+        env
+    }
+
+    fn prepare(domains: &[Domain], links: Links) -> Self {
         let folder = tempfile::tempdir().expect("temporary folder");
         let mut vms = Vec::new();
         for domain in domains {
@@ -130,30 +168,36 @@
         ] {
             fs::write(folder.path().join(file), token).expect("written file");
         }
-        let mut env = Self {
+        Self {
             vms,
             client: Client::default(),
+            links,
+            time_limit_ms: 60_000,
+            relays: BTreeMap::new(),
             workers: Vec::new(),
             folder,
-        };
-        for vm in 0..env.vms.len() {
-            env.write_settings(vm);
-            env.start_vm(vm);
+        }
+    }
+
+    async fn start_all(&mut self, domains: &[Domain], worker_options: &[&str]) {
+        for vm in 0..self.vms.len() {
+            self.write_settings(vm);
+            self.start_vm(vm);
         }
         for domain in domains {
             for number in 0..domain.workers {
-                env.start_worker(domain.name, number, worker_options);
+                self.start_worker(domain.name, number, worker_options);
             }
         }
-        env.apply_tables().await;
-        env.wait_until_ready(domains).await;
-        env
+        self.apply_tables().await;
+        self.wait_until_ready(domains).await;
     }
 
     fn write_settings(&self, index: usize) {
         let mut peers = String::new();
         for (i, vm) in self.vms.iter().enumerate() {
-            let (id, address, domain) = (i + 1, vm.peers, vm.domain);
+            let address = self.relays.get(&(index, i)).unwrap_or(&vm.peers);
+            let (id, domain) = (i + 1, vm.domain);
             write!(
                 peers,
                 "[peer vm-{id}]\naddress = {address}\nfailure_domain = {domain}\n"
@@ -188,7 +232,8 @@
         vm.process = Some(process.expect("started daemon"));
     }
 
-    fn start_worker(&mut self, domain: &str, number: usize, options: &[&str]) {
+    /// Starts a worker.
+    pub fn start_worker(&mut self, domain: &str, number: usize, options: &[&str]) {
         let entries = self.vms.iter().filter(|vm| vm.domain == domain);
         let entries: Vec<_> = entries.map(|vm| vm.http.to_string()).collect();
         let process = Command::new(worker_binary())
@@ -245,22 +290,12 @@
                 "pools": [row("main", &[("groups", "main"), ("policy", "service")])],
             },
         });
-        let deadline = Instant::now() + GIVE_UP;
-        loop {
-            let url = self.url(0, "/v1/tables");
+        let url = self.url(0, "/v1/tables");
+        self.wait_for("the tables are accepted", async || {
             let applied = self.client.json("PUT", &url, OPERATOR, &body).await;
-            if applied
-                .as_ref()
-                .is_ok_and(|response| response.status == 200)
-            {
-                return;
-            }
-            assert!(
-                Instant::now() < deadline,
-                "tables are not accepted: {applied:?}"
-            );
-            time::sleep(POLL).await;
-        }
+            applied.is_ok_and(|response| response.status == 200)
+        })
+        .await;
     }
 
     async fn wait_until_ready(&self, domains: &[Domain]) {
@@ -331,24 +366,25 @@
         placer.expect("placer")
     }
 
-    /// Submits a request and waits for its verdict, as long as the connection holds.
-    pub async fn submit(
+    /// Submits a request; the future returns its verdict, as long as the connection holds.
+    pub fn submit(
         &self,
         vm: usize,
         kind: &str,
         key: &str,
         attempt: u32,
         body: &str,
-    ) -> Result<Response, String> {
+    ) -> impl Future<Output = Result<Response, String>> + Send + use<> {
+        let client = self.client.clone();
         let url = self.url(vm, &format!("/v1/requests/{kind}"));
         let headers = [
             ("acaciareel-tenant", "tests".to_owned()),
             ("idempotency-key", key.to_owned()),
             ("acaciareel-attempt", attempt.to_string()),
-            ("acaciareel-time-limit-ms", "60000".to_owned()),
+            ("acaciareel-time-limit-ms", self.time_limit_ms.to_string()),
         ];
         let body = body.as_bytes().to_vec();
-        self.client.send("POST", &url, CALLER, &headers, body).await
+        async move { client.send("POST", &url, CALLER, &headers, body).await }
     }
 
     /// Submits and resends, as a caller does, until the request ran.
@@ -424,6 +460,24 @@
         process.wait().expect("ended daemon");
     }
 
+    /// Ends all workers without warning.
+    pub fn kill_workers(&mut self) {
+        for mut process in self.workers.drain(..) {
+            process.kill().expect("killed worker");
+            process.wait().expect("ended worker");
+        }
+    }
+
+    /// Lets a worker leave and waits until it has ended.
+    pub async fn stop_worker(&mut self, index: usize) {
+        let mut process = self.workers.remove(index);
+        signal(&process, "TERM");
+        self.wait_for("the worker has left", async || {
+            process.try_wait().expect("status of worker").is_some()
+        })
+        .await;
+    }
+
     /// Waits until a daemon has ended by itself.
     pub async fn wait_for_exit(&mut self, vm: usize) -> ExitStatus {
         let mut process = self.vms[vm].process.take().expect("running daemon");
