--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -188,7 +188,13 @@
                 operation,
                 expected_version,
                 tables,
-            } => self.apply_received((vm, submission), operation, expected_version, &tables, io),
+            } => self.apply_received((vm, submission), &operation, expected_version, &tables, io),
+            PeerMessage::Change {
+                submission,
+                operation,
+                expected_version,
+                change,
+            } => self.change_received((vm, submission), &operation, expected_version, change, io),
             PeerMessage::ApplyReply { submission, reply } => {
                 self.apply_answered(submission, reply, io);
             }
@@ -266,7 +272,7 @@
 
     /// Sends a heartbeat now. A change of role is announced at once, so that requests follow it.
     pub(crate) fn heartbeat(&mut self, io: &mut Io<'_>) {
-        self.next_heartbeat_ms = io.now_ms.saturating_add(crate::peers::HEARTBEAT_MS);
+        self.next_heartbeat_ms = io.now_ms.saturating_add(self.peers.heartbeat_ms());
         let beat = Beat {
             tables_version: self.tables.version(),
             stopping: self.stop.stopping(),
--- a/crates/node/tests/cluster/worker.rs
+++ b/crates/node/tests/cluster/worker.rs
@@ -53,8 +53,13 @@
     /// VM that it announces itself through, instead of any.
     pub announces_through: Option<u32>,
     pub violations: Vec<String>,
+    /// What the last full report said, with its sequence.
+    told: Option<(Told, u64)>,
 }
 
+/// Token, leaving, running tasks, unacknowledged results.
+type Told = (FencingToken, bool, Vec<TaskId>, Vec<TaskId>);
+
 impl FakeWorker {
     pub fn new(report: WorkerReport, now_ms: u64) -> Self {
         Self {
@@ -73,6 +78,7 @@
             isolated: false,
             announces_through: None,
             violations: Vec::new(),
+            told: None,
         }
     }
 
@@ -148,9 +154,26 @@
         self.holder = Some(holder);
         self.lease_until_ms = now_ms + ttl;
         self.heard_ms = now_ms;
+        let state = (
+            token,
+            self.report.leaving,
+            self.running.keys().cloned().collect(),
+            self.unacknowledged.keys().cloned().collect(),
+        );
+        if let Some((told, sequence)) = &self.told
+            && renewed
+            && *told == state
+        {
+            return WorkerReply::Renewed {
+                sequence: *sequence,
+            };
+        }
+        let report = self.current_report();
+        let unacknowledged = state.3.clone();
+        self.told = Some((state, report.sequence));
         WorkerReply::Leased {
-            report: self.current_report(),
-            unacknowledged: self.unacknowledged.keys().cloned().collect(),
+            report,
+            unacknowledged,
         }
     }
 
@@ -200,12 +223,14 @@
             end_ms: now_ms + run_ms,
             exclusive,
         };
+        self.told = None;
         self.running.insert(task, running);
         WorkerReply::Accepted
     }
 
     /// Ends a task without an answer.
     fn stop(&mut self, now_ms: u64, task: &TaskId, runs: &mut [Run]) {
+        self.told = None;
         if let Some(ended) = self.running.remove(task) {
             runs[ended.run].end_ms = Some(now_ms);
         }
