Describe operation and settings; report a VM without tables as not healthy

Cause: an operator had no page that says how to deploy, move, repair and watch, and settings were described in the code only. A trial of the page on eight daemons found two faults.

Both have a test.

Change: docs/OPERATING.md with what was seen on loopback, docs/SETTINGS.md with every key. A test takes the keys from the code's own errors and fails if the page lacks one, or a default differs.

Ruled out: a list of keys in the test, which would have to be kept in step by hand.

--- a/crates/acaciareeld/src/config/tests.rs
+++ b/crates/acaciareeld/src/config/tests.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use acaciareel_settings::{IniFile, SettingsError};
+use acaciareel_settings::{IniFile, SettingsError, TablesFile};
 
 use crate::config::Config;
 
@@ -82,3 +82,78 @@
     assert!(printed.contains("id = vm-1 ; /etc/vm-1.ini\n"));
     assert!(printed.contains("body_bytes = 262144 ; default\n"));
 }
+
+const PAGE: &str = include_str!("../../../../docs/SETTINGS.md");
+
+/// Returns the keys that an error about an unknown key lists.
+fn listed(error: &SettingsError) -> Vec<String> {
+    let (_, keys) = error.reason.rsplit_once(" are ").expect("list of keys");
+    keys.split(", ").map(str::to_owned).collect()
+}
+
+/// Returns the row of a key on the page.
+fn row(section: &str, key: &str) -> Option<&'static str> {
+    let (_, rest) = PAGE.split_once(&format!("\n### [{section}]"))?;
+    let part = rest.split("\n#").next()?;
+    part.lines()
+        .find(|line| line.starts_with(&format!("| `{key}` |")))
+}
+
+/// Guards against settings that an operator cannot find on the page.
+#[test]
+fn every_key_is_described() {
+    let unknown = "zzzzzzzzzzzz = 1\n";
+    let sections = [
+        "vm",
+        "listen",
+        "keys",
+        "tokens",
+        "peer vm-2",
+        "limits",
+        "logs",
+    ];
+    let mut known = Vec::new();
+
+    for section in sections.into_iter().chain(["group tables"]) {
+        let head = format!("[{section}]\n");
+        let text = if VALID.contains(&head) {
+            VALID.replace(&head, &format!("{head}{unknown}"))
+        } else {
+            format!("{VALID}{head}{unknown}")
+        };
+        let error = check(&text).expect_err("unknown key");
+        let title = section
+            .replace("vm-2", "vm-N")
+            .replace("group tables", "group NAME");
+        known.extend(listed(&error).into_iter().map(|key| (title.clone(), key)));
+    }
+    for section in ["route KIND", "pool NAME", "quota TENANT"] {
+        let text = format!("[{section}]\n{unknown}");
+        let file = TablesFile::parse(Path::new("tables.ini"), &text).expect("sections");
+        let error = file.check().expect_err("unknown key");
+        known.extend(listed(&error).into_iter().map(|key| (section.into(), key)));
+    }
+
+    assert!(known.len() > 40, "{known:?}");
+    for (section, key) in known {
+        assert!(
+            row(&section, &key).is_some(),
+            "[{section}] {key} has no row"
+        );
+    }
+}
+
+/// Guards against defaults on the page that the code has changed.
+#[test]
+fn every_default_is_described() {
+    let config = check(VALID).expect("valid settings");
+    let sections = ["limits", "logs"];
+
+    for setting in &config.settings {
+        if sections.contains(&setting.section.as_str()) && !setting.value.is_empty() {
+            let row = row(&setting.section, &setting.key).expect("row");
+            let default = format!("`{}`", setting.value);
+            assert!(row.contains(&default), "{row} lacks {default}");
+        }
+    }
+}
--- a/crates/acaciareeld/src/daemon.rs
+++ b/crates/acaciareeld/src/daemon.rs
@@ -22,7 +22,8 @@
     config::Config,
     error::DaemonError,
     http::{App, Server, Tokens},
-    logging, metering,
+    logging,
+    metering::{self, Observer},
     node_task::{Clock, Input, NodeTask, Shell},
     storage::{self, Opened, Storage, StorageError},
     storage_task::StorageTask,
@@ -116,7 +117,9 @@
         inputs: inputs.clone(),
     };
     let node = Node::new(node_settings(config, incarnation), restored, clock.now());
-    let node = tokio::spawn(NodeTask::new(node, clock, shell).run(received));
+    let tables_in_force = Arc::new(AtomicBool::new(false));
+    let observer = Observer::new(Arc::clone(&tables_in_force));
+    let node = tokio::spawn(NodeTask::new(node, clock, shell, observer).run(received));
     tokio::spawn(run_upkeep(metrics.clone()));
     let app = Arc::new(App {
         vm: config.vm,
@@ -127,6 +130,7 @@
         inputs,
         metrics,
         logger,
+        tables_in_force,
         stopping: AtomicBool::new(false),
     });
     let server = Server::start(config.http, Arc::clone(&app)).await?;
--- a/crates/acaciareeld/src/http.rs
+++ b/crates/acaciareeld/src/http.rs
@@ -66,6 +66,8 @@
     pub metrics: PrometheusHandle,
     /// Level of the log.
     pub logger: LoggerHandle,
+    /// Whether this VM has tables, without which it refuses every request.
+    pub tables_in_force: Arc<AtomicBool>,
     /// Whether a stop was asked for.
     pub stopping: AtomicBool,
 }
@@ -320,6 +322,8 @@
     fn health(&self) -> Response<Body> {
         if self.app.stopping.load(Ordering::Relaxed) {
             response::text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n".to_owned())
+        } else if !self.app.tables_in_force.load(Ordering::Relaxed) {
+            response::text(StatusCode::SERVICE_UNAVAILABLE, "no tables\n".to_owned())
         } else {
             response::text(StatusCode::OK, "ok\n".to_owned())
         }
--- a/crates/acaciareeld/src/http/tests.rs
+++ b/crates/acaciareeld/src/http/tests.rs
@@ -48,6 +48,10 @@
 }
 
 async fn start(limits: LimitsConfig) -> Fixture {
+    start_with_tables(limits, true).await
+}
+
+async fn start_with_tables(limits: LimitsConfig, in_force: bool) -> Fixture {
     let folder = tempfile::tempdir().expect("temporary folder");
     let file = folder.path().join("tokens");
     std::fs::write(&file, TOKEN).expect("written file");
@@ -69,6 +73,7 @@
         inputs: sender,
         metrics: PrometheusBuilder::new().build_recorder().handle(),
         logger,
+        tables_in_force: Arc::new(AtomicBool::new(in_force)),
         stopping: AtomicBool::new(false),
     };
     let address = "127.0.0.1:0".parse().expect("address");
@@ -217,3 +222,21 @@
     assert!(second.starts_with("HTTP/1.1 429"), "{second}");
     assert!(second.contains("retry-after: 1"), "{second}");
 }
+
+/// Guards against a load balancer that sends requests to a VM that has just started and refuses
+/// them for want of tables.
+#[tokio::test]
+async fn a_vm_without_tables_is_not_healthy() {
+    let ready = start_with_tables(limits(), true).await;
+    let not_ready = start_with_tables(limits(), false).await;
+    let mut answers = Vec::new();
+
+    for fixture in [&ready, &not_ready] {
+        let mut stream = fixture.connect().await;
+        send(&mut stream, "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").await;
+        answers.push(read_until(&mut stream, "\r\n").await);
+    }
+
+    assert!(answers[0].starts_with("HTTP/1.1 200"), "{}", answers[0]);
+    assert!(answers[1].starts_with("HTTP/1.1 503"), "{}", answers[1]);
+}
--- a/crates/acaciareeld/src/main.rs
+++ b/crates/acaciareeld/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::{
     env,
-    io::{self, IsTerminal},
+    io::{self, IsTerminal, Write},
     path::Path,
     process,
 };
@@ -55,7 +55,7 @@
     let words: Vec<&str> = strings.iter().map(String::as_str).collect();
     Arguments::from_args(&["acaciareeld"], words.get(1..).unwrap_or_default()).map_err(|exit| {
         if exit.status.is_ok() {
-            println!("{}", exit.output);
+            print(&format!("{}\n", exit.output));
             ExitCode::Ok
         } else {
             eprintln!("{}", exit.output);
@@ -67,7 +67,7 @@
 fn execute(arguments: &Arguments) -> Result<(), Report<DaemonError>> {
     if let Some(file) = &arguments.check_config {
         load(file)?;
-        println!("ok");
+        print("ok\n");
         return Ok(());
     }
     let Some(file) = &arguments.config else {
@@ -75,7 +75,7 @@
     };
     let config = load(file)?;
     if arguments.print_config {
-        print!("{config}");
+        print(&config.to_string());
         return Ok(());
     }
     Builder::new_multi_thread()
@@ -89,3 +89,8 @@
 fn load(file: &Path) -> Result<Config, Report<DaemonError>> {
     Config::load(file).change_context(DaemonError::Settings)
 }
+
+/// Prints a text. A reader such as `head` may have closed the pipe; nobody is left to tell then.
+fn print(text: &str) {
+    let _ = io::stdout().lock().write_all(text.as_bytes());
+}
--- a/crates/acaciareeld/src/metering.rs
+++ b/crates/acaciareeld/src/metering.rs
@@ -2,7 +2,14 @@
 //!
 //! All times are in seconds. Histograms carry tenant and class, refusals their reason.
 
-use std::{collections::BTreeSet, fs};
+use std::{
+    collections::BTreeSet,
+    fs,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
 
 use acaciareel_node::Observation;
 use acaciareel_types::{Class, Millis, TenantName};
@@ -108,10 +115,20 @@
 /// Turns the observations of the node into metrics and log lines.
 #[derive(Debug, Default)]
 pub struct Observer {
+    /// Set once tables are in force on this VM.
+    tables_in_force: Arc<AtomicBool>,
     tenants: BTreeSet<TenantName>,
 }
 
 impl Observer {
+    /// Creates an observer that sets the flag once tables are in force.
+    pub fn new(tables_in_force: Arc<AtomicBool>) -> Self {
+        Self {
+            tables_in_force,
+            tenants: BTreeSet::new(),
+        }
+    }
+
     /// Records one observation.
     pub fn observe(&mut self, observation: Observation) {
         match observation {
@@ -144,6 +161,7 @@
                 ran_ms,
             } => self.time(RUN, &tenant, class, ran_ms),
             Observation::TablesInForce(version) => {
+                self.tables_in_force.store(version.0 > 0, Ordering::Relaxed);
                 gauge!("acaciareel_tables_version").set(to_f64(version.0));
                 log::info!(event = "tables_in_force", version = version.0; "");
             }
--- a/crates/acaciareeld/src/node_task.rs
+++ b/crates/acaciareeld/src/node_task.rs
@@ -83,13 +83,13 @@
 
 impl NodeTask {
     /// Creates the task of a node.
-    pub fn new(node: Node, clock: Clock, shell: Shell) -> Self {
+    pub fn new(node: Node, clock: Clock, shell: Shell, observer: Observer) -> Self {
         Self {
             node,
             clock,
             shell,
             waiting: BTreeMap::new(),
-            observer: Observer::default(),
+            observer,
             effects: Vec::new(),
         }
     }
--- a/crates/acaciareeld/tests/command_line.rs
+++ b/crates/acaciareeld/tests/command_line.rs
@@ -3,7 +3,7 @@
 use std::{
     fs,
     path::Path,
-    process::{Command, Output},
+    process::{Command, Output, Stdio},
 };
 
 use tempfile::TempDir;
@@ -94,3 +94,21 @@
     let incarnation = fs::read_to_string(data.join("incarnation")).expect("incarnation");
     assert!(!incarnation.starts_with("vm-1 7 "), "{incarnation}");
 }
+
+/// Guards against a panic where a reader such as `head` closes the pipe early.
+#[test]
+fn a_closed_pipe_is_no_error() {
+    let folder = TempDir::new().expect("temporary folder");
+    let file = settings(folder.path());
+    let mut child = Command::new(env!("CARGO_BIN_EXE_acaciareeld"))
+        .args(["--config", &file, "--print-config"])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("daemon");
+
+    drop(child.stdout.take());
+    let output = child.wait_with_output().expect("ended daemon");
+
+    assert_eq!((code(&output), stderr(&output)), (0, String::new()));
+}
