Add top and histogram to the client, groups and pools to the status

Cause: an operator had to read metrics pages of eight VMs to see queues, free capacity and times.

Change: GET /v1/status lists the groups with role, term and leader, and a placer's pools with capacity, free capacity, queue and predicted wait (event ShowState, reply State). The client asks all servers at once, merges their figures, and names servers and VMs that do not answer.

Ruled out: gauges for each pool and resource on the metrics page, since a former placer would go on showing its last figures.

--- a/crates/acaciareel/src/cli.rs
+++ b/crates/acaciareel/src/cli.rs
@@ -46,6 +46,8 @@
     Request(RequestArgs),
     Drain(Drain),
     Status(Status),
+    Top(Top),
+    Histogram(Histogram),
     Keys(Keys),
 }
 
@@ -203,6 +205,16 @@
 #[argh(subcommand, name = "status")]
 pub struct Status {}
 
+/// print the state of all entry VMs, their pools and their cost on one screen
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "top")]
+pub struct Top {}
+
+/// draw waiting, run and total time by tenant and class, merged over all entry VMs
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "histogram")]
+pub struct Histogram {}
+
 /// generate a development set of certificates and tokens
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "keys")]
--- a/crates/acaciareel/src/commands.rs
+++ b/crates/acaciareel/src/commands.rs
@@ -9,7 +9,9 @@
 };
 
 mod fleet;
+mod histogram;
 mod keys;
+pub mod overview;
 mod requests;
 mod submit;
 mod tables;
@@ -24,6 +26,8 @@
         Command::Request(args) => requests::run(&args.command, &session()?, cli.json).await,
         Command::Drain(args) => fleet::drain(&session()?, &args.worker, cli.json).await,
         Command::Status(_) => fleet::status(&session()?, cli.json).await,
+        Command::Top(_) => overview::top(&session()?, cli.json).await,
+        Command::Histogram(_) => histogram::histogram(&session()?, cli.json).await,
         Command::Keys(args) => keys::run(args, cli.json),
     }
 }
--- a/crates/acaciareel/src/main.rs
+++ b/crates/acaciareel/src/main.rs
@@ -6,6 +6,7 @@
 mod error;
 mod exit_codes;
 mod output;
+mod prometheus;
 mod random;
 mod session;
 mod transport;
--- a/crates/acaciareel/src/session.rs
+++ b/crates/acaciareel/src/session.rs
@@ -1,11 +1,12 @@
 //! Calls that are tried on several servers in turn.
 
-use std::{ops::ControlFlow, time::Duration};
+use std::{fmt, ops::ControlFlow, time::Duration};
 
 use acaciareel_wire::{headers, http};
 use error_stack::Report;
+use futures_util::future;
 use hyper::{StatusCode, http::uri::Authority};
-use serde::de::DeserializeOwned;
+use serde::{Serialize, de::DeserializeOwned};
 use tokio::time;
 
 use crate::{
@@ -111,6 +112,49 @@
     }
 }
 
+/// A server that did not answer.
+#[derive(Debug, Serialize)]
+pub struct Silent {
+    /// Address.
+    pub server: String,
+    /// What went wrong.
+    pub error: String,
+}
+
+impl Session {
+    /// Asks all servers at once; returns the answers, and the servers without one.
+    pub async fn ask_all<T>(
+        &self,
+        ask: impl AsyncFn(&Self, &Authority) -> Result<T, String>,
+    ) -> (Vec<T>, Vec<Silent>) {
+        let asked = self.config.servers.iter().map(|server| ask(self, server));
+        let results = future::join_all(asked).await;
+        let (mut answers, mut silent) = (Vec::new(), Vec::new());
+        for (server, result) in self.config.servers.iter().zip(results) {
+            match result {
+                Ok(answer) => answers.push(answer),
+                Err(error) => silent.push(Silent {
+                    server: server.to_string(),
+                    error,
+                }),
+            }
+        }
+        (answers, silent)
+    }
+}
+
+impl fmt::Display for Silent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.server, self.error)
+    }
+}
+
+/// Makes the error that none of the servers answered.
+pub fn no_servers(silent: &[Silent]) -> Report<CliError> {
+    let lines = silent.iter().map(ToString::to_string);
+    Report::new(CliError::general(no_answer(&lines.collect::<Vec<_>>())))
+}
+
 /// Remembers what went wrong with a server, once for each server and text.
 pub fn note_trouble(trouble: &mut Vec<String>, server: &Authority, text: &str) {
     let line = format!("{server}: {text}");
--- a/crates/acaciareeld/src/http.rs
+++ b/crates/acaciareeld/src/http.rs
@@ -316,7 +316,11 @@
         let workers = self
             .ask(connection, Event::ShowWorkers { connection })
             .await?;
-        response::status(&self.app, &vms, &workers)
+        let connection = self.connection();
+        let state = self
+            .ask(connection, Event::ShowState { connection })
+            .await?;
+        response::status(&self.app, &vms, &workers, state)
     }
 
     fn health(&self) -> Response<Body> {
--- a/crates/acaciareeld/src/http/response.rs
+++ b/crates/acaciareeld/src/http/response.rs
@@ -2,9 +2,12 @@
 
 use std::{convert::Infallible, fmt, time::Duration};
 
-use acaciareel_node::{OperatorReply, Reply, RequestState, TablesReply, VmStatus, WorkerStatus};
-use acaciareel_types::{Millis, Reason, TableVersion, Verdict};
-use acaciareel_wire::{headers, http};
+use acaciareel_node::{
+    GroupStatus, OperatorReply, PoolStatus, Reply, RequestState, TablesReply, VmStatus,
+    WorkerStatus,
+};
+use acaciareel_types::{Millis, Reason, Resources, TableVersion, Verdict};
+use acaciareel_wire::{headers, http, types};
 use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http_body_util::{BodyExt, Full};
@@ -216,6 +219,8 @@
             let workers = workers.iter().map(worker).collect();
             json(StatusCode::OK, &http::WorkerList { workers })
         }
+        // Part of the status; no path asks for it alone.
+        OperatorReply::State { .. } => HttpError::unknown_fate().into_response(),
         OperatorReply::Drained(true) => empty(StatusCode::NO_CONTENT),
         OperatorReply::Drained(false) => {
             let reason = "the worker is not known here".to_owned();
@@ -260,12 +265,46 @@
     }
 }
 
+fn group(status: &GroupStatus) -> http::GroupStatus {
+    http::GroupStatus {
+        group: status.group.to_string(),
+        role: format!("{:?}", status.role).to_lowercase(),
+        term: status.term.0,
+        leader: status.leader.map(|vm| vm.to_string()),
+    }
+}
+
+fn pool(status: &PoolStatus) -> http::PoolStatus {
+    let resources = |amount: Resources| types::Resources {
+        cpu_millicores: amount.cpu_millicores.0,
+        memory_bytes: amount.memory_bytes.0,
+        accelerators: amount.accelerators.0,
+        slots: amount.slots.0,
+        connections: amount.connections.0,
+    };
+    http::PoolStatus {
+        failure_domain: status.failure_domain.to_string(),
+        pool: status.summary.pool.to_string(),
+        workers: status.summary.workers,
+        waiting: status.summary.waiting,
+        predicted_wait_ms: status.summary.predicted_wait_ms.0,
+        capacity: Some(resources(status.summary.capacity)),
+        free: Some(resources(status.summary.free)),
+    }
+}
+
 /// Makes the response to `GET /v1/status`.
-pub fn status(app: &App, vms: &Reply, workers: &Reply) -> Result<Response<Body>, HttpError> {
+pub fn status(
+    app: &App,
+    vms: &Reply,
+    workers: &Reply,
+    state: Reply,
+) -> Result<Response<Body>, HttpError> {
     let (
         Reply::Operator(OperatorReply::Vms(vms)),
         Reply::Operator(OperatorReply::Workers(workers)),
-    ) = (vms, workers)
+        Reply::Operator(OperatorReply::State { groups, pools }),
+    ) = (vms, workers, state)
     else {
         return Err(HttpError::unknown_fate());
     };
@@ -284,6 +323,8 @@
         reachable_vms: count(reachable.count()),
         workers: count(workers.len()),
         active_workers: count(active.count()),
+        groups: groups.iter().map(group).collect(),
+        pools: pools.iter().map(pool).collect(),
     };
     Ok(json(StatusCode::OK, &body))
 }
--- a/crates/node/src/effect.rs
+++ b/crates/node/src/effect.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 
-use acaciareel_consensus::Record;
+use acaciareel_consensus::{Record, Role};
+use acaciareel_scheduler::PoolSummary;
 use acaciareel_types::{
     Answer, Class, FailureDomain, Incarnation, Millis, Reason, TableVersion, Tables, TenantName,
-    Verdict, VmId, WorkerId, WorkerReport,
+    Term, Verdict, VmId, WorkerId, WorkerReport,
 };
 
 use crate::{CallId, ConnectionId, GroupId, PeerMessage, TablesReply, WorkerCall};
@@ -59,6 +60,28 @@
     pub state: &'static str,
 }
 
+/// One consensus group as seen from this VM.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GroupStatus {
+    /// Group.
+    pub group: GroupId,
+    /// Role of this VM in it.
+    pub role: Role,
+    /// Term.
+    pub term: Term,
+    /// Leader, as far as this VM knows.
+    pub leader: Option<VmId>,
+}
+
+/// One pool of a failure domain that this VM is the placer of.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PoolStatus {
+    /// Failure domain.
+    pub failure_domain: FailureDomain,
+    /// Workers, capacity, free capacity and queue.
+    pub summary: PoolSummary,
+}
+
 /// Reply to an operator.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum OperatorReply {
@@ -77,6 +100,13 @@
     Vms(Vec<VmStatus>),
     /// Workers.
     Workers(Vec<WorkerStatus>),
+    /// Groups of this VM and pools that it places work in.
+    State {
+        /// Groups.
+        groups: Vec<GroupStatus>,
+        /// Pools, by failure domain and name.
+        pools: Vec<PoolStatus>,
+    },
     /// The drain was passed on, or the worker is not known.
     Drained(bool),
 }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -117,6 +117,11 @@
         /// Connection.
         connection: ConnectionId,
     },
+    /// An operator asks for the groups of this VM and the pools that it places work in.
+    ShowState {
+        /// Connection.
+        connection: ConnectionId,
+    },
     /// An operator asks for the workers known to this VM.
     ShowWorkers {
         /// Connection.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,7 +32,8 @@
         StartedOn, StartedTask, TablesCommand, TablesSnapshot,
     },
     effect::{
-        Effect, LogLevel, Observation, OperatorReply, Reply, RequestState, VmStatus, WorkerStatus,
+        Effect, GroupStatus, LogLevel, Observation, OperatorReply, PoolStatus, Reply, RequestState,
+        VmStatus, WorkerStatus,
     },
     event::{CallId, ConnectionId, Event, WorkerReply},
     message::{GroupId, PeerMessage, Placing, PoolRoom, TablesReply, WorkerCall},
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -6,8 +6,8 @@
 };
 
 use crate::{
-    ConnectionId, Event, GroupId, OperatorReply, PeerMessage, Reply, TablesCommand, TablesReply,
-    VmStatus, io::Io, node::Node,
+    ConnectionId, Event, GroupId, GroupStatus, OperatorReply, PeerMessage, Reply, TablesCommand,
+    TablesReply, VmStatus, io::Io, node::Node, placer::Placer,
 };
 
 const RESEND_MS: Millis = Millis(500);
@@ -73,6 +73,7 @@
             Event::ShowVms { connection } => {
                 (connection, OperatorReply::Vms(self.vm_statuses(io.now_ms)))
             }
+            Event::ShowState { connection } => (connection, self.state()),
             Event::ShowWorkers { connection } => {
                 let workers = self.worker_statuses(io.now_ms);
                 (connection, OperatorReply::Workers(workers))
@@ -96,6 +97,23 @@
         statuses.collect()
     }
 
+    fn state(&self) -> OperatorReply {
+        let ids = self.groups.ids().into_iter();
+        let groups = ids.filter_map(|id| {
+            let replica = &self.groups.get(&id)?.replica;
+            Some(GroupStatus {
+                role: replica.role(),
+                term: replica.term(),
+                leader: replica.leader(),
+                group: id,
+            })
+        });
+        OperatorReply::State {
+            groups: groups.collect(),
+            pools: self.placers.values().flat_map(Placer::pools).collect(),
+        }
+    }
+
     /// Takes a worker out of service on every VM, since each may become its placer. The operator
     /// is answered once a placer says that it knows the worker.
     fn drain(&mut self, connection: ConnectionId, worker: WorkerId, io: &mut Io<'_>) {
--- a/crates/node/src/placer.rs
+++ b/crates/node/src/placer.rs
@@ -7,7 +7,7 @@
 };
 
 use crate::{
-    LedgerCommand, PeerMessage, Placing, PoolRoom, RequestKey, RequestState,
+    LedgerCommand, PeerMessage, Placing, PoolRoom, PoolStatus, RequestKey, RequestState,
     calls::Calls,
     io::Io,
     ledger_state::Ledger,
@@ -275,6 +275,17 @@
         }
     }
 
+    /// Returns the state of each pool of the domain.
+    pub fn pools(&self) -> Vec<PoolStatus> {
+        let summaries = self.scheduler.pool_summaries().into_iter();
+        summaries
+            .map(|summary| PoolStatus {
+                failure_domain: self.domain.clone(),
+                summary,
+            })
+            .collect()
+    }
+
     /// Returns whether nothing is queued or runs for which this VM must stay.
     pub fn is_idle(&self) -> bool {
         self.jobs
--- a/crates/wire/tests/generated.rs
+++ b/crates/wire/tests/generated.rs
@@ -23,6 +23,8 @@
     ".acaciareel.types.Tables.pools",
     ".acaciareel.types.Tables.quotas",
     ".acaciareel.http.LeaseReply.unacknowledged",
+    ".acaciareel.http.Status.groups",
+    ".acaciareel.http.Status.pools",
 ];
 
 /// Packages whose messages are bodies of the HTTP interface or part of one.
