--- a/crates/wire/tests/generated.rs
+++ b/crates/wire/tests/generated.rs
@@ -24,6 +24,8 @@
     ".acaciareel.types.Tables.quotas",
     ".acaciareel.http.LeaseReply.unacknowledged",
     ".acaciareel.http.LeaseReply.unchanged_since",
+    ".acaciareel.http.Status.groups",
+    ".acaciareel.http.Status.pools",
 ];
 
 /// Packages whose messages are bodies of the HTTP interface or part of one.
