Pass the tables on between VMs where the leader does not reach one

Cause: only the tables leader replicates. Change: a VM that hears a higher version for 1 s asks that peer for the state; a state of a lower version is never put in force.

--- a/crates/node/src/codec/peer.rs
+++ b/crates/node/src/codec/peer.rs
@@ -69,6 +69,8 @@
     PlaceCheck { task }
     PlaceLost { task }
     PlaceStop { task }
+    TablesWanted { version }
+    TablesState { state }
     PlaceRefused { task, retry_after_ms }
     Announce { report }
     TaskResult { task, worker, answer, used }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! reads no clock, so many nodes can run in one process in virtual time.
 
 mod calls;
+mod catch_up;
 mod codec;
 mod command;
 mod effect;
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between nodes and calls to workers.
 
-use std::fmt;
+use std::{fmt, sync::Arc};
 
 use acaciareel_consensus::Message;
 use acaciareel_types::{
@@ -216,6 +216,16 @@
         /// Outcome.
         reply: TablesReply,
     },
+    /// Asks a peer whose heartbeats show a higher version for the tables in force there.
+    TablesWanted {
+        /// Version at the sender.
+        version: TableVersion,
+    },
+    /// Answer to `TablesWanted`.
+    TablesState {
+        /// Encoded state of the tables group.
+        state: Arc<[u8]>,
+    },
     /// Takes a worker out of service; passed on to the placer of its domain.
     Drain {
         /// Worker.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -39,6 +39,8 @@
     /// Number of placer roles that this VM has taken.
     pub(crate) placer_lives: u64,
     pub(crate) next_job: u64,
+    /// Since when a peer has had a higher version of the tables.
+    pub(crate) behind_since_ms: Option<Millis>,
 }
 
 impl Node {
@@ -74,6 +76,7 @@
             next_heartbeat_ms: now_ms,
             placer_lives: 0,
             next_job: 0,
+            behind_since_ms: None,
             settings,
         };
         let mut out = Vec::new();
@@ -192,6 +195,8 @@
             PeerMessage::ApplyReply { submission, reply } => {
                 self.apply_answered(submission, reply, io);
             }
+            PeerMessage::TablesWanted { version } => self.tables_wanted(vm, version, io),
+            PeerMessage::TablesState { state } => self.tables_offered(&state, io),
             PeerMessage::Drain { worker } => self.drain_received(vm, &worker, io),
             other => self.work_message(vm, other, io),
         }
@@ -255,6 +260,7 @@
         self.placers_changed(io);
         self.tick_entry(io);
         self.tick_operators(io);
+        self.tick_catch_up(io);
         self.tick_stop(io);
     }
 
@@ -343,10 +349,7 @@
     fn restore(&mut self, group: &GroupId, state: &[u8], io: &mut Io<'_>) {
         match group {
             GroupId::Tables => match TablesSnapshot::from_bytes(state) {
-                Ok(snapshot) => {
-                    self.tables.snapshot = snapshot;
-                    self.tables_in_force(io);
-                }
+                Ok(snapshot) => self.adopt_tables(snapshot, io),
                 Err(error) => log_corrupt(group, &error, io),
             },
             GroupId::Ledger(domain) => match LedgerSnapshot::from_bytes(state) {
--- a/crates/node/tests/cluster/operators.rs
+++ b/crates/node/tests/cluster/operators.rs
@@ -61,6 +61,24 @@
     }
 }
 
+/// Guards against a VM that stays behind although a peer has the tables, because the tables leader
+/// does not reach it (random faults, seed 2173).
+#[test]
+fn a_vm_cut_off_from_the_voters_gets_the_tables_from_a_peer() {
+    let mut sim = Sim::ready(71, 2, 1);
+    sim.partition(&[2], &[1, 3, 5], true);
+    let change = sim.apply(6, "change", 1, tables(5));
+    sim.run_for(6_000);
+
+    assert_eq!(accepted(&sim, change), Some(2));
+    assert_eq!(sim.vms[&2].tables_version, 2);
+    sim.heal();
+    let next = sim.apply(2, "next", 2, tables(6));
+    sim.run_for(6_500);
+    assert_eq!(accepted(&sim, next), Some(3));
+    assert!(sim.vms.values().all(|vm| vm.tables_version == 3));
+}
+
 /// Guards against a change that a minority accepts.
 #[test]
 fn a_minority_accepts_no_change() {
--- a/crates/node/tests/codec.rs
+++ b/crates/node/tests/codec.rs
@@ -280,6 +280,10 @@
         16 => PeerMessage::PlaceCheck { task },
         17 => PeerMessage::PlaceLost { task },
         18 => PeerMessage::PlaceStop { task },
+        19 => PeerMessage::TablesWanted { version },
+        20 => PeerMessage::TablesState {
+            state: p.answer.body,
+        },
         _ => PeerMessage::Group {
             group: GroupId::Tables,
             message: p.message,
@@ -288,7 +292,7 @@
 }
 
 fn peer_message() -> impl Strategy<Value = PeerMessage> {
-    (0..20_u8, parts()).prop_map(|(variant, parts)| match variant {
+    (0..22_u8, parts()).prop_map(|(variant, parts)| match variant {
         0..8 => requests(variant, parts),
         _ => others(variant, parts),
     })
