--- a/crates/node/tests/codec.rs
+++ b/crates/node/tests/codec.rs
@@ -304,6 +304,10 @@
         16 => PeerMessage::PlaceCheck { task },
         17 => PeerMessage::PlaceLost { task },
         18 => PeerMessage::PlaceStop { task },
+        20 => PeerMessage::TablesWanted { version },
+        21 => PeerMessage::TablesState {
+            state: p.answer.body,
+        },
         _ => PeerMessage::Group {
             group: GroupId::Tables,
             message: p.message,
@@ -312,7 +316,7 @@
 }
 
 fn peer_message() -> impl Strategy<Value = PeerMessage> {
-    (0..21_u8, parts()).prop_map(|(variant, parts)| match variant {
+    (0..23_u8, parts()).prop_map(|(variant, parts)| match variant {
         0..8 => requests(variant, parts),
         _ => others(variant, parts),
     })
