Let the stand-in worker announce itself while no placer calls

Cause: with announcements every 30 s, a worker that its placer could not reach for 5 s is called again only after the next announcement; before it was 5 s.

Ruled out: calls to silent workers by the placer, as their task lease must run out.

Change: the stand-in worker announces itself every second while no placer has called for 5 s, and leaves its tasks out of announcements, as placers take them from replies to claims only.

Conclusion: rare announcements do not delay the return of a worker that follows this rule.

--- a/crates/acaciareeld/examples/standin_worker/entry.rs
+++ b/crates/acaciareeld/examples/standin_worker/entry.rs
@@ -1,6 +1,10 @@
 //! Announcements and results for the entry VMs.
 
-use std::{fs, sync::Arc, time::Duration};
+use std::{
+    fs,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use acaciareel_types::{Answer, Resources, TaskId};
 use acaciareel_wire::{http, types};
@@ -21,6 +25,11 @@
 /// Pause before the next entry VM is tried.
 const RETRY: Duration = Duration::from_millis(200);
 
+/// Time without a call after which the placer counts as lost; it calls at least every 4 s.
+const ALONE: Duration = Duration::from_secs(5);
+/// Time between announcements while the placer counts as lost.
+const ALONE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Client of the entry VMs.
 #[derive(Debug)]
 pub struct EntryClient {
@@ -70,7 +79,11 @@
 pub async fn announce_forever(shared: Arc<Shared>) {
     loop {
         let choice = shared.state().random.below(u64::MAX);
-        let report = types::WorkerReport::from(&shared.report());
+        // Placers learn of tasks from replies to claims only.
+        let report = types::WorkerReport {
+            running: Vec::new(),
+            ..types::WorkerReport::from(&shared.report())
+        };
         let posted = shared.entries.post(choice, "/v1/workers/announce", &report);
         let next = match posted.await {
             Ok((StatusCode::OK, body)) => serde_json::from_slice::<http::AnnounceReply>(&body)
@@ -79,9 +92,22 @@
                 }),
             _ => RETRY,
         };
+        wait_for_turn(&shared, next).await;
+    }
+}
+
+/// Waits until the next announcement is due: after `next`, at once if asked to, and every second
+/// while no placer calls, since a placer that has lost a worker finds it by its announcement only.
+async fn wait_for_turn(shared: &Shared, next: Duration) {
+    let due = Instant::now() + next;
+    loop {
+        let left = due.saturating_duration_since(Instant::now());
         tokio::select! {
-            () = time::sleep(next) => {}
-            () = shared.announce_now.notified() => {}
+            () = time::sleep(left.min(ALONE_INTERVAL)) => {}
+            () = shared.announce_now.notified() => return,
+        }
+        if Instant::now() >= due || shared.state().heard.elapsed() >= ALONE {
+            return;
         }
     }
 }
