--- a/crates/acaciareeld/src/http.rs
+++ b/crates/acaciareeld/src/http.rs
@@ -66,6 +66,8 @@
     pub metrics: PrometheusHandle,
     /// Level of the log.
     pub logger: LoggerHandle,
+    /// Whether this VM has tables, without which it refuses every request.
+    pub tables_in_force: Arc<AtomicBool>,
     /// Whether a stop was asked for.
     pub stopping: AtomicBool,
 }
@@ -236,7 +238,11 @@
         {
             return Err(HttpError::too_many());
         }
-        let body = self.read_body(received.body).await?;
+        let limit_bytes = match endpoint {
+            Endpoint::Apply => limits.tables_bytes,
+            _ => limits.body_bytes,
+        };
+        let body = self.read_body(received.body, limit_bytes).await?;
         match endpoint {
             Endpoint::Metrics => {
                 metering::measure_process();
@@ -258,14 +264,14 @@
         }
     }
 
-    async fn read_body(&self, body: Body) -> Result<Bytes, HttpError> {
+    async fn read_body(&self, body: Body, limit_bytes: usize) -> Result<Bytes, HttpError> {
         let limits = &self.app.limits;
         let limit = Duration::from_millis(limits.header_timeout_ms.0);
-        let collected = Limited::new(body, limits.body_bytes).collect();
+        let collected = Limited::new(body, limit_bytes).collect();
         match time::timeout(limit, collected).await {
             Ok(Ok(collected)) => Ok(collected.to_bytes()),
             Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-                let reason = format!("body exceeds {} bytes", limits.body_bytes);
+                let reason = format!("body exceeds {limit_bytes} bytes");
                 Err(HttpError::new(StatusCode::PAYLOAD_TOO_LARGE, reason))
             }
             Ok(Err(error)) => Err(HttpError::bad_request(format!("body: {error}"))),
@@ -320,6 +326,8 @@
     fn health(&self) -> Response<Body> {
         if self.app.stopping.load(Ordering::Relaxed) {
             response::text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n".to_owned())
+        } else if !self.app.tables_in_force.load(Ordering::Relaxed) {
+            response::text(StatusCode::SERVICE_UNAVAILABLE, "no tables\n".to_owned())
         } else {
             response::text(StatusCode::OK, "ok\n".to_owned())
         }
