Test garbage at the border of the daemon

Cause: the requirement that no caller, worker, peer or damaged file stops a daemon had examples, but no test over arbitrary input.

Change: property tests of the settings (one line replaced), the write-ahead log (a range replaced, then truncated), headers and bodies of five HTTP calls; an end-to-end test that sends 40 rounds of twelve broken HTTP requests and four datagrams while requests of effect once go on.

Messages between daemons are covered by the truncation and bit-flip tests of the node's codec.

--- a/crates/acaciareeld/src/config/tests.rs
+++ b/crates/acaciareeld/src/config/tests.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use acaciareel_settings::{IniFile, SettingsError, TablesFile};
+use proptest::prelude::*;
 
 use crate::config::Config;
 
@@ -157,3 +158,21 @@
         }
     }
 }
+
+proptest! {
+    /// Guards against settings that stop the daemon with a panic, or an error without its place.
+    #[test]
+    fn any_change_of_the_settings_is_read_or_refused_with_its_file(
+        line in 0..VALID.lines().count(),
+        text in "[\\PC\t\r\n]{0,40}|[a-z_]{1,20} = [-0-9a-z.:, ]{0,30}|\\[[a-z 0-9-]{0,12}\\]",
+    ) {
+        let mut lines: Vec<&str> = VALID.lines().collect();
+        lines[line] = &text;
+
+        let result = check(&lines.join("\n"));
+
+        if let Err(error) = result {
+            prop_assert!(error.to_string().starts_with("/etc/vm-1.ini: "), "{}", error);
+        }
+    }
+}
--- a/crates/acaciareeld/src/http/request.rs
+++ b/crates/acaciareeld/src/http/request.rs
@@ -152,3 +152,6 @@
 fn json<T: DeserializeOwned>(body: &Bytes) -> Result<T, HttpError> {
     serde_json::from_slice(body).map_err(|error| HttpError::bad_request(format!("body: {error}")))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/acaciareeld/src/storage/tests.rs
+++ b/crates/acaciareeld/src/storage/tests.rs
@@ -9,6 +9,7 @@
 use acaciareel_consensus::{Entry, MemberId, MemberSet, Payload, Record, Restored, Snapshot};
 use acaciareel_node::GroupId;
 use acaciareel_types::{Incarnation, LogIndex, Term, VmId};
+use proptest::prelude::*;
 use tempfile::TempDir;
 
 use crate::storage::{Opened, Storage, StorageError};
@@ -276,3 +277,38 @@
     assert!(again.incarnation > first);
     assert!(again.restored.groups.is_empty());
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    /// Guards against a damaged log that stops the reader with a panic, with a large allocation for
+    /// a wrong length, or with an error without its place.
+    #[test]
+    fn any_damage_is_repaired_or_refused_with_its_place(
+        at in 0..200_usize,
+        bytes in proptest::collection::vec(any::<u8>(), 0..40),
+        kept in 0..400_usize,
+    ) {
+        let folder = TempDir::new().expect("temporary folder");
+        let mut opened = open(&folder);
+        write(&mut opened, vec![vote(1), append(1, 1), snapshot(1, 1), append(2, 1)]);
+        drop(opened);
+        let path = folder.path().join("wal");
+        let mut log = fs::read(&path).expect("log");
+        let at = at.min(log.len());
+        let end = (at + bytes.len()).min(log.len());
+        log.splice(at..end, bytes);
+        log.truncate(kept);
+        fs::write(&path, &log).expect("written log");
+
+        let opened = Storage::open(folder.path(), VM);
+
+        if let Err(report) = opened {
+            let StorageError::Damaged { file, offset, .. } = report.current_context() else {
+                panic!("{report:?}");
+            };
+            prop_assert_eq!(file, &path);
+            prop_assert!(*offset <= log.len() as u64);
+        }
+    }
+}
--- a/crates/acaciareeld/tests/end_to_end.rs
+++ b/crates/acaciareeld/tests/end_to_end.rs
@@ -9,6 +9,8 @@
 mod client;
 #[path = "end_to_end/env.rs"]
 mod env;
+#[path = "end_to_end/garbage.rs"]
+mod garbage;
 #[path = "end_to_end/links.rs"]
 mod links;
 #[path = "end_to_end/partitions.rs"]
--- a/crates/acaciareeld/tests/end_to_end/env.rs
+++ b/crates/acaciareeld/tests/end_to_end/env.rs
@@ -339,6 +339,11 @@
         }
     }
 
+    /// Returns the HTTP address of a VM and its address for the other daemons.
+    pub fn addresses(&self, vm: usize) -> (SocketAddr, SocketAddr) {
+        (self.vms[vm].http, self.vms[vm].peers)
+    }
+
     pub fn url(&self, vm: usize, path: &str) -> String {
         format!("http://{}{path}", self.vms[vm].http)
     }
