Test broken frames of peers and arbitrary tables

A known VM that sends an incomplete greeting, a length of 4 GiB, a cut-off or an unreadable message loses that connection only: a later process of the same VM is heard. Arbitrary tables are read or refused with their file.

--- a/crates/acaciareeld/src/config/tests.rs
+++ b/crates/acaciareeld/src/config/tests.rs
@@ -176,3 +176,22 @@
         }
     }
 }
+
+proptest! {
+    /// Guards against tables that stop a daemon or the client with a panic.
+    #[test]
+    fn any_tables_are_read_or_refused_with_their_file(
+        lines in proptest::collection::vec(
+            "\\[(route|pool|quota|group) ?[a-z\\]]{0,3}\\]|(pool|groups|policy|effect|tasks|weight) ?[=:]? ?[-0-9a-z,]{0,12}|\\PC{0,20}",
+            0..12,
+        ),
+    ) {
+        let file = Path::new("tables.ini");
+
+        let result = TablesFile::parse(file, &lines.join("\n")).and_then(|tables| tables.check());
+
+        if let Err(error) = result {
+            prop_assert!(error.to_string().starts_with("tables.ini: "), "{}", error);
+        }
+    }
+}
--- a/crates/acaciareeld/src/transport/tests.rs
+++ b/crates/acaciareeld/src/transport/tests.rs
@@ -184,3 +184,60 @@
         assert!(refused, "{ended}");
     }
 }
+
+/// Sends bytes on a stream as vm-2 and waits until they were read, or the connection has ended.
+async fn send_as_second(folder: &Path, first: &Config, bytes: &[u8]) {
+    let identity = Identity::load(&KeysConfig {
+        authority: folder.join("ca.pem"),
+        certificate: folder.join("vm-2.pem"),
+        private_key: folder.join("vm-2.key"),
+    });
+    let local = "127.0.0.1:0".parse().expect("address");
+    let mut endpoint = Endpoint::client(local).expect("endpoint");
+    endpoint.set_default_client_config(identity.expect("keys").client().expect("client"));
+    let connecting = endpoint.connect(first.peers_listen, "vm-1");
+    let connection = connecting.expect("valid name").await.expect("connection");
+    let mut stream = connection.open_uni().await.expect("stream");
+    // The daemon may end the connection while it is still written to.
+    let _ = stream.write_all(bytes).await;
+    let _ = stream.finish();
+    let _ = time::timeout(GIVE_UP, stream.stopped()).await;
+}
+
+/// Guards against a broken peer whose frames stop the daemon or keep a later process of the same VM
+/// from being heard.
+#[tokio::test]
+async fn broken_frames_of_a_peer_do_not_outlast_its_connection() {
+    let folder = folder();
+    let [first, second] = configs(folder.path());
+    let (receiver, mut inputs) = start(&first, 1);
+    let hello = [7_u8; 16];
+    let frames: [&[u8]; 5] = [
+        &[],
+        &[0xFF; 4],
+        &[10, 0, 0, 0, 1],
+        &[3, 0, 0, 0, 0xFF, 0xFF, 0xFF],
+        &[0; 4],
+    ];
+
+    send_as_second(folder.path(), &first, &hello[..5]).await;
+    for frame in frames {
+        send_as_second(folder.path(), &first, &[&hello, frame].concat()).await;
+    }
+    let (sender, _kept) = start(&second, 9);
+    let arrived = loop {
+        sender.send(VmId(1), &message("clean"));
+        let pause = Duration::from_millis(100);
+        if let Ok(event) = time::timeout(pause, next(&mut inputs)).await {
+            break event;
+        }
+    };
+
+    let expected = Event::Peer {
+        from: VmId(2),
+        incarnation: Incarnation(20),
+        message: message("clean"),
+    };
+    assert_eq!(arrived, expected);
+    receiver.close(Duration::from_millis(100)).await;
+}
