--- a/crates/acaciareel/src/commands/overview.rs
+++ b/crates/acaciareel/src/commands/overview.rs
@@ -19,8 +19,15 @@
 struct Control {
     cpu_seconds: f64,
     resident_bytes: f64,
+    /// Traffic with the other daemons, headers included.
     peer_sent_bytes: f64,
     peer_received_bytes: f64,
+    /// Calls to workers.
+    worker_sent_bytes: f64,
+    worker_received_bytes: f64,
+    /// Requests of callers, operators and workers.
+    http_sent_bytes: f64,
+    http_received_bytes: f64,
 }
 
 /// A VM that answered.
@@ -62,14 +69,19 @@
     let status = session.body_of(server, "/v1/status").await?;
     let status = serde_json::from_slice(&status).map_err(|error| error.to_string())?;
     let samples = metrics(session, server).await?;
+    let sum = |name: &str| prometheus::sum(&samples, &format!("acaciareel_{name}"));
     Ok(Answering {
         server: server.to_string(),
         status,
         control: Control {
-            cpu_seconds: prometheus::sum(&samples, "acaciareel_process_cpu_seconds"),
-            resident_bytes: prometheus::sum(&samples, "acaciareel_process_resident_bytes"),
-            peer_sent_bytes: prometheus::sum(&samples, "acaciareel_peer_sent_bytes_total"),
-            peer_received_bytes: prometheus::sum(&samples, "acaciareel_peer_received_bytes_total"),
+            cpu_seconds: sum("process_cpu_seconds"),
+            resident_bytes: sum("process_resident_bytes"),
+            peer_sent_bytes: sum("peer_sent_bytes_total"),
+            peer_received_bytes: sum("peer_received_bytes_total"),
+            worker_sent_bytes: sum("worker_sent_bytes_total"),
+            worker_received_bytes: sum("worker_received_bytes_total"),
+            http_sent_bytes: sum("http_sent_bytes_total"),
+            http_received_bytes: sum("http_received_bytes_total"),
         },
     })
 }
