Take a new incarnation in the stand-in worker when tasks expire

Cause: a placer takes a task that is missing from a report of the same incarnation for one that never ran. The stand-in worker ended tasks at the end of their task lease without a new incarnation, so a `once` task could have run twice.

Ruled out: listing expired tasks as results, since they have no answer.

Change: the worker takes a new incarnation before it stops such tasks.

No end-to-end test covers a worker that is isolated for more than 10 s and returns; the fault tests of crates/node do.

--- a/crates/acaciareeld/examples/standin_worker/state.rs
+++ b/crates/acaciareeld/examples/standin_worker/state.rs
@@ -24,7 +24,6 @@
     pub entries: EntryClient,
     pub announce_now: Notify,
     address: SocketAddr,
-    incarnation: Incarnation,
     state: Mutex<State>,
 }
 
@@ -40,6 +39,7 @@
 /// Part that changes.
 #[derive(Debug)]
 pub struct State {
+    incarnation: Incarnation,
     pub token: FencingToken,
     pub holder: String,
     lease_end: Instant,
@@ -68,6 +68,7 @@
         let micros = since_epoch.map_or(1, |elapsed| elapsed.as_micros());
         Self {
             state: Mutex::new(State {
+                incarnation: Incarnation(u64::try_from(micros).unwrap_or(u64::MAX)),
                 token: FencingToken(0),
                 holder: String::new(),
                 lease_end: now,
@@ -80,7 +81,6 @@
                 sequence: 0,
                 told: None,
             }),
-            incarnation: Incarnation(u64::try_from(micros).unwrap_or(u64::MAX)),
             announce_now: Notify::new(),
             arguments,
             entries,
@@ -103,7 +103,7 @@
         });
         WorkerReport {
             worker: self.arguments.id.clone(),
-            incarnation: self.incarnation,
+            incarnation: state.incarnation,
             sequence: state.sequence,
             address: self.address,
             failure_domain: self.arguments.failure_domain.clone(),
@@ -179,6 +179,13 @@
         self.ended.keys().cloned().collect()
     }
 
+    /// Takes a new incarnation, so that tasks which ended without an answer are not taken for tasks
+    /// that never ran.
+    pub fn begin_incarnation(&mut self) {
+        self.incarnation.0 += 1;
+        self.told = None;
+    }
+
     /// Checks the token of a call about a task.
     pub fn check(&mut self, token: FencingToken) -> Result<(), FencingToken> {
         if token != self.token {
--- a/crates/acaciareeld/examples/standin_worker/tasks.rs
+++ b/crates/acaciareeld/examples/standin_worker/tasks.rs
@@ -136,12 +136,16 @@
     loop {
         time::sleep(POLL).await;
         let expired: Vec<TaskId> = {
-            let state = shared.state();
+            let mut state = shared.state();
             if Instant::now() < state.heard + task_lease {
                 continue;
             }
             let exclusive = state.running.iter().filter(|(_, task)| task.exclusive);
-            exclusive.map(|(task, _)| task.clone()).collect()
+            let expired: Vec<_> = exclusive.map(|(task, _)| task.clone()).collect();
+            if !expired.is_empty() {
+                state.begin_incarnation();
+            }
+            expired
         };
         for task in expired {
             stop(&shared, &task, "expire");
