Let the scheduler see its own tasks in workers' reports

Cause: the node removed the scheduler's own tasks from each report. Usage of running tasks never reached the size correction, which learned from ended tasks only, and a task that had ended held room again when a late report listed it.

Ruled out: a filter that also remembers ended tasks; the scheduler already has one behind identify_task.

Change: each placed or adopted task is identified to the scheduler, and reports are passed on as they are.

Not measured: how much sooner sizes are corrected. Covered by the scheduler's own tests of reports (room::*), not by a test of the node.

Conclusion: one rule on reports, in the scheduler.

--- a/crates/node/src/placer/recovery.rs
+++ b/crates/node/src/placer/recovery.rs
@@ -199,21 +199,15 @@
             earlier_attempts: job.tries,
             accepted: true,
         };
+        let id = task.id.clone();
         self.scheduler.adopt(site.now_ms(), queued, vec![placement]);
+        self.scheduler.identify_task(key, &id);
     }
 
-    /// Tells the scheduler of a worker, with the running tasks that it did not place itself.
+    /// Tells the scheduler of a worker. The scheduler knows its own tasks by their identifiers; the
+    /// others hold room as the report lists them.
     pub(super) fn report_to_scheduler(&mut self, site: &Site<'_, '_>, report: &WorkerReport) {
-        let mut report = report.clone();
-        report.running.retain(|running| {
-            let job = self.by_task.get(&running.task);
-            let job = job.and_then(|id| self.jobs.get(id));
-            !job.is_some_and(|job| {
-                let mut tasks = job.tasks.iter();
-                tasks.any(|task| task.id == running.task && task.scheduled)
-            })
-        });
-        self.scheduler.report_worker(site.now_ms(), &report);
+        self.scheduler.report_worker(site.now_ms(), report);
         if let Some(registered) = self.workers.get_mut(&report.worker) {
             registered.scheduled = true;
         }
--- a/crates/node/src/placer/start.rs
+++ b/crates/node/src/placer/start.rs
@@ -25,8 +25,9 @@
             };
             tasks.push(self.new_task(site, id, tasks.len(), location, placement.reserved));
         }
-        for task in &mut tasks {
+        for (index, task) in tasks.iter_mut().enumerate() {
             task.scheduled = true;
+            self.scheduler.identify_task(task_key(id, index), &task.id);
         }
         self.begin_attempt(site, id, tasks);
     }
