Bound the bodies that arrive at the same time

Cause: 1,024 connections with slow bodies of 256 KiB could make a daemon hold 256 MiB, against a target of 128 MB for a VM.

Ruled out: fewer connections (they also wait for answers) and a smaller body (postures and tables need theirs).

Change: each body reserves its stated length, or the limit of its path if it states none, until it has arrived; the setting arriving_bytes (32 MiB) bounds the sum, and beyond it the answer is 503 with Retry-After and the verdict not_run. The least value is the largest body that settings allow.

Figures: worst case of arriving bodies 256 MiB -> 32 MiB by these settings; resident memory under such a load was not measured.

Conclusion: bodies on their way no longer decide the daemon's memory.

--- a/crates/acaciareeld/src/config.rs
+++ b/crates/acaciareeld/src/config.rs
@@ -60,6 +60,9 @@
     pub body_bytes: usize,
     /// Largest body of a change of the tables; those with 700 quotas have about 300 KB.
     pub tables_bytes: usize,
+    /// Bodies that may arrive at the same time, in all. Without it, 1,024 connections with slow
+    /// bodies of 256 KiB would hold 256 MiB.
+    pub arriving_bytes: usize,
     /// Largest HTTP request head.
     pub header_bytes: usize,
     /// Longest wait for a complete request head, and for a complete body.
@@ -333,6 +336,7 @@
 const LIMIT_KEYS: &[&str] = &[
     "body_bytes",
     "tables_bytes",
+    "arriving_bytes",
     "header_bytes",
     "header_timeout_ms",
     "idle_timeout_ms",
@@ -348,6 +352,7 @@
     Ok(LimitsConfig {
         body_bytes: reader.in_range("body_bytes", 256 << 10, &(1 << 10), &(16 << 20))?,
         tables_bytes: reader.in_range("tables_bytes", 2 << 20, &(1 << 10), &(16 << 20))?,
+        arriving_bytes: reader.in_range("arriving_bytes", 32 << 20, &(16 << 20), &(1 << 30))?,
         header_bytes: reader.in_range("header_bytes", 16 << 10, &(1 << 10), &(256 << 10))?,
         header_timeout_ms: reader.in_range(
             "header_timeout_ms",
--- a/crates/acaciareeld/src/http.rs
+++ b/crates/acaciareeld/src/http.rs
@@ -24,11 +24,11 @@
     state::{FromState, State, client_addr},
 };
 use http_body_util::{BodyExt, Limited};
-use hyper::{HeaderMap, Method, Response, StatusCode, Uri, header};
+use hyper::{HeaderMap, Method, Response, StatusCode, Uri, body::Body as _, header};
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::{
     net::TcpListener,
-    sync::{mpsc, oneshot},
+    sync::{Semaphore, SemaphorePermit, mpsc, oneshot},
     task::JoinHandle,
     time,
 };
@@ -78,6 +78,8 @@
     gates: Arc<Gates>,
     next_connection: AtomicU64,
     announcements: RateLimit,
+    /// Bytes of bodies that may still begin to arrive.
+    arriving: Semaphore,
 }
 
 /// Running server.
@@ -112,6 +114,7 @@
             announcements: RateLimit::new(limits.announcements, Instant::now()),
             gates: Arc::clone(&gates),
             next_connection: AtomicU64::new(1),
+            arriving: Semaphore::new(limits.arriving_bytes),
             app,
         };
         let handler = HttpHandler(Arc::new(shared));
@@ -267,6 +270,7 @@
     async fn read_body(&self, body: Body, limit_bytes: usize) -> Result<Bytes, HttpError> {
         let limits = &self.app.limits;
         let limit = Duration::from_millis(limits.header_timeout_ms.0);
+        let _arriving = self.reserve(&body, limit_bytes)?;
         let collected = Limited::new(body, limit_bytes).collect();
         match time::timeout(limit, collected).await {
             Ok(Ok(collected)) => Ok(collected.to_bytes()),
@@ -282,6 +286,17 @@
         }
     }
 
+    /// Reserves memory for a body until it has arrived; one of unknown length may take the limit.
+    fn reserve(&self, body: &Body, limit_bytes: usize) -> Result<SemaphorePermit<'_>, HttpError> {
+        let stated = body.size_hint().exact();
+        let stated = stated.and_then(|bytes| usize::try_from(bytes).ok());
+        let bytes = stated.unwrap_or(limit_bytes).min(limit_bytes);
+        let permits = u32::try_from(bytes).unwrap_or(u32::MAX);
+        self.arriving
+            .try_acquire_many(permits)
+            .map_err(|_| HttpError::bodies_full())
+    }
+
     fn connection(&self) -> ConnectionId {
         ConnectionId(self.next_connection.fetch_add(1, Ordering::Relaxed))
     }
--- a/crates/acaciareeld/src/http/response.rs
+++ b/crates/acaciareeld/src/http/response.rs
@@ -52,6 +52,17 @@
         }
     }
 
+    /// The bodies that arrive now already take the memory that the settings allow.
+    pub fn bodies_full() -> Self {
+        Self {
+            retry_after_s: Some(1),
+            ..Self::new(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "too many bodies arrive at the same time".to_owned(),
+            )
+        }
+    }
+
     /// The daemon ended before it knew the outcome.
     pub fn unknown_fate() -> Self {
         Self {
--- a/crates/acaciareeld/src/http/tests.rs
+++ b/crates/acaciareeld/src/http/tests.rs
@@ -37,6 +37,7 @@
     LimitsConfig {
         body_bytes: 256 << 10,
         tables_bytes: 2 << 20,
+        arriving_bytes: 16 << 20,
         header_bytes: 1 << 10,
         header_timeout_ms: Millis(30_000),
         idle_timeout_ms: Millis(30_000),
@@ -204,6 +205,49 @@
     assert!(!endless_head.contains("200 OK"), "{endless_head}");
 }
 
+/// Guards against slow bodies on many connections that together take more memory than the VM has.
+#[tokio::test]
+async fn bodies_that_arrive_together_are_bounded() {
+    let limits = LimitsConfig {
+        arriving_bytes: 1 << 10,
+        ..limits()
+    };
+    let mut fixture = start(limits).await;
+    let mut slow = fixture.connect().await;
+    let large = SUBMIT.replace("Length: 4", "Length: 1022");
+    send(&mut slow, &large).await;
+    let mut second = fixture.connect().await;
+
+    // The first body may not have been announced to the server yet.
+    let refused = async {
+        loop {
+            send(&mut second, SUBMIT).await;
+            let next = fixture.inputs.recv();
+            tokio::select! {
+                answer = read_until(&mut second, "not_run\"}") => return answer,
+                input = next => {
+                    let Some(Input::Request { reply, .. }) = input else {
+                        continue;
+                    };
+                    reply.send(ran("early")).expect("waiting handler");
+                    read_until(&mut second, "early").await;
+                }
+            }
+        }
+    };
+    let refused = time::timeout(GIVE_UP, refused).await.expect("refusal");
+    send(&mut slow, &"x".repeat(1_018)).await;
+    let Input::Request { reply, .. } = fixture.next().await else {
+        panic!("expected a request");
+    };
+    reply.send(ran("whole")).expect("waiting handler");
+    let answer = read_until(&mut slow, "whole").await;
+
+    assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
+    assert!(refused.contains("retry-after: 1"), "{refused}");
+    assert!(answer.ends_with("whole"), "{answer}");
+}
+
 /// Guards against workers that announce themselves faster than the VM can pass it on.
 #[tokio::test]
 async fn announcements_beyond_the_rate_are_refused() {
--- a/crates/acaciareeld/src/worker_client/tests.rs
+++ b/crates/acaciareeld/src/worker_client/tests.rs
@@ -16,6 +16,7 @@
     let limits = LimitsConfig {
         body_bytes: 0,
         tables_bytes: 2 << 20,
+        arriving_bytes: 0,
         header_bytes: 0,
         header_timeout_ms: Millis(0),
         idle_timeout_ms: Millis(30_000),
