Delegate work that has free slots but no room at home

Cause: a domain counted free slots only. Audits of 15 cores filled both halves of a 30-core worker and left six slots free, so the third waited at home until one ended, while workers of other domains were idle. The same figure in heartbeats offered room that no task could use.

Ruled out: room of each resource in heartbeats (about 1.4 KB/s more on a VM that is at 22.5 of 23 KB/s), and a check of each waiting job against each worker (one check per kind is enough).

Change: heartbeats count slots of workers that have the other resources for the smallest demand of the pool too; a home asks its scheduler whether a worker has room for the kind before it keeps a job.

Conclusion: idle workers elsewhere are used when any resource at home is short.

--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -36,7 +36,7 @@
     pub pool: PoolName,
     /// Number of workers that take work.
     pub workers: u32,
-    /// Free slots.
+    /// Free slots of workers that have the other resources for the smallest demands too.
     pub free_slots: u32,
     /// Predicted wait of a job that arrives now.
     pub predicted_wait_ms: Millis,
--- a/crates/node/src/placer.rs
+++ b/crates/node/src/placer.rs
@@ -388,7 +388,7 @@
         let rooms = rooms.map(|summary| PoolRoom {
             pool: summary.pool,
             workers: summary.workers,
-            free_slots: summary.free.slots.0,
+            free_slots: summary.usable_slots,
             predicted_wait_ms: summary.predicted_wait_ms,
         });
         self.rooms = rooms.collect();
--- a/crates/node/src/placer/remote.rs
+++ b/crates/node/src/placer/remote.rs
@@ -1,7 +1,7 @@
 //! Delegation of a ledgered task to another domain's placer, seen from its home.
 
 use acaciareel_scheduler::{EndKind, JobId};
-use acaciareel_types::{FailureDomain, Millis, Reason, TaskId, Term, VmId};
+use acaciareel_types::{FailureDomain, KindName, Millis, Reason, SortedVec, TaskId, Term, VmId};
 
 use super::{Job, Location, Owner, Placer, Site, Stage, TaskState, task_key};
 use crate::{PeerMessage, io::Io, node::Node};
@@ -139,12 +139,19 @@
     /// delegated, idempotent ones go back to their entry VM, which chooses another domain.
     pub(super) fn delegate_waiting(&mut self, site: &mut Site<'_, '_>) {
         let now_ms = site.now_ms();
-        let waiting: Vec<JobId> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| self.may_go_elsewhere(site, job))
-            .map(|(id, _)| *id)
-            .collect();
+        let mut rooms: SortedVec<KindName, bool> = SortedVec::new();
+        let mut waiting = Vec::new();
+        for (id, job) in self.jobs.iter() {
+            if !self.may_go_elsewhere(site, job) {
+                continue;
+            }
+            let kind = &job.request.kind;
+            let home_has_room =
+                rooms.get_or_insert_with(kind.clone(), || self.scheduler.has_room(kind));
+            if !*home_has_room {
+                waiting.push(*id);
+            }
+        }
         for id in waiting {
             // Each task sent takes room that the next one may have counted on.
             let still = self
@@ -168,15 +175,8 @@
             return false;
         }
         let waited_ms = site.io.now_ms.saturating_sub(job.accepted_ms);
-        let pool = site.tables.tables().routes().get(&job.request.kind);
-        let pool = pool.map(|route| &route.pool);
-        let home_has_room = self
-            .rooms
-            .iter()
-            .any(|room| Some(&room.pool) == pool && room.free_slots > 0);
         matches!(job.owner, Owner::Ledger { .. } | Owner::Direct(_))
             && waited_ms >= WAIT_BEFORE_DELEGATION_MS
-            && !home_has_room
             && self.remote_target(site, job).is_some()
     }
 
--- a/crates/node/tests/cluster/placement.rs
+++ b/crates/node/tests/cluster/placement.rs
@@ -4,7 +4,7 @@
 use acaciareel_types::{RawTables, Reason, TableVersion, Verdict};
 
 use crate::{
-    setup::{batch_tables, gang_tables},
+    setup::{batch_tables, gang_tables, large_tables},
     sim::Sim,
 };
 
@@ -139,6 +139,26 @@
     }
 }
 
+/// Guards against work that waits at home for processors because the home's workers have free
+/// slots, while workers elsewhere are idle.
+#[test]
+fn work_that_fits_no_worker_at_home_goes_elsewhere() {
+    let mut sim = Sim::ready(205, 2, 1);
+    let applied = sim.apply(1, "large", 1, large_tables());
+    sim.run_while(6_000, |sim| sim.applied(applied).is_none());
+    sim.run_for(1_000);
+    for key in ["khomas-a/1", "khomas-a/2"] {
+        sim.submit(1, "audit", key, 1, 10_000);
+    }
+    sim.run_for(300);
+
+    sim.submit(1, "audit", "khomas-a/3", 1, 10_000);
+    let waited_ms = sim.run_while(2_400, |sim| sim.runs_of("khomas-a/3") == 0);
+
+    let worker = &sim.runs.last().expect("run").worker;
+    assert!(!worker.starts_with("w0"), "{worker} after {waited_ms} ms");
+}
+
 /// Guards against a cancellation that overtakes a delegated task and frees its key too early
 /// (random faults, seed 90).
 #[test]
--- a/crates/node/tests/cluster/setup.rs
+++ b/crates/node/tests/cluster/setup.rs
@@ -136,6 +136,19 @@
     raw
 }
 
+/// Tables with an exclusive kind, two tasks of which take all processors of a worker.
+pub fn large_tables() -> RawTables {
+    let mut raw = tables(4);
+    let mut audit = raw.routes[1].clone();
+    audit.name = "audit".into();
+    for (key, value) in [("cpu_millicores", "15000"), ("run_time_ms", "10000")] {
+        let setting = audit.settings.iter_mut().find(|(k, _)| k == key);
+        setting.expect("setting").1 = value.into();
+    }
+    raw.routes.push(audit);
+    raw
+}
+
 /// Tables with one kind of each effect; `weight` makes versions differ.
 pub fn tables(weight: u32) -> RawTables {
     let route = |name: &str, effect: &str, class: &str| {
--- a/crates/scheduler/src/model.rs
+++ b/crates/scheduler/src/model.rs
@@ -146,6 +146,8 @@
     pub workers: u32,
     /// Sum of their free resources.
     pub free: Resources,
+    /// Free slots of workers that have the other resources for the smallest demands too.
+    pub usable_slots: u32,
     /// Sum of their capacity.
     pub capacity: Resources,
     /// Number of waiting jobs.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -2,12 +2,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use acaciareel_types::{Millis, Resources, Tables, TaskId, WorkerId, WorkerReport};
+use acaciareel_types::{KindName, Millis, Resources, Tables, TaskId, WorkerId, WorkerReport};
 
 use crate::{
     Backoff, Cancelled, Decision, DecisionCost, Job, JobId, Placement, PoolSummary, Refusal,
     RetryBudgets, SchedulerSettings, TaskEnd, TaskKey, WorkerSummary,
-    amounts::{Amounts, add, resources},
+    amounts::{Amounts, add, copies, resources},
     index::WorkerIndex,
     jobs::{Running, Waiting},
     kinds::{Kinds, Tenants},
@@ -177,28 +177,33 @@
         let mut summaries: Vec<PoolSummary> = self
             .pools
             .iter()
-            .filter(|pool| pool.settings.is_some())
-            .map(Self::summary)
+            .enumerate()
+            .filter(|(_, pool)| pool.settings.is_some())
+            .map(|(number, pool)| summary(pool, &self.least_demand(number)))
             .collect();
         summaries.sort_by(|a, b| a.pool.cmp(&b.pool));
         summaries
     }
 
-    fn summary(pool: &Pool) -> PoolSummary {
-        let mut free = Amounts::default();
-        let mut workers = 0;
-        for entry in pool.index.entries() {
-            add(&mut free, &entry.room);
-            workers += u32::from(entry.capacity != Resources::default());
-        }
-        PoolSummary {
-            pool: pool.name.clone(),
-            workers,
-            free: resources(&free),
-            capacity: resources(&pool.capacity),
-            waiting: u32::try_from(pool.queue.len()).unwrap_or(u32::MAX),
-            predicted_wait_ms: Self::general_wait_ms(pool),
-        }
+    /// Returns whether a worker has room now for a task of this kind.
+    #[must_use]
+    pub fn has_room(&self, kind: &KindName) -> bool {
+        let kind = self.kinds.id(kind).map(|id| self.kinds.get(id));
+        let routed = kind.and_then(|kind| Some((kind, kind.routed(true)?.1)));
+        routed.is_some_and(|(kind, pool)| {
+            let mut entries = self.pools[pool].index.entries();
+            entries.any(|entry| kind.demand.fits_in(&entry.room))
+        })
+    }
+
+    /// Returns the smallest demand of each resource among the kinds of a pool.
+    fn least_demand(&self, pool: usize) -> Resources {
+        let demands = self.kinds.ids().filter_map(|id| {
+            let kind = self.kinds.get(id);
+            let (_, routed) = kind.routed(false)?;
+            (routed == pool).then_some(kind.demand)
+        });
+        demands.reduce(|a, b| a.min(&b)).unwrap_or_default()
     }
 
     /// Returns the state of each worker.
@@ -222,3 +227,23 @@
         Backoff::new(self.settings.seed, RETRY_BASE_MS, RETRY_CAP_MS)
     }
 }
+
+fn summary(pool: &Pool, least: &Resources) -> PoolSummary {
+    let mut free = Amounts::default();
+    let mut workers = 0;
+    let mut usable = 0_u64;
+    for entry in pool.index.entries() {
+        add(&mut free, &entry.room);
+        workers += u32::from(entry.capacity != Resources::default());
+        usable += copies(least, &entry.room).min(entry.room.slots.0.into());
+    }
+    PoolSummary {
+        pool: pool.name.clone(),
+        workers,
+        free: resources(&free),
+        usable_slots: u32::try_from(usable).unwrap_or(u32::MAX),
+        capacity: resources(&pool.capacity),
+        waiting: u32::try_from(pool.queue.len()).unwrap_or(u32::MAX),
+        predicted_wait_ms: Scheduler::general_wait_ms(pool),
+    }
+}
