Count the share of a worker that a delegated task takes

Cause: a home whose queue was full still accepted work because other domains announced free slots. Each task sent counted as one slot, so a burst of 20 tasks of half a worker each was accepted for three workers.

Ruled out: waiting for the other domain's answer before a request is accepted (a round trip for each), and heartbeats with room of each resource (traffic).

Change: the scheduler says how many slots' share of a worker a task takes by its scarcest resource; a domain is a target only with that many free, and tasks sent since its last heartbeat count by their share.

Conclusion: the queue limit holds in a burst of large tasks too.

--- a/crates/node/src/placer/remote.rs
+++ b/crates/node/src/placer/remote.rs
@@ -67,6 +67,7 @@
         if route.tasks != 1 {
             return None;
         }
+        let taken = self.scheduler.slots_taken(&job.request.kind);
         site.peers
             .placings(site.io.now_ms)
             .filter(|(_, placing)| placing.term > Term(0) && placing.domain != self.domain)
@@ -75,13 +76,13 @@
                 let room = placing.rooms.iter().find(|room| room.pool == route.pool)?;
                 let sent = self.sent_lately(site.io.now_ms, &placing.domain);
                 let free_slots = room.free_slots.saturating_sub(sent);
-                (free_slots > 0).then_some((free_slots, placing))
+                (free_slots >= taken).then_some((free_slots, placing))
             })
             .max_by_key(|(free_slots, _)| *free_slots)
             .map(|(_, placing)| (placing.domain.clone(), placing.term))
     }
 
-    /// Returns how many tasks were sent to a domain that its last heartbeat may not show yet.
+    /// Returns the slots of tasks sent to a domain that its last heartbeat may not show yet.
     fn sent_lately(&self, now_ms: Millis, domain: &FailureDomain) -> u32 {
         match self.sent_to.get(domain) {
             Some((since_ms, sent)) if now_ms.saturating_sub(*since_ms) < SENT_WINDOW_MS => *sent,
@@ -89,11 +90,12 @@
         }
     }
 
-    fn count_sent(&mut self, now_ms: Millis, domain: &FailureDomain) {
+    fn count_sent(&mut self, now_ms: Millis, domain: &FailureDomain, slots: u32) {
         let sent = self.sent_lately(now_ms, domain);
         let since_ms = self.sent_to.get(domain).map_or(now_ms, |(since, _)| *since);
         let since_ms = if sent == 0 { now_ms } else { since_ms };
-        self.sent_to.insert(domain.clone(), (since_ms, sent + 1));
+        let sent = sent.saturating_add(slots);
+        self.sent_to.insert(domain.clone(), (since_ms, sent));
     }
 
     /// Starts an attempt on another domain; returns whether one has room.
@@ -105,7 +107,9 @@
         let Some((domain, term)) = target else {
             return false;
         };
-        self.count_sent(site.now_ms(), &domain);
+        let kind = self.jobs.get(&id).map(|job| &job.request.kind);
+        let taken = kind.map_or(1, |kind| self.scheduler.slots_taken(kind));
+        self.count_sent(site.now_ms(), &domain, taken);
         let location = Location::Domain {
             domain,
             term: Some(term),
--- a/crates/node/tests/cluster/placement.rs
+++ b/crates/node/tests/cluster/placement.rs
@@ -159,6 +159,32 @@
     assert!(!worker.starts_with("w0"), "{worker} after {waited_ms} ms");
 }
 
+/// Guards against a queue that grows beyond its limit because other domains seem to have room.
+#[test]
+fn a_full_queue_refuses_work_that_fits_nowhere() {
+    let mut sim = Sim::ready(206, 2, 1);
+    let mut raw = large_tables();
+    raw.pools[0]
+        .settings
+        .push(("queue_limit".into(), "1".into()));
+    apply(&mut sim, raw);
+
+    let submitted: Vec<_> = (0..20)
+        .map(|n| sim.submit(1, "audit", &format!("khomas-a/{n}"), 1, 10_000))
+        .collect();
+    sim.run_for(3_000);
+
+    let started = (0..20).filter(|n| sim.runs_of(&format!("khomas-a/{n}")) > 0);
+    let refused = submitted
+        .iter()
+        .filter_map(|submitted| sim.verdict(*submitted))
+        .filter(|verdict| not_run(verdict, Reason::QueueFull));
+    // Three workers take two each; each domain may keep one waiting.
+    assert_eq!(started.count(), 6, "{}", sim.tail());
+    let refused = refused.count();
+    assert!(refused >= 11, "{refused} refused");
+}
+
 /// Guards against a cancellation that overtakes a delegated task and frees its key too early
 /// (random faults, seed 90).
 #[test]
--- a/crates/scheduler/src/amounts.rs
+++ b/crates/scheduler/src/amounts.rs
@@ -5,6 +5,9 @@
 /// One number per resource: processors, memory, accelerators, slots, connections.
 pub(crate) type Amounts = [u64; 5];
 
+/// Position of the slots.
+pub(crate) const SLOTS: usize = 3;
+
 /// A whole in parts per million.
 pub(crate) const WHOLE_PPM: u64 = 1_000_000;
 
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -7,7 +7,7 @@
 use crate::{
     Backoff, Cancelled, Decision, DecisionCost, Job, JobId, Placement, PoolSummary, Refusal,
     RetryBudgets, SchedulerSettings, TaskEnd, TaskKey, WorkerSummary,
-    amounts::{Amounts, add, copies, resources},
+    amounts::{Amounts, SLOTS, add, amounts, copies, resources},
     index::WorkerIndex,
     jobs::{Running, Waiting},
     kinds::{Kinds, Tenants},
@@ -196,6 +196,25 @@
         })
     }
 
+    /// Returns how many slots' share of a worker a task of this kind takes, by its scarcest
+    /// resource. A pool without workers gives no shares; then only the slots of the task count.
+    #[must_use]
+    pub fn slots_taken(&self, kind: &KindName) -> u32 {
+        let kind = self.kinds.id(kind).map(|id| self.kinds.get(id));
+        let Some((kind, (_, pool))) = kind.and_then(|kind| Some((kind, kind.routed(true)?))) else {
+            return 1;
+        };
+        let capacity = self.pools[pool].capacity;
+        let slots = capacity[SLOTS];
+        let shares = amounts(&kind.demand).into_iter().zip(capacity);
+        let most = shares
+            .filter(|(_, whole)| *whole > 0)
+            .map(|(need, whole)| need.saturating_mul(slots).div_ceil(whole))
+            .max();
+        let taken = most.unwrap_or_else(|| kind.demand.slots.0.into());
+        u32::try_from(taken.max(1)).unwrap_or(u32::MAX)
+    }
+
     /// Returns the smallest demand of each resource among the kinds of a pool.
     fn least_demand(&self, pool: usize) -> Resources {
         let demands = self.kinds.ids().filter_map(|id| {
