Use one conversion of HTTP bodies and one way back into the queue

Cause: the daemon built the paths and bodies of worker calls and of three events beside the conversions of crates/node, and two places put an accepted job back into the queue with slightly different rules.

Ruled out: keeping the daemon's copies; the node's path did not encode a slash in a task identifier, which the daemon's did, so they had diverged.

Change: the daemon calls WorkerCall::path and body and Event::announce, apply and task_result; the path encodes slashes and a result may leave its usage out in both; Placer::requeue serves recovery and returned attempts.

Conclusion: one piece of code for each.

--- a/crates/acaciareeld/src/http/request.rs
+++ b/crates/acaciareeld/src/http/request.rs
@@ -3,8 +3,8 @@
 use std::{fmt, str::FromStr};
 
 use acaciareel_node::{ConnectionId, Event};
-use acaciareel_types::{Attempt, IdempotencyKey, KindName, Millis, Request, TaskId, TenantName};
-use acaciareel_wire::{Fields, headers, http, types};
+use acaciareel_types::{Attempt, IdempotencyKey, KindName, Millis, Request, TenantName};
+use acaciareel_wire::headers;
 use bytes::Bytes;
 use hyper::HeaderMap;
 use serde::de::DeserializeOwned;
@@ -31,13 +31,15 @@
         Endpoint::Submit(kind) => submit(kind, connection, parts),
         Endpoint::State(key) => inquire(key, false, connection, parts),
         Endpoint::Cancel(key) => inquire(key, true, connection, parts),
-        Endpoint::Apply => apply(connection, parts),
+        Endpoint::Apply => {
+            Event::apply(connection, json(&parts.body)?).map_err(HttpError::bad_request)
+        }
         Endpoint::Announce => {
-            let report: types::WorkerReport = json(&parts.body)?;
-            let report = report.try_into().map_err(HttpError::bad_request)?;
-            Ok(Event::Announce { connection, report })
+            Event::announce(connection, json(&parts.body)?).map_err(HttpError::bad_request)
+        }
+        Endpoint::TaskResult(task) => {
+            Event::task_result(connection, task, json(&parts.body)?).map_err(HttpError::bad_request)
         }
-        Endpoint::TaskResult(task) => task_result(task, connection, parts),
         Endpoint::Drain(worker) => Ok(Event::Drain { connection, worker }),
         Endpoint::Tables => Ok(Event::ShowTables { connection }),
         Endpoint::History => Ok(Event::ShowHistory { connection }),
@@ -86,41 +88,6 @@
     })
 }
 
-fn apply(connection: ConnectionId, parts: &Parts<'_>) -> Result<Event, HttpError> {
-    let request: http::ApplyRequest = json(&parts.body)?;
-    let fields = Fields::of("ApplyRequest");
-    let operation = fields.parse("operation_id", &request.operation_id);
-    let tables = fields.present("tables", request.tables);
-    let tables = tables.and_then(TryInto::try_into);
-    Ok(Event::Apply {
-        connection,
-        operation: operation.map_err(HttpError::bad_request)?,
-        expected_version: acaciareel_types::TableVersion(request.expected_version),
-        tables: tables.map_err(HttpError::bad_request)?,
-    })
-}
-
-fn task_result(
-    task: TaskId,
-    connection: ConnectionId,
-    parts: &Parts<'_>,
-) -> Result<Event, HttpError> {
-    let result: http::TaskResult = json(&parts.body)?;
-    let fields = Fields::of("TaskResult");
-    let worker = fields.parse("worker", &result.worker);
-    let answer = fields.present("answer", result.answer);
-    let used = result.used.unwrap_or_default();
-    Ok(Event::TaskResult {
-        connection,
-        task,
-        worker: worker.map_err(HttpError::bad_request)?,
-        answer: answer
-            .and_then(TryInto::try_into)
-            .map_err(HttpError::bad_request)?,
-        used: used.try_into().map_err(HttpError::bad_request)?,
-    })
-}
-
 fn tenant(parts: &Parts<'_>) -> Result<TenantName, HttpError> {
     let tenant = required(parts.headers, headers::TENANT)?;
     parts.access.check_tenant(&tenant)?;
--- a/crates/acaciareeld/src/worker_client.rs
+++ b/crates/acaciareeld/src/worker_client.rs
@@ -2,9 +2,9 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use acaciareel_node::{WorkerCall, WorkerReply};
-use acaciareel_types::{FencingToken, TaskId};
-use acaciareel_wire::http::{LeaseReply, LeaseRequest, StaleToken, StartTask, TaskCommand};
+use acaciareel_node::{CallBody, WorkerCall, WorkerReply};
+use acaciareel_types::FencingToken;
+use acaciareel_wire::http::{LeaseReply, StaleToken};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, Response, StatusCode, body::Incoming, header};
@@ -12,7 +12,6 @@
     client::legacy::Client,
     rt::{TokioExecutor, TokioTimer},
 };
-use serde::Serialize;
 use serde_json::Value;
 use tokio::time;
 
@@ -59,8 +58,8 @@
 
     /// Makes a call and tells what is known about it.
     pub async fn call(&self, address: SocketAddr, call: WorkerCall) -> WorkerReply {
-        let (path, body) = request(&call);
-        let exchange = self.exchange(address, &path, body);
+        let path = call.path();
+        let exchange = self.exchange(address, &path, body(&call));
         match time::timeout(self.time_limit, exchange).await {
             Ok(Ok((status, body))) => reply(&call, status, &body),
             Ok(Err(Failure::NotSent)) => WorkerReply::NotSent,
@@ -96,61 +95,14 @@
     Some((status, body.collect().await.ok()?.to_bytes()))
 }
 
-fn json(body: &impl Serialize) -> Vec<u8> {
+fn body(call: &WorkerCall) -> Vec<u8> {
+    let body = match call.body() {
+        CallBody::Lease(body) => serde_json::to_vec(&body),
+        CallBody::Start(body) => serde_json::to_vec(&body),
+        CallBody::Command(body) => serde_json::to_vec(&body),
+    };
     // Messages of the wire schema have text keys only, so they always have a JSON form.
-    serde_json::to_vec(body).unwrap_or_default()
-}
-
-fn request(call: &WorkerCall) -> (String, Vec<u8>) {
-    match call {
-        WorkerCall::Lease {
-            token,
-            holder,
-            ttl_ms,
-        } => {
-            let body = json(&LeaseRequest {
-                token: token.0,
-                holder: holder.to_string(),
-                ttl_ms: ttl_ms.0,
-            });
-            ("/v1/lease".to_owned(), body)
-        }
-        WorkerCall::Start {
-            task,
-            token,
-            kind,
-            tenant,
-            reserved,
-            remaining_ms,
-            exclusive,
-            body,
-        } => {
-            let body = json(&StartTask {
-                task_id: task.to_string(),
-                token: token.0,
-                kind: kind.to_string(),
-                tenant: tenant.to_string(),
-                body: body.to_vec(),
-                resources: Some(reserved.into()),
-                remaining_ms: remaining_ms.0,
-                exclusive: *exclusive,
-            });
-            ("/v1/tasks".to_owned(), body)
-        }
-        WorkerCall::Stop { task, token } => command(task, "stop", *token),
-        WorkerCall::Checkpoint { task, token } => command(task, "checkpoint", *token),
-        WorkerCall::Throttle { task, token } => command(task, "throttle", *token),
-    }
-}
-
-fn command(task: &TaskId, name: &str, token: FencingToken) -> (String, Vec<u8>) {
-    let path = format!("/v1/tasks/{}/{name}", percent_encode(task.as_str()));
-    (path, json(&TaskCommand { token: token.0 }))
-}
-
-/// Encodes the one character of an identifier that separates path segments.
-fn percent_encode(id: &str) -> String {
-    id.replace('/', "%2F")
+    body.unwrap_or_default()
 }
 
 fn reply(call: &WorkerCall, status: StatusCode, body: &[u8]) -> WorkerReply {
--- a/crates/node/src/codec/http.rs
+++ b/crates/node/src/codec/http.rs
@@ -25,9 +25,9 @@
         match self {
             Self::Lease { .. } => "/v1/lease".into(),
             Self::Start { .. } => "/v1/tasks".into(),
-            Self::Stop { task, .. } => format!("/v1/tasks/{task}/stop"),
-            Self::Checkpoint { task, .. } => format!("/v1/tasks/{task}/checkpoint"),
-            Self::Throttle { task, .. } => format!("/v1/tasks/{task}/throttle"),
+            Self::Stop { task, .. } => task_path(task, "stop"),
+            Self::Checkpoint { task, .. } => task_path(task, "checkpoint"),
+            Self::Throttle { task, .. } => task_path(task, "throttle"),
         }
     }
 
@@ -72,6 +72,11 @@
     }
 }
 
+/// Returns a path with the one character of an identifier encoded that separates path segments.
+fn task_path(task: &TaskId, command: &str) -> String {
+    format!("/v1/tasks/{}/{command}", task.as_str().replace('/', "%2F"))
+}
+
 impl TryFrom<http::LeaseReply> for WorkerReply {
     type Error = DecodeError;
 
@@ -117,7 +122,8 @@
             task,
             worker: Field::from_wire(fields, "worker", body.worker)?,
             answer: Field::from_wire(fields, "answer", body.answer)?,
-            used: Field::from_wire(fields, "used", body.used)?,
+            // A worker need not measure usage.
+            used: Field::from_wire(fields, "used", Some(body.used.unwrap_or_default()))?,
         })
     }
 
--- a/crates/node/src/placer/applied.rs
+++ b/crates/node/src/placer/applied.rs
@@ -5,7 +5,7 @@
 use acaciareel_scheduler::JobId;
 use acaciareel_types::{LogIndex, Millis, Reason, Verdict};
 
-use super::{Location, Owner, Placer, Site, Stage, TaskState};
+use super::{Job, Location, Owner, Placer, Site, Stage, TaskState};
 use crate::{
     LedgerCommand, LedgerState, PeerMessage, RequestKey, RequestState, ledger_state::LedgerOutcome,
 };
@@ -111,6 +111,12 @@
             return;
         };
         job.stage = Stage::Queued;
+        self.requeue(site, job);
+    }
+
+    /// Puts an accepted job into the queue, or ends it where it must not run any more.
+    pub(super) fn requeue(&mut self, site: &mut Site<'_, '_>, job: Box<Job>) {
+        let id = job.id;
         let refusal = if job.cancelled {
             Some((Reason::Cancelled, Millis(0)))
         } else if site.now_ms() >= job.deadline_ms {
--- a/crates/node/src/placer/recovery.rs
+++ b/crates/node/src/placer/recovery.rs
@@ -2,7 +2,7 @@
 
 use acaciareel_scheduler::{EndKind, Job as QueuedJob, JobId, Placement};
 use acaciareel_types::{
-    FencingToken, Incarnation, Millis, Reason, Resources, TaskId, WorkerId, WorkerReport,
+    FencingToken, Incarnation, Millis, Resources, TaskId, WorkerId, WorkerReport,
 };
 
 use super::{
@@ -50,16 +50,7 @@
             self.jobs.insert(id, job);
             return;
         }
-        let refusal = if job.cancelled {
-            Some((Reason::Cancelled, Millis(0)))
-        } else {
-            let queued = self.queue(site, &job, true);
-            queued.err().map(|r| (r.reason, r.retry_after_ms))
-        };
-        self.jobs.insert(id, job);
-        if let Some((reason, retry_after_ms)) = refusal {
-            self.refuse_queued(site, id, reason, retry_after_ms);
-        }
+        self.requeue(site, job);
     }
 
     /// Returns the unsettled tasks that run on a worker.
