Name contacts and notified placers by the usual terms

Cause: names such as hear and told needed explaining.

Change: Peers::record_contact, Entry::notified, notify_placer; no behaviour changes.

Conclusion: names read without a comment.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -70,7 +70,7 @@
     /// Workers that an operator drains, with the incarnation known then.
     pub drains: SortedVec<WorkerId, Option<Incarnation>>,
     /// Placers that have received this VM's worker reports.
-    told: SortedVec<FailureDomain, (VmId, Term)>,
+    notified: SortedVec<FailureDomain, (VmId, Term)>,
     /// When each domain's ledger leader was last known.
     leader_seen_ms: SortedVec<FailureDomain, Millis>,
     retry_budget: u32,
@@ -98,7 +98,7 @@
             results: SortedVec::new(),
             reports: SortedVec::new(),
             drains: SortedVec::new(),
-            told: SortedVec::new(),
+            notified: SortedVec::new(),
             leader_seen_ms: SortedVec::new(),
             retry_budget: RETRY_BUDGET_MAX / 2,
             domains,
--- a/crates/node/src/entry/workers.rs
+++ b/crates/node/src/entry/workers.rs
@@ -87,14 +87,14 @@
             let Some(placer) = self.peers.placer_of(io.now_ms, &domain) else {
                 continue;
             };
-            if self.entry.told.get(&domain) != Some(&placer) {
-                self.entry.told.insert(domain.clone(), placer);
-                self.tell_placer(placer.0, &domain, io);
+            if self.entry.notified.get(&domain) != Some(&placer) {
+                self.entry.notified.insert(domain.clone(), placer);
+                self.notify_placer(placer.0, &domain, io);
             }
         }
     }
 
-    fn tell_placer(&mut self, placer: VmId, domain: &FailureDomain, io: &mut Io<'_>) {
+    fn notify_placer(&mut self, placer: VmId, domain: &FailureDomain, io: &mut Io<'_>) {
         let now_ms = io.now_ms;
         self.entry
             .reports
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -120,7 +120,7 @@
                 message,
             } => {
                 if self.peers.get(from).is_some() {
-                    self.peers.hear(io.now_ms, from, incarnation);
+                    self.peers.record_contact(io.now_ms, from, incarnation);
                     self.message((from, incarnation), message, io);
                 }
             }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -124,7 +124,7 @@
     }
 
     /// Notes that a message of a VM arrived; returns whether the VM was suspected until now.
-    pub fn hear(&mut self, now_ms: Millis, vm: VmId, incarnation: Incarnation) -> bool {
+    pub fn record_contact(&mut self, now_ms: Millis, vm: VmId, incarnation: Incarnation) -> bool {
         let was_suspected = self.suspected(now_ms, vm);
         if let Some(peer) = self.known.get_mut(&vm) {
             if peer.incarnation != Some(incarnation) {
@@ -231,16 +231,16 @@
 
 /// Returns whether the choice of a domain may change: workers came or went, room began or ended,
 /// or it changed by a quarter. Each smaller change would cost a message to every peer.
-fn rooms_differ(told: &[Placing], now: &[Placing]) -> bool {
+fn rooms_differ(sent: &[Placing], now: &[Placing]) -> bool {
     let rooms = |placing: &[Placing]| -> Vec<PoolRoom> {
         placing.iter().flat_map(|p| p.rooms.clone()).collect()
     };
-    let (told, now) = (rooms(told), rooms(now));
-    told.len() != now.len()
-        || told.iter().zip(&now).any(|(told, now)| {
-            told.pool != now.pool
-                || told.workers != now.workers
-                || (told.free_slots == 0) != (now.free_slots == 0)
-                || told.free_slots.abs_diff(now.free_slots) > told.free_slots / 4
+    let (sent, now) = (rooms(sent), rooms(now));
+    sent.len() != now.len()
+        || sent.iter().zip(&now).any(|(sent, now)| {
+            sent.pool != now.pool
+                || sent.workers != now.workers
+                || (sent.free_slots == 0) != (now.free_slots == 0)
+                || sent.free_slots.abs_diff(now.free_slots) > sent.free_slots / 4
         })
 }
