Look for another domain only for work without room at home

Cause: since the change that asks the scheduler for room at home, every waiting job searched all peers for a target on each pass, room at home or not, and those without room searched twice.

Ruled out: dropping the second search; each task sent takes room that the next one may have counted on.

Change: the first pass checks only that the job has waited and that its kind has no room at home; the search happens once, before the job is sent.

Processor time was not measured.

Conclusion: same decisions with less work in each pass.

--- a/crates/node/src/placer/remote.rs
+++ b/crates/node/src/placer/remote.rs
@@ -146,7 +146,7 @@
         let mut rooms: SortedVec<KindName, bool> = SortedVec::new();
         let mut waiting = Vec::new();
         for (id, job) in self.jobs.iter() {
-            if !self.may_go_elsewhere(site, job) {
+            if !may_go_elsewhere(now_ms, job) {
                 continue;
             }
             let kind = &job.request.kind;
@@ -158,11 +158,10 @@
         }
         for id in waiting {
             // Each task sent takes room that the next one may have counted on.
-            let still = self
-                .jobs
-                .get(&id)
-                .is_some_and(|job| self.may_go_elsewhere(site, job));
-            if !still || !self.dequeue(now_ms, id) {
+            let has_target = self.jobs.get(&id).is_some_and(|job| {
+                may_go_elsewhere(now_ms, job) && self.remote_target(site, job).is_some()
+            });
+            if !has_target || !self.dequeue(now_ms, id) {
                 continue;
             }
             let owner = self.jobs.get(&id).map(|job| &job.owner);
@@ -174,16 +173,6 @@
         }
     }
 
-    fn may_go_elsewhere(&self, site: &Site<'_, '_>, job: &Job) -> bool {
-        if job.stage != Stage::Queued {
-            return false;
-        }
-        let waited_ms = site.io.now_ms.saturating_sub(job.accepted_ms);
-        matches!(job.owner, Owner::Ledger { .. } | Owner::Direct(_))
-            && waited_ms >= WAIT_BEFORE_DELEGATION_MS
-            && self.remote_target(site, job).is_some()
-    }
-
     /// Sends a task to the placer of its domain, or asks after it.
     pub(super) fn send_place(&mut self, site: &mut Site<'_, '_>, id: JobId, index: usize) {
         let now_ms = site.now_ms();
@@ -289,3 +278,11 @@
         site.io.send(vm, PeerMessage::PlaceStop { task });
     }
 }
+
+/// Returns whether a job has waited long enough at home.
+fn may_go_elsewhere(now_ms: Millis, job: &Job) -> bool {
+    let waited_ms = now_ms.saturating_sub(job.accepted_ms);
+    job.stage == Stage::Queued
+        && matches!(job.owner, Owner::Ledger { .. } | Owner::Direct(_))
+        && waited_ms >= WAIT_BEFORE_DELEGATION_MS
+}
