--- /dev/null
+++ b/crates/acaciareeld/src/cell/config.rs
@@ -0,0 +1,247 @@
+//! Checked settings of a VM of a cell.
+
+use std::{
+    fmt,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    str::FromStr,
+};
+
+use acaciareel_cell::Bounds;
+use acaciareel_settings::{IniFile, SettingsError};
+use acaciareel_types::VmId;
+
+use crate::{
+    config::{LogFormat, SectionReader, Setting, check_sections},
+    logging,
+};
+
+/// What a VM does in its cell.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Role {
+    /// Takes requests of callers.
+    Entry,
+    /// Holds the state and may lead.
+    Control,
+}
+
+impl fmt::Display for Role {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Entry => "entry",
+            Self::Control => "control",
+        })
+    }
+}
+
+impl FromStr for Role {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "entry" => Ok(Self::Entry),
+            "control" => Ok(Self::Control),
+            _ => Err("expected entry or control".to_owned()),
+        }
+    }
+}
+
+/// Addresses that a VM listens on.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Listen {
+    /// Callers; entry VMs only.
+    pub callers: Option<SocketAddr>,
+    /// Readiness; entry VMs only.
+    pub readiness: Option<SocketAddr>,
+    /// Workers and operators; control VMs only.
+    pub control: Option<SocketAddr>,
+    /// Port for the other VMs of the cell, the same on all of them.
+    pub peers_port: u16,
+    /// Port for the metrics page.
+    pub metrics_port: u16,
+}
+
+/// Checked settings.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CellConfig {
+    /// Name of the VM, for logs.
+    pub name: String,
+    /// Role.
+    pub role: Role,
+    /// Address of the VM.
+    pub address: Ipv4Addr,
+    /// Failure domain, for logs.
+    pub failure_domain: String,
+    /// Folder of the durable state; control VMs only.
+    pub data_folder: Option<PathBuf>,
+    /// Whether the whole cell starts for the first time.
+    pub first_start: bool,
+    /// Listening addresses.
+    pub listen: Listen,
+    /// Control VMs to begin with, sorted.
+    pub seeds: Vec<VmId>,
+    /// Port of the interface for workers and operators on the other control VMs.
+    pub control_port: u16,
+    /// Address of the policy service.
+    pub policy_service: Option<SocketAddr>,
+    /// Times of the deployment.
+    pub bounds: Bounds,
+    /// Form of log lines.
+    pub log_format: LogFormat,
+    /// Level of log lines.
+    pub log_level: String,
+    settings: Vec<Setting>,
+}
+
+const SECTIONS: &[&str] = &["vm", "listen", "cell", "bounds", "logs"];
+const VM_KEYS: &[&str] = &[
+    "name",
+    "role",
+    "address",
+    "failure_domain",
+    "data_folder",
+    "first_start",
+];
+const LISTEN_KEYS: &[&str] = &[
+    "callers",
+    "readiness",
+    "control",
+    "peers_port",
+    "metrics_port",
+];
+const CELL_KEYS: &[&str] = &["seeds", "policy_service"];
+const BOUNDS_KEYS: &[&str] = &["lease_ms", "stop_ms", "status_s"];
+const LOGS_KEYS: &[&str] = &["format", "level"];
+
+/// Returns the VM at an address. An address is the identity of a VM in its cell.
+pub fn vm_at(address: Ipv4Addr) -> VmId {
+    VmId(u32::from(address))
+}
+
+/// Returns the address of a VM.
+pub fn address_of(vm: VmId) -> Ipv4Addr {
+    Ipv4Addr::from(vm.0)
+}
+
+impl CellConfig {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be read, or a setting is unknown, missing or wrong.
+    pub fn load(file: &Path) -> Result<Self, SettingsError> {
+        Self::try_from(IniFile::read(file)?)
+    }
+}
+
+impl fmt::Display for CellConfig {
+    /// Writes each setting with its origin.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for setting in &self.settings {
+            let Setting {
+                section,
+                key,
+                value,
+                origin,
+            } = setting;
+            writeln!(f, "{section}.{key} = {value} ; {origin}")?;
+        }
+        Ok(())
+    }
+}
+
+impl TryFrom<IniFile> for CellConfig {
+    type Error = SettingsError;
+
+    fn try_from(raw: IniFile) -> Result<Self, SettingsError> {
+        check_sections(&raw, SECTIONS, &[])?;
+        let mut settings = Vec::new();
+        let mut vm = SectionReader::new(&raw, "vm", VM_KEYS, &mut settings)?;
+        let name = vm.required("name")?;
+        let role = vm.required("role")?;
+        let address = vm.required("address")?;
+        let failure_domain = vm.required("failure_domain")?;
+        let data_folder = vm.path("data_folder")?;
+        let first_start = vm.optional("first_start", false)?;
+        if role == Role::Control && data_folder.is_none() {
+            return Err(vm.error("data_folder", "a control VM needs a data folder"));
+        }
+        let listen = read_listen(&raw, role, &mut settings)?;
+        let mut cell = SectionReader::new(&raw, "cell", CELL_KEYS, &mut settings)?;
+        let seeds: Vec<SocketAddr> = cell.list("seeds", &[])?;
+        if seeds.is_empty() {
+            return Err(cell.error("seeds", "at least one seed is required"));
+        }
+        let control_port = seeds[0].port();
+        let seeds = seeds.iter().map(|seed| match seed.ip() {
+            IpAddr::V4(address) => Ok(vm_at(address)),
+            IpAddr::V6(_) => Err(cell.error("seeds", "only IPv4 addresses are supported")),
+        });
+        let mut seeds = seeds.collect::<Result<Vec<_>, _>>()?;
+        seeds.sort_unstable();
+        seeds.dedup();
+        let policy_service: Option<SocketAddr> = match cell.optional("policy_service", String::new())? {
+            text if text.is_empty() => None,
+            text => Some(text.parse().map_err(|e| cell.error("policy_service", e))?),
+        };
+        let mut bounds = SectionReader::new(&raw, "bounds", BOUNDS_KEYS, &mut settings)?;
+        let bounds = Bounds {
+            lease_ms: bounds.in_range("lease_ms", 6_000, &1_000, &600_000)?,
+            stop_ms: bounds.in_range("stop_ms", 1_000, &10, &60_000)?,
+            status_ms: bounds.in_range("status_s", 120, &1, &86_400)? * 1_000,
+        };
+        let mut logs = SectionReader::new(&raw, "logs", LOGS_KEYS, &mut settings)?;
+        let log_format = logs.optional("format", LogFormat::KeyValue)?;
+        let log_level: String = logs.optional("level", "info".to_owned())?;
+        logging::parse_level(&log_level).map_err(|e| logs.error("level", e))?;
+        Ok(Self {
+            name,
+            role,
+            address,
+            failure_domain,
+            data_folder,
+            first_start,
+            listen,
+            seeds,
+            control_port,
+            policy_service,
+            bounds,
+            log_format,
+            log_level,
+            settings,
+        })
+    }
+}
+
+fn read_listen(
+    raw: &IniFile,
+    role: Role,
+    settings: &mut Vec<Setting>,
+) -> Result<Listen, SettingsError> {
+    let mut reader = SectionReader::new(raw, "listen", LISTEN_KEYS, settings)?;
+    let mut address = |key: &str, wanted: bool| {
+        let text: String = reader.optional(key, String::new())?;
+        if text.is_empty() {
+            return if wanted {
+                Err(reader.error(key, format!("a VM of role {role} needs this address")))
+            } else {
+                Ok(None)
+            };
+        }
+        let parsed = text.parse().map_err(|error| reader.error(key, error))?;
+        Ok(Some(parsed))
+    };
+    let callers = address("callers", role == Role::Entry)?;
+    let readiness = address("readiness", role == Role::Entry)?;
+    let control = address("control", role == Role::Control)?;
+    Ok(Listen {
+        callers,
+        readiness,
+        control,
+        peers_port: reader.required("peers_port")?,
+        metrics_port: reader.required("metrics_port")?,
+    })
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/acaciareeld/src/cell/config/tests.rs
@@ -0,0 +1,74 @@
+//! Tests of the settings of a VM of a cell.
+
+use std::path::Path;
+
+use acaciareel_settings::IniFile;
+use acaciareel_types::VmId;
+
+use crate::cell::config::{CellConfig, Role};
+
+const CONTROL: &str = "
+[vm]
+name = core-1
+role = control
+address = 10.1.0.16
+failure_domain = khomas-a
+data_folder = /data/control
+first_start = true
+[listen]
+callers =
+readiness =
+control = 10.1.0.16:8166
+peers_port = 7720
+metrics_port = 7721
+[cell]
+seeds = 10.2.0.32:8166,10.1.0.16:8166
+policy_service = 10.200.1.9:8169
+[bounds]
+lease_ms = 10000
+stop_ms = 400
+status_s = 120
+[logs]
+level = info
+";
+
+fn parse(text: &str) -> Result<CellConfig, String> {
+    let ini = IniFile::parse(Path::new("cell.ini"), text).map_err(|e| e.to_string())?;
+    CellConfig::try_from(ini).map_err(|e| e.to_string())
+}
+
+#[test]
+fn settings_of_a_control_vm_are_read() {
+    let config = parse(CONTROL).expect("valid settings");
+
+    assert_eq!(config.role, Role::Control);
+    assert_eq!(config.bounds.lease_ms, 10_000);
+    assert_eq!(config.seeds, [VmId(0x0a01_0010), VmId(0x0a02_0020)]);
+    assert_eq!(config.control_port, 8166);
+}
+
+/// Guards against a control VM that would keep its state in memory only.
+#[test]
+fn a_control_vm_needs_a_data_folder() {
+    let text = CONTROL.replace("/data/control", "");
+
+    let error = parse(&text).expect_err("no data folder");
+
+    assert!(error.contains("data_folder"), "{error}");
+}
+
+#[test]
+fn wrong_settings_are_refused() {
+    let cases = [
+        ("seeds = 10.2.0.32:8166,10.1.0.16:8166", "seeds =", "seed"),
+        ("role = control", "role = both", "entry or control"),
+        ("lease_ms = 10000", "lease_ms = 10", "outside"),
+        ("peers_port = 7720", "peers_prt = 7720", "peers_port"),
+        ("level = info", "level = loud", "level"),
+    ];
+
+    for (from, to, reason) in cases {
+        let error = parse(&CONTROL.replace(from, to)).expect_err(to);
+        assert!(error.contains(reason), "{to}: {error}");
+    }
+}
--- /dev/null
+++ b/crates/acaciareeld/src/cell/frames/tests.rs
@@ -0,0 +1,47 @@
+//! Tests of the frames between VMs.
+
+use acaciareel_cell::{Addressed, CallerRequest, PeerMessage};
+use acaciareel_consensus::Message;
+use acaciareel_types::{LogIndex, Millis, Term};
+use proptest::prelude::*;
+
+use crate::cell::frames::Frame;
+
+fn frames() -> Vec<Frame> {
+    vec![
+        Frame::Consensus(Message::Appended {
+            term: Term(3),
+            success: true,
+            match_index: LogIndex(8),
+            sent_ms: Millis(9),
+        }),
+        Frame::Peer(PeerMessage::Call {
+            call: 7,
+            request: Addressed {
+                host: "a.example".to_owned(),
+                path: "/q/0".to_owned(),
+                request: CallerRequest::Look,
+            },
+        }),
+        Frame::KeepAlive,
+    ]
+}
+
+#[test]
+fn frames_are_read_as_written() {
+    for frame in frames() {
+        let bytes = frame.encode().expect("encoded frame");
+
+        let read = Frame::decode(&bytes[4..]).expect("decoded frame");
+
+        assert_eq!(read, frame);
+    }
+}
+
+proptest! {
+    /// Guards against a broken peer that ends the process.
+    #[test]
+    fn broken_frames_are_refused(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = Frame::decode(&bytes);
+    }
+}
--- /dev/null
+++ b/crates/acaciareeld/src/cell/run.rs
@@ -0,0 +1,526 @@
+//! Life of a VM of a cell: start, the loop around its reducer, stop.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use acaciareel_cell::{
+    Addressed, CallerReply, Control, ControlReply, ControlRequest, ControlSettings, Effect, Entry,
+    Event, LogLevel, PeerMessage,
+};
+use acaciareel_consensus::{MemberId, Record, Restored};
+use acaciareel_types::{Incarnation, Millis, VmId};
+use error_stack::{Report, ResultExt};
+use log::{error, info, warn};
+use metrics::{counter, gauge, histogram};
+use rustix::time::{ClockId, clock_gettime};
+use tokio::{
+    net::TcpListener,
+    select,
+    signal::unix::{SignalKind, signal},
+    sync::{
+        mpsc::{self, Sender},
+        oneshot, watch,
+    },
+    time::{self, MissedTickBehavior},
+};
+
+use super::{
+    config::{CellConfig, Role, vm_at},
+    frames::Frame,
+    inbound::{self, Interface, Shared},
+    links::Links,
+    outbound::Outbound,
+};
+use crate::{
+    error::DaemonError,
+    logging, metering,
+    storage::{self, Storage, StorageError},
+    storage_task::StorageTask,
+};
+
+/// Inputs that may wait for the reducer. A sender that finds the queue full waits.
+const INPUT_QUEUE: usize = 4_096;
+/// Inputs handled before the clock is looked at again.
+const INPUT_BATCH: usize = 64;
+/// Interval of ticks on a control VM.
+const CONTROL_TICK: Duration = Duration::from_millis(10);
+/// Interval of ticks on an entry VM.
+const ENTRY_TICK: Duration = Duration::from_millis(40);
+/// Interval at which the settings file is compared with what is in force.
+const SETTINGS_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Interval at which histograms are tidied.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+/// Log lines a second; further ones are counted and dropped.
+const MAX_LOG_LINES_PER_S: u32 = 2_000;
+/// Name of the group in the data folder.
+const GROUP: &str = "cell";
+
+/// Input of the loop.
+#[derive(Debug)]
+pub enum Input {
+    /// Event without a waiting connection.
+    Event(Event),
+    /// Request of a caller.
+    Caller {
+        /// Number of the request.
+        connection: u64,
+        /// Request.
+        request: Addressed,
+        /// How long the caller waits.
+        patience_ms: u64,
+        /// Receives the reply.
+        reply: oneshot::Sender<CallerReply>,
+    },
+    /// Request of a worker or operator.
+    Control {
+        /// Number of the request.
+        connection: u64,
+        /// Request.
+        request: ControlRequest,
+        /// Receives the reply.
+        reply: oneshot::Sender<ControlReply>,
+    },
+}
+
+/// Steady clock that goes on while the VM is suspended, so that a lease is over when it wakes.
+fn now_ms() -> Millis {
+    let now = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(now.tv_sec).unwrap_or(0);
+    let millis = u64::try_from(now.tv_nsec).unwrap_or(0) / 1_000_000;
+    Millis(seconds * 1_000 + millis)
+}
+
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |elapsed| u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// The reducer of a VM.
+#[derive(Debug)]
+enum Machine {
+    Control(Box<Control>),
+    Entry(Entry),
+}
+
+impl Machine {
+    fn reduce(&mut self, event: Event, out: &mut Vec<Effect>) {
+        match self {
+            Self::Control(control) => control.reduce(now_ms(), unix_ms(), event, out),
+            Self::Entry(entry) => entry.reduce(now_ms(), event, out),
+        }
+    }
+}
+
+/// The loop around a reducer.
+struct Runner {
+    machine: Machine,
+    links: Arc<Links>,
+    outbound: Outbound,
+    shared: Arc<Shared>,
+    storage: Option<StorageTask>,
+    policy_service: Option<SocketAddr>,
+    callers: BTreeMap<u64, oneshot::Sender<CallerReply>>,
+    controls: BTreeMap<u64, oneshot::Sender<ControlReply>>,
+    lines: LineBudget,
+    stopped: bool,
+}
+
+/// Bounds the log lines a second.
+#[derive(Debug, Default)]
+struct LineBudget {
+    second: u64,
+    written: u32,
+    dropped: u64,
+}
+
+impl LineBudget {
+    /// Returns whether a line may be written now.
+    fn take(&mut self) -> bool {
+        let second = now_ms().0 / 1_000;
+        if second != self.second {
+            if self.dropped > 0 {
+                warn!(event = "log_lines_dropped", lines = self.dropped; "");
+            }
+            *self = Self {
+                second,
+                ..Self::default()
+            };
+        }
+        if self.written >= MAX_LOG_LINES_PER_S {
+            self.dropped += 1;
+            return false;
+        }
+        self.written += 1;
+        true
+    }
+}
+
+/// Runs a VM of a cell until it has stopped gracefully.
+///
+/// # Errors
+///
+/// Fails if it cannot start, or if the data folder fails while it runs.
+pub async fn run(file: &Path) -> Result<(), Report<DaemonError>> {
+    let config = CellConfig::load(file).change_context(DaemonError::Settings)?;
+    let _logger = logging::start_on_stdout(&config.log_level, config.log_format)?;
+    let metrics = metering::start()?;
+    let mut terminate = signal(SignalKind::terminate()).change_context(DaemonError::Start)?;
+    let mut hangup = signal(SignalKind::hangup()).change_context(DaemonError::Start)?;
+    let (inputs, mut received) = mpsc::channel(INPUT_QUEUE);
+    let (failed, storage_failed) = watch::channel(false);
+    let me = vm_at(config.address);
+    let (machine, storage, incarnation) = create(&config, me, &inputs, failed)?;
+    let hello = PeerMessage::Hello {
+        vm: me.0,
+        incarnation: incarnation.0,
+        entry: config.role == Role::Entry,
+    };
+    let links = Links::new(hello, config.address, config.listen.peers_port, inputs.clone());
+    let shared = Arc::new(Shared {
+        inputs: inputs.clone(),
+        ready: AtomicBool::new(false),
+        closing: AtomicBool::new(false),
+        next_connection: AtomicU64::new(1),
+        control_port: config.control_port,
+        metrics: metrics.clone(),
+    });
+    listen(&config, &links, &shared).await?;
+    info!(
+        event = "started", vm = config.name, role:% = config.role, address:% = config.address,
+        failure_domain = config.failure_domain, incarnation:% = incarnation,
+        seeds = config.seeds.len(), first_start = config.first_start; ""
+    );
+    let mut runner = Runner {
+        machine,
+        links,
+        outbound: Outbound::new(),
+        shared,
+        storage,
+        policy_service: config.policy_service,
+        callers: BTreeMap::new(),
+        controls: BTreeMap::new(),
+        lines: LineBudget::default(),
+        stopped: false,
+    };
+    let mut settings = SettingsWatch::new(file.to_owned(), config.clone());
+    let mut ticks = time::interval(match config.role {
+        Role::Control => CONTROL_TICK,
+        Role::Entry => ENTRY_TICK,
+    });
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut settings_checks = time::interval(SETTINGS_INTERVAL);
+    let mut upkeep = time::interval(UPKEEP_INTERVAL);
+    let mut storage_failed = storage_failed;
+    let mut batch = Vec::with_capacity(INPUT_BATCH);
+    while !runner.stopped {
+        select! {
+            biased;
+            _ = terminate.recv() => {
+                info!(event = "stopping", vm = config.name; "");
+                runner.shared.closing.store(true, Ordering::Relaxed);
+                runner.reduce(Event::Stop);
+            }
+            _ = hangup.recv() => settings.check(true, &mut runner),
+            _ = storage_failed.changed() => return Err(Report::new(DaemonError::Run)),
+            _ = ticks.tick() => runner.reduce(Event::Tick),
+            count = received.recv_many(&mut batch, INPUT_BATCH) => {
+                if count == 0 {
+                    break;
+                }
+                for input in batch.drain(..) {
+                    runner.take(input);
+                }
+            }
+            _ = settings_checks.tick() => settings.check(false, &mut runner),
+            _ = upkeep.tick() => metrics.run_upkeep(),
+        }
+    }
+    info!(event = "stopped", vm = config.name; "");
+    Ok(())
+}
+
+fn create(
+    config: &CellConfig,
+    me: VmId,
+    inputs: &Sender<Input>,
+    failed: watch::Sender<bool>,
+) -> Result<(Machine, Option<StorageTask>, Incarnation), Report<DaemonError>> {
+    let Some(folder) = config
+        .data_folder
+        .as_ref()
+        .filter(|_| config.role == Role::Control)
+    else {
+        let incarnation = storage::new_incarnation();
+        let entry = Entry::new(me, incarnation, config.seeds.clone());
+        return Ok((Machine::Entry(entry), None, incarnation));
+    };
+    let opened = Storage::open(folder, me).map_err(|report| {
+        error!(event = "data_folder_unusable"; "{report:?}");
+        let kind = match report.current_context() {
+            StorageError::Damaged { .. } => DaemonError::Damaged,
+            _ => DaemonError::Start,
+        };
+        report.change_context(kind)
+    })?;
+    let restored = opened.restored.into_iter();
+    let restored = restored.filter(|(group, _)| group == GROUP).map(|(_, r)| r);
+    let restored: Option<Restored> = restored.last();
+    info!(
+        event = "state_restored",
+        found = restored.is_some(),
+        entries = restored.as_ref().map_or(0, |r| r.entries.len()); ""
+    );
+    let settings = ControlSettings {
+        me: MemberId {
+            vm: me,
+            incarnation: opened.incarnation,
+        },
+        seeds: config.seeds.clone(),
+        first_start: config.first_start,
+        bounds: config.bounds,
+        seed: opened.incarnation.0,
+    };
+    let control = Control::new(settings, restored, now_ms());
+    let inputs = inputs.clone();
+    let synced = move |ticket| {
+        let event = Input::Event(Event::Synced { ticket });
+        inputs.blocking_send(event).is_ok()
+    };
+    let storage = StorageTask::start(opened.storage, synced, failed);
+    let machine = Machine::Control(Box::new(control));
+    Ok((machine, Some(storage), opened.incarnation))
+}
+
+async fn listen(
+    config: &CellConfig,
+    links: &Arc<Links>,
+    shared: &Arc<Shared>,
+) -> Result<(), Report<DaemonError>> {
+    let interfaces = [
+        (config.listen.callers, Interface::Callers),
+        (config.listen.readiness, Interface::Readiness),
+        (config.listen.control, Interface::Control),
+        (
+            Some((config.address, config.listen.metrics_port).into()),
+            Interface::Metrics,
+        ),
+    ];
+    for (address, interface) in interfaces {
+        if let Some(address) = address {
+            let listener = bind(address).await?;
+            tokio::spawn(inbound::serve(listener, interface, Arc::clone(shared)));
+        }
+    }
+    let listener = bind((config.address, config.listen.peers_port).into()).await?;
+    tokio::spawn(Arc::clone(links).listen(listener));
+    Ok(())
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Report<DaemonError>> {
+    TcpListener::bind(address)
+        .await
+        .change_context(DaemonError::Start)
+        .attach_with(|| format!("listening address {address}"))
+}
+
+impl Runner {
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Event(event) => self.reduce(event),
+            Input::Caller {
+                connection,
+                request,
+                patience_ms,
+                reply,
+            } => {
+                self.callers.insert(connection, reply);
+                self.reduce(Event::Caller {
+                    connection,
+                    request,
+                    patience_ms,
+                });
+            }
+            Input::Control {
+                connection,
+                request,
+                reply,
+            } => {
+                self.controls.insert(connection, reply);
+                self.reduce(Event::Control {
+                    connection,
+                    request,
+                });
+            }
+        }
+    }
+
+    fn reduce(&mut self, event: Event) {
+        if let Event::CallerGone { connection } = &event {
+            self.callers.remove(connection);
+        }
+        let mut effects = Vec::new();
+        self.machine.reduce(event, &mut effects);
+        for effect in effects {
+            self.carry_out(effect);
+        }
+        if let Machine::Entry(entry) = &self.machine {
+            let ready = entry.is_ready();
+            if self.shared.ready.swap(ready, Ordering::Relaxed) != ready {
+                info!(event = "readiness_changed", ready; "");
+            }
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::SendConsensus { to, message } => {
+                self.links.send(to, Frame::Consensus(message));
+            }
+            Effect::Send { to, message } => self.links.send(to, Frame::Peer(message)),
+            Effect::Persist { ticket, records } => self.persist(ticket, records),
+            Effect::CallWorker {
+                call,
+                address,
+                worker_id,
+                request,
+                timeout_ms,
+            } => {
+                let outbound = self.outbound.clone();
+                let limit = Duration::from_millis(timeout_ms);
+                self.spawn(async move {
+                    let reply = outbound.call_worker(&address, &worker_id, &request, limit).await;
+                    Event::WorkerReplied { call, reply }
+                });
+            }
+            Effect::Advise {
+                call,
+                for_vm,
+                question,
+            } => {
+                let (outbound, service) = (self.outbound.clone(), self.policy_service);
+                self.spawn(async move {
+                    let answer = match service {
+                        Some(service) => outbound.advise(service, &question).await,
+                        None => None,
+                    };
+                    Event::Advised {
+                        call,
+                        for_vm,
+                        answer,
+                    }
+                });
+            }
+            Effect::ReplyControl { connection, reply } => {
+                if let Some(waiting) = self.controls.remove(&connection) {
+                    // The connection may have closed since.
+                    let _ = waiting.send(reply);
+                }
+            }
+            Effect::ReplyCaller { connection, reply } => {
+                if let Some(waiting) = self.callers.remove(&connection) {
+                    // The connection may have closed since.
+                    let _ = waiting.send(reply);
+                }
+            }
+            Effect::Connect { vms } => self.links.connect(&vms),
+            Effect::Log {
+                level,
+                event,
+                fields,
+            } => {
+                counter!("acaciareel_cell_events_total", "event" => event).increment(1);
+                if self.lines.take() {
+                    let level = match level {
+                        LogLevel::Warn => acaciareel_node::LogLevel::Warn,
+                        LogLevel::Info => acaciareel_node::LogLevel::Info,
+                    };
+                    logging::node_event(level, event, &fields);
+                }
+            }
+            Effect::Measure {
+                name,
+                label,
+                value_ms,
+            } => {
+                let value = Duration::from_millis(value_ms);
+                histogram!(format!("acaciareel_cell_{name}"), "label" => label).record(value);
+            }
+            Effect::Gauge { name, value } => {
+                #[allow(clippy::cast_precision_loss, reason = "counts are small")]
+                gauge!(format!("acaciareel_cell_{name}")).set(value as f64);
+            }
+            Effect::Stopped => self.stopped = true,
+        }
+    }
+
+    fn persist(&mut self, ticket: u64, records: Vec<Record>) {
+        if let Some(storage) = &self.storage {
+            storage.write(ticket, GROUP.to_owned(), records);
+        }
+    }
+
+    /// Runs a call and hands its result to the reducer.
+    fn spawn(&self, call: impl Future<Output = Event> + Send + 'static) {
+        let inputs = self.shared.inputs.clone();
+        tokio::spawn(async move {
+            let event = call.await;
+            // The receiver is gone only while the process ends.
+            let _ = inputs.send(Input::Event(event)).await;
+        });
+    }
+}
+
+/// Notices changes of the settings file.
+struct SettingsWatch {
+    file: PathBuf,
+    in_force: CellConfig,
+    modified: Option<SystemTime>,
+}
+
+impl SettingsWatch {
+    fn new(file: PathBuf, in_force: CellConfig) -> Self {
+        let modified = modified(&file);
+        Self {
+            file,
+            in_force,
+            modified,
+        }
+    }
+
+    /// Takes over a changed file. One that is not valid is refused, and the old one stays.
+    fn check(&mut self, signalled: bool, runner: &mut Runner) {
+        let modified = modified(&self.file);
+        if !signalled && modified == self.modified {
+            return;
+        }
+        self.modified = modified;
+        match CellConfig::load(&self.file) {
+            Ok(config) if config == self.in_force => {
+                info!(event = "settings_unchanged", signalled; "");
+            }
+            Ok(config) => {
+                info!(event = "settings_reloaded", signalled, seeds = config.seeds.len(); "");
+                runner.policy_service = config.policy_service;
+                if config.seeds != self.in_force.seeds {
+                    runner.reduce(Event::Seeds(config.seeds.clone()));
+                }
+                self.in_force = config;
+            }
+            Err(error) => {
+                warn!(event = "settings_refused", signalled, reason:% = error; "");
+            }
+        }
+    }
+}
+
+fn modified(file: &Path) -> Option<SystemTime> {
+    std::fs::metadata(file).and_then(|m| m.modified()).ok()
+}
--- a/crates/acaciareeld/src/cli.rs
+++ b/crates/acaciareeld/src/cli.rs
@@ -24,6 +24,14 @@
     #[argh(option, arg_name = "FILE")]
     pub config: Option<PathBuf>,
 
+    /// run as a VM of a cell of jobs with this settings file (INI); see docs/CELL.md
+    #[argh(option, arg_name = "FILE")]
+    pub cell: Option<PathBuf>,
+
+    /// check this settings file of a VM of a cell, print the first error or `ok`, and exit
+    #[argh(option, arg_name = "FILE")]
+    pub check_cell: Option<PathBuf>,
+
     /// check this settings file, print the first error or `ok`, and exit
     #[argh(option, arg_name = "FILE")]
     pub check_config: Option<PathBuf>,
--- a/crates/acaciareeld/src/config.rs
+++ b/crates/acaciareeld/src/config.rs
@@ -8,6 +8,7 @@
     fmt,
     net::SocketAddr,
     path::{Path, PathBuf},
+    str::FromStr,
 };
 
 use acaciareel_node::GroupId;
@@ -19,8 +20,8 @@
 mod reader;
 mod sections;
 
-use reader::SectionReader;
-pub use reader::Setting;
+pub use reader::{SectionReader, Setting};
+pub use sections::check as check_sections;
 
 /// Address and failure domain of an entry VM.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -90,6 +91,27 @@
     Json,
 }
 
+impl fmt::Display for LogFormat {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::KeyValue => "keyvalue",
+            Self::Json => "json",
+        })
+    }
+}
+
+impl FromStr for LogFormat {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "keyvalue" => Ok(Self::KeyValue),
+            "json" => Ok(Self::Json),
+            other => Err(format!("{other:?} is not one of keyvalue, json")),
+        }
+    }
+}
+
 /// Settings of logs.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LogsConfig {
@@ -397,14 +419,7 @@
 fn logs(raw: &IniFile, settings: &mut Vec<Setting>) -> Result<LogsConfig, SettingsError> {
     let known = ["format", "level", "folder"];
     let mut reader = SectionReader::new(raw, "logs", &known, settings)?;
-    let format = match reader.optional("format", "keyvalue".to_owned())?.as_str() {
-        "keyvalue" => LogFormat::KeyValue,
-        "json" => LogFormat::Json,
-        other => {
-            let reason = format!("{other:?} is not one of keyvalue, json");
-            return Err(reader.error("format", reason));
-        }
-    };
+    let format = reader.optional("format", LogFormat::KeyValue)?;
     let level: String = reader.optional("level", "info".to_owned())?;
     if let Err(error) = logging::parse_level(&level) {
         return Err(reader.error("level", error));
--- a/crates/acaciareeld/src/daemon.rs
+++ b/crates/acaciareeld/src/daemon.rs
@@ -5,7 +5,8 @@
     time::Duration,
 };
 
-use acaciareel_node::{Event, Node, NodeRestored, NodeSettings, PeerSettings};
+use acaciareel_consensus::Restored;
+use acaciareel_node::{Event, Node, NodeRestored, NodeSettings, PeerSettings, RestoredGroup};
 use acaciareel_types::Incarnation;
 use error_stack::{Report, ResultExt};
 use log::{info, warn};
@@ -112,7 +113,14 @@
     let shell = Shell {
         transport: Arc::clone(&transport),
         workers: WorkerClient::new(&config.limits, tokens.for_workers()),
-        storage: storage.map(|storage| StorageTask::start(storage, inputs.clone(), failed)),
+        storage: storage.map(|storage| {
+            let inputs = inputs.clone();
+            let synced = move |ticket| {
+                let event = Input::Event(Event::Synced { ticket });
+                inputs.blocking_send(event).is_ok()
+            };
+            StorageTask::start(storage, synced, failed)
+        }),
         stopped,
         inputs: inputs.clone(),
     };
@@ -204,7 +212,18 @@
         restored,
         incarnation,
     } = opened;
-    Ok((Some(storage), restored, incarnation))
+    Ok((Some(storage), node_restored(restored)?, incarnation))
+}
+
+fn node_restored(
+    groups: Vec<(String, Restored)>,
+) -> Result<NodeRestored, Report<DaemonError>> {
+    let groups = groups.into_iter().map(|(group, restored)| {
+        let group = group.parse().change_context(DaemonError::Damaged)?;
+        Ok(RestoredGroup { group, restored })
+    });
+    let groups = groups.collect::<Result<_, Report<DaemonError>>>()?;
+    Ok(NodeRestored { groups })
 }
 
 fn node_settings(config: &Config, incarnation: Incarnation) -> NodeSettings {
--- a/crates/acaciareeld/src/logging.rs
+++ b/crates/acaciareeld/src/logging.rs
@@ -1,10 +1,16 @@
 //! Log lines as `key=value` pairs or as JSON, with a level that can change at run time.
 
-use std::io::{self, Write};
+use std::{
+    io::{self, Write},
+    time::Duration,
+};
 
 use acaciareel_node::LogLevel;
 use error_stack::{Report, ResultExt};
-use flexi_logger::{DeferredNow, FileSpec, FormatFunction, LogSpecification, Logger, LoggerHandle};
+use flexi_logger::{
+    DeferredNow, FileSpec, FormatFunction, LogSpecification, Logger, LoggerHandle,
+    WriteMode,
+};
 use log::{
     Level, LevelFilter, Record,
     kv::{Error, Key, Value, VisitSource},
@@ -21,13 +27,9 @@
 ///
 /// Fails if the log folder cannot be used or logging was started before.
 pub fn start(config: &LogsConfig) -> Result<LoggerHandle, Report<DaemonError>> {
-    let format: FormatFunction = match config.format {
-        LogFormat::KeyValue => key_value_line,
-        LogFormat::Json => flexi_logger::json_format,
-    };
     let logger = Logger::try_with_str(&config.level)
         .change_context(DaemonError::Settings)?
-        .format(format);
+        .format(format_of(config.format));
     let logger = match &config.folder {
         Some(folder) => logger.log_to_file(FileSpec::default().directory(folder)),
         None => logger.log_to_stderr(),
@@ -35,6 +37,36 @@
     logger.start().change_context(DaemonError::Start)
 }
 
+/// Bytes of log lines that are written at once.
+const BUFFER_BYTES: usize = 16 << 10;
+/// Longest time that a log line waits in the buffer.
+const FLUSH_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Starts logging on standard output, buffered so that a line costs no system call of its own.
+///
+/// # Errors
+///
+/// Fails if the level is unknown or logging was started before.
+pub fn start_on_stdout(
+    level: &str,
+    format: LogFormat,
+) -> Result<LoggerHandle, Report<DaemonError>> {
+    Logger::try_with_str(level)
+        .change_context(DaemonError::Settings)?
+        .format(format_of(format))
+        .log_to_stdout()
+        .write_mode(WriteMode::BufferAndFlushWith(BUFFER_BYTES, FLUSH_INTERVAL))
+        .start()
+        .change_context(DaemonError::Start)
+}
+
+fn format_of(format: LogFormat) -> FormatFunction {
+    match format {
+        LogFormat::KeyValue => key_value_line,
+        LogFormat::Json => flexi_logger::json_format,
+    }
+}
+
 /// Checks a level, such as `info`, or levels by module, such as `info, quinn=warn`.
 ///
 /// # Errors
--- a/crates/acaciareeld/src/main.rs
+++ b/crates/acaciareeld/src/main.rs
@@ -11,8 +11,9 @@
 use error_stack::{Report, ResultExt, fmt::ColorMode};
 use tokio::runtime::Builder;
 
-use crate::{cli::Arguments, config::Config, error::DaemonError, exit_codes::ExitCode};
+use crate::{cell::config::CellConfig, cli::Arguments, config::Config, error::DaemonError, exit_codes::ExitCode};
 
+mod cell;
 mod cli;
 mod config;
 mod counted_stream;
@@ -70,6 +71,19 @@
         print("ok\n");
         return Ok(());
     }
+    if let Some(file) = &arguments.check_cell {
+        let config = CellConfig::load(file).change_context(DaemonError::Settings)?;
+        print(&format!("{config}ok\n"));
+        return Ok(());
+    }
+    if let Some(file) = &arguments.cell {
+        // A control VM has half a core or less; a second thread would only cost memory.
+        return Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .change_context(DaemonError::Start)?
+            .block_on(cell::run(file));
+    }
     let Some(file) = &arguments.config else {
         return Err(Report::new(DaemonError::Settings).attach("--config FILE is required"));
     };
--- a/crates/acaciareeld/src/node_task.rs
+++ b/crates/acaciareeld/src/node_task.rs
@@ -154,7 +154,7 @@
                 group,
                 records,
             } => match &self.shell.storage {
-                Some(storage) => storage.write(ticket, group, records),
+                Some(storage) => storage.write(ticket, group.to_string(), records),
                 None => return Some(Event::Synced { ticket }),
             },
             Effect::CallWorker {
--- a/crates/acaciareeld/src/storage.rs
+++ b/crates/acaciareeld/src/storage.rs
@@ -17,9 +17,8 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
-use acaciareel_consensus::{Record, Snapshot};
-use acaciareel_node::{GroupId, NodeRestored, RestoredGroup};
-use acaciareel_types::{IdError, Incarnation, VmId};
+use acaciareel_consensus::{Record, Restored, Snapshot};
+use acaciareel_types::{Incarnation, VmId};
 use acaciareel_wire::GroupRecord;
 use error_stack::{Report, ResultExt};
 use log::{info, warn};
@@ -52,8 +51,8 @@
 pub struct Opened {
     /// Storage for new records.
     pub storage: Storage,
-    /// State of the groups.
-    pub restored: NodeRestored,
+    /// State of each group by name.
+    pub restored: Vec<(String, Restored)>,
     /// Incarnation of the state.
     pub incarnation: Incarnation,
 }
@@ -78,6 +77,10 @@
             .append(true)
             .open(&wal_path)
             .change_context_lazy(|| StorageError::io(&wal_path))?;
+        // A process that was killed leaves writes that are not synced. They count from now on, so
+        // they must survive a loss of power.
+        wal.sync_all()
+            .change_context_lazy(|| StorageError::io(&wal_path))?;
         let wal_bytes = wal
             .metadata()
             .change_context_lazy(|| StorageError::io(&wal_path))?
@@ -90,7 +93,10 @@
                 compact_at_bytes: COMPACT_BYTES,
                 _lock: lock,
             },
-            restored: restored(groups),
+            restored: groups
+                .into_iter()
+                .map(|(group, state)| (group, state.into_restored()))
+                .collect(),
             incarnation,
         })
     }
@@ -121,18 +127,20 @@
     ///
     /// Fails if they cannot be written. The storage must not be used again then, since it is not
     /// known which of them are durable.
-    pub fn write(&mut self, batch: &[(GroupId, Vec<Record>)]) -> Result<(), Report<StorageError>> {
-        let mut bytes = Vec::new();
-        for (group, records) in batch {
-            for record in records {
+    pub fn write(&mut self, batch: &[(String, Vec<Record>)]) -> Result<(), Report<StorageError>> {
+        let mut records = Vec::new();
+        for (group, new) in batch {
+            for record in new {
                 if let Record::Snapshot(snapshot) = record {
                     write_snapshot(&self.folder, group, snapshot)?;
-                    frame::append(&mut bytes, &encode(group, &marker(snapshot)));
+                    records.push(encode(group, &marker(snapshot)));
                 } else {
-                    frame::append(&mut bytes, &encode(group, record));
+                    records.push(encode(group, record));
                 }
             }
         }
+        let mut bytes = Vec::new();
+        frame::append_batch(&mut bytes, &records);
         let path = self.folder.join("wal");
         self.wal
             .write_all(&bytes)
@@ -174,22 +182,17 @@
     Incarnation(u64::try_from(micros).unwrap_or(u64::MAX))
 }
 
-fn encode(group: &GroupId, record: &Record) -> Vec<u8> {
+fn encode(group: &str, record: &Record) -> Vec<u8> {
     let record = GroupRecord {
-        group: group.to_string(),
+        group: group.to_owned(),
         record: record.clone(),
     };
     record.to_bytes()
 }
 
-fn decode(bytes: &[u8]) -> Result<(GroupId, Record), String> {
+fn decode(bytes: &[u8]) -> Result<(String, Record), String> {
     let decoded = GroupRecord::from_bytes(bytes).map_err(|error| error.to_string())?;
-    let group = match decoded.group.strip_prefix("ledger-") {
-        Some(domain) => GroupId::Ledger(domain.parse().map_err(|e: IdError| e.to_string())?),
-        None if decoded.group == GroupId::Tables.to_string() => GroupId::Tables,
-        None => return Err(format!("unknown group {:?}", decoded.group)),
-    };
-    Ok((group, decoded.record))
+    Ok((decoded.group, decoded.record))
 }
 
 /// Returns the record that stands for a snapshot in the log.
@@ -272,7 +275,7 @@
 }
 
 /// Reads the snapshots and the log; truncates a torn last record.
-fn load(folder: &Path) -> Result<BTreeMap<GroupId, GroupState>, Report<StorageError>> {
+fn load(folder: &Path) -> Result<BTreeMap<String, GroupState>, Report<StorageError>> {
     let mut groups = BTreeMap::new();
     for name in file_names(folder)? {
         if name.starts_with("snapshot-") {
@@ -282,13 +285,13 @@
     }
     let path = folder.join("wal");
     let mut file = File::open(&path).change_context_lazy(|| StorageError::io(&path))?;
+    let mut apply = |payload: &[u8]| {
+        let (group, record) = decode(payload)?;
+        let state = groups.entry(group);
+        state.or_insert_with(|| GroupState::new(None)).apply(record)
+    };
     let tail = frame::read(&path, &mut file, |offset, payload| {
-        let (group, record) =
-            decode(payload).map_err(|reason| StorageError::damaged(&path, offset, &reason))?;
-        groups
-            .entry(group)
-            .or_insert_with(|| GroupState::new(None))
-            .apply(record)
+        frame::each_record(payload, &mut apply)
             .map_err(|reason| StorageError::damaged(&path, offset, &reason))
     })?;
     if let Tail::Torn { offset, bytes } = tail {
@@ -305,21 +308,9 @@
     Ok(groups)
 }
 
-fn restored(groups: BTreeMap<GroupId, GroupState>) -> NodeRestored {
-    NodeRestored {
-        groups: groups
-            .into_iter()
-            .map(|(group, state)| RestoredGroup {
-                group,
-                restored: state.into_restored(),
-            })
-            .collect(),
-    }
-}
-
 fn write_snapshot(
     folder: &Path,
-    group: &GroupId,
+    group: &str,
     snapshot: &Snapshot,
 ) -> Result<(), Report<StorageError>> {
     let mut bytes = frame::MAGIC.to_vec();
@@ -332,7 +323,7 @@
     install(folder, &name, &bytes)
 }
 
-fn read_snapshot(path: &Path) -> Result<(GroupId, Snapshot), Report<StorageError>> {
+fn read_snapshot(path: &Path) -> Result<(String, Snapshot), Report<StorageError>> {
     let mut file = File::open(path).change_context_lazy(|| StorageError::io(path))?;
     let mut found = None;
     let tail = frame::read(path, &mut file, |offset, payload| {
--- a/crates/acaciareeld/src/storage/frame.rs
+++ b/crates/acaciareeld/src/storage/frame.rs
@@ -1,7 +1,9 @@
 //! Length-prefixed records with checksums.
 //!
 //! A file starts with [`MAGIC`]. Each record is its length (4 bytes, little endian), the CRC32 of
-//! these 4 bytes, the CRC32 of the payload, and the payload.
+//! these 4 bytes, the CRC32 of the payload, and the payload. Records that are written together
+//! share one outer record, whose payload is [`BATCH_MARK`] and the records: a crash can keep any
+//! part of a write, also its end without its middle, and the batch is then dropped as a whole.
 
 use std::{
     fs::File,
@@ -17,6 +19,8 @@
 pub const MAGIC: &[u8] = b"ACARFL01";
 
 const HEADER_BYTES: usize = 12;
+/// First byte of a batch; no single record starts with it, since it is no tag of the schema.
+const BATCH_MARK: u8 = 0;
 
 /// End of a file.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -43,6 +47,38 @@
     out.extend(payload);
 }
 
+/// Appends records that count together or not at all.
+pub fn append_batch(out: &mut Vec<u8>, records: &[Vec<u8>]) {
+    match records {
+        [] => {}
+        [record] => append(out, record),
+        records => {
+            let mut batch = vec![BATCH_MARK];
+            for record in records {
+                append(&mut batch, record);
+            }
+            append(out, &batch);
+        }
+    }
+}
+
+/// Passes the records of a payload, which may be a batch, to `visit`.
+pub fn each_record(
+    payload: &[u8],
+    visit: &mut impl FnMut(&[u8]) -> Result<(), String>,
+) -> Result<(), String> {
+    if payload.first() != Some(&BATCH_MARK) {
+        return visit(payload);
+    }
+    let mut offset = 1;
+    while offset < payload.len() {
+        let record = record_at(payload, offset).ok_or("a batch is not made of records")?;
+        visit(record)?;
+        offset += HEADER_BYTES + record.len();
+    }
+    Ok(())
+}
+
 /// Reads all records and passes each with its offset to `visit`.
 ///
 /// A record that is wrong counts as torn if no valid record follows, since only the last write can
--- a/crates/acaciareeld/src/storage/tests.rs
+++ b/crates/acaciareeld/src/storage/tests.rs
@@ -57,12 +57,12 @@
 }
 
 fn write(opened: &mut Opened, records: Vec<Record>) {
-    let batch = [(GroupId::Tables, records)];
+    let batch = [(GroupId::Tables.to_string(), records)];
     opened.storage.write(&batch).expect("written records");
 }
 
 fn tables(opened: &Opened) -> &Restored {
-    &opened.restored.groups[0].restored
+    &opened.restored[0].1
 }
 
 fn indexes(restored: &Restored) -> Vec<u64> {
@@ -275,7 +275,7 @@
     let again = open(&folder);
 
     assert!(again.incarnation > first);
-    assert!(again.restored.groups.is_empty());
+    assert!(again.restored.is_empty());
 }
 
 proptest! {
--- a/crates/acaciareeld/src/storage_task.rs
+++ b/crates/acaciareeld/src/storage_task.rs
@@ -6,11 +6,10 @@
 };
 
 use acaciareel_consensus::Record;
-use acaciareel_node::{Event, GroupId};
 use log::error;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 
-use crate::{node_task::Input, storage::Storage};
+use crate::storage::Storage;
 
 #[cfg(test)]
 mod tests;
@@ -21,7 +20,7 @@
 #[derive(Debug)]
 struct Write {
     ticket: u64,
-    group: GroupId,
+    group: String,
     records: Vec<Record>,
 }
 
@@ -32,19 +31,20 @@
 }
 
 impl StorageTask {
-    /// Starts the thread. `Event::Synced` goes to `inputs`; `failed` is set if a write fails.
+    /// Starts the thread. `synced` gets the ticket of each finished write and returns whether
+    /// anyone still listens; `failed` is set if a write fails.
     pub fn start(
         storage: Storage,
-        inputs: mpsc::Sender<Input>,
+        synced: impl Fn(u64) -> bool + Send + 'static,
         failed: watch::Sender<bool>,
     ) -> Self {
         let (writes, received) = blocking::channel();
-        thread::spawn(move || write_all(storage, &received, &inputs, &failed));
+        thread::spawn(move || write_all(storage, &received, &synced, &failed));
         Self { writes }
     }
 
     /// Hands over the records of one effect.
-    pub fn write(&self, ticket: u64, group: GroupId, records: Vec<Record>) {
+    pub fn write(&self, ticket: u64, group: String, records: Vec<Record>) {
         // After a failed write the thread has ended, and so will the process: no ticket is answered.
         let _ = self.writes.send(Write {
             ticket,
@@ -57,7 +57,7 @@
 fn write_all(
     mut storage: Storage,
     writes: &Receiver<Write>,
-    inputs: &mpsc::Sender<Input>,
+    synced: &impl Fn(u64) -> bool,
     failed: &watch::Sender<bool>,
 ) {
     while let Ok(first) = writes.recv() {
@@ -72,8 +72,7 @@
             failed.send_replace(true);
             return;
         }
-        let synced = Input::Event(Event::Synced { ticket });
-        if inputs.blocking_send(synced).is_err() {
+        if !synced(ticket) {
             return;
         }
     }
--- a/crates/acaciareeld/src/storage_task/tests.rs
+++ b/crates/acaciareeld/src/storage_task/tests.rs
@@ -6,11 +6,11 @@
 };
 
 use acaciareel_consensus::{Entry, Payload, Record};
-use acaciareel_node::{Event, GroupId};
+use acaciareel_node::GroupId;
 use acaciareel_types::{LogIndex, Term, VmId};
 use tokio::sync::{mpsc, watch};
 
-use crate::{node_task::Input, storage::Storage, storage_task::StorageTask};
+use crate::{storage::Storage, storage_task::StorageTask};
 
 /// Persist effects of the busiest of 20 VMs at 390 starts a second, by `docs/CAPACITY.md`.
 const WRITES_PER_S: u32 = 222;
@@ -34,20 +34,19 @@
     let folder = tempfile::tempdir().expect("temporary folder");
     let opened = Storage::open(folder.path(), VmId(1)).expect("data folder");
     let (inputs, mut synced) = mpsc::channel(10_000);
-    let task = StorageTask::start(opened.storage, inputs, watch::channel(false).0);
+    let notify = move |ticket| inputs.blocking_send(ticket).is_ok();
+    let task = StorageTask::start(opened.storage, notify, watch::channel(false).0);
     let start = Instant::now();
 
     for ticket in 1..=u64::from(WRITES_PER_S * SECONDS) {
-        task.write(ticket, GroupId::Tables, vec![append(ticket)]);
+        task.write(ticket, GroupId::Tables.to_string(), vec![append(ticket)]);
         let due = Duration::from_secs(1) * u32::try_from(ticket).expect("small") / WRITES_PER_S;
         std::thread::sleep(due.saturating_sub(start.elapsed()));
     }
     drop(task);
     let (mut syncs, mut last) = (0_u32, 0);
-    while let Some(input) = synced.blocking_recv() {
-        if let Input::Event(Event::Synced { ticket }) = input {
-            (syncs, last) = (syncs + 1, ticket);
-        }
+    while let Some(ticket) = synced.blocking_recv() {
+        (syncs, last) = (syncs + 1, ticket);
     }
 
     assert_eq!(last, u64::from(WRITES_PER_S * SECONDS));
--- /dev/null
+++ b/crates/cell/src/job.rs
@@ -0,0 +1,326 @@
+//! State of one job in the replicated state.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{EndKind, JobId, JobSpec, QueueRow, RunEnd, StepKey, StepSpec, TaskKey, WorkerNumber};
+
+/// Standing of a job.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum JobState {
+    /// Some task is not done.
+    Active,
+    /// All tasks are done.
+    Completed,
+    /// A task or gang has failed as often as the queue allows.
+    Failed,
+    /// Cancelled by its caller.
+    Cancelled,
+}
+
+/// Standing of a task.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum TaskState {
+    /// No run is under way.
+    Waiting,
+    /// The current run may be on this worker.
+    Placed(WorkerNumber),
+    /// Done.
+    Done,
+}
+
+/// One task.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Task {
+    /// Number of the latest run, 0 before the first.
+    pub run: u32,
+    /// Standing.
+    pub state: TaskState,
+    /// Runs that ended as failed.
+    pub failed_runs: u32,
+    /// Last checkpoint; empty if there is none. For a gang, that of the step counts.
+    pub checkpoint: String,
+    /// Worker on which the latest failed run was.
+    pub failed_on: Option<WorkerNumber>,
+}
+
+/// Tasks of a step.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StepProgress {
+    /// Tasks by position.
+    pub tasks: Vec<Task>,
+    /// Runs of the gang that ended as failed.
+    pub failed_runs: u32,
+    /// Latest run of the gang that failed, so that each run counts once.
+    pub last_failed_run: u32,
+    /// Last checkpoint of the gang; empty if there is none.
+    pub checkpoint: String,
+}
+
+impl StepProgress {
+    fn new(tasks: u32) -> Self {
+        let task = Task {
+            run: 0,
+            state: TaskState::Waiting,
+            failed_runs: 0,
+            checkpoint: String::new(),
+            failed_on: None,
+        };
+        Self {
+            tasks: vec![task; tasks as usize],
+            failed_runs: 0,
+            last_failed_run: 0,
+            checkpoint: String::new(),
+        }
+    }
+
+    /// Returns whether all tasks are done.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.tasks.iter().all(|task| task.state == TaskState::Done)
+    }
+
+    /// Returns the number of the next run of a gang.
+    #[must_use]
+    pub fn next_gang_run(&self) -> u32 {
+        self.tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1
+    }
+}
+
+/// A job and the progress of its tasks.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Job {
+    /// Id.
+    pub id: JobId,
+    /// Queue as it was when the job was accepted.
+    pub queue: QueueRow,
+    /// What to run. The steps and the payload are dropped once the job has ended and nothing of
+    /// it can still run.
+    pub spec: JobSpec,
+    /// Standing.
+    pub state: JobState,
+    /// Whether a run was ever placed.
+    pub started: bool,
+    /// Time of acceptance, Unix milliseconds of the leader.
+    pub accepted_unix_ms: u64,
+    /// Time of the end, Unix milliseconds of the leader.
+    pub ended_unix_ms: u64,
+    /// Steps of each occurrence.
+    pub occurrences: Vec<Vec<StepProgress>>,
+}
+
+impl Job {
+    /// Creates a job without runs.
+    #[must_use]
+    pub fn new(id: JobId, queue: QueueRow, spec: JobSpec, accepted_unix_ms: u64) -> Self {
+        let steps: Vec<_> = spec.steps.iter().map(|s| StepProgress::new(s.tasks)).collect();
+        let occurrences = vec![steps; spec.occurrences() as usize];
+        let mut job = Self {
+            id,
+            queue,
+            spec,
+            state: JobState::Active,
+            started: false,
+            accepted_unix_ms,
+            ended_unix_ms: 0,
+            occurrences,
+        };
+        job.complete_if_done(accepted_unix_ms);
+        job
+    }
+
+    /// Returns what a step declares.
+    #[must_use]
+    pub fn step_spec(&self, key: StepKey) -> Option<&StepSpec> {
+        self.spec.steps.get(key.step as usize)
+    }
+
+    /// Returns the progress of a step.
+    #[must_use]
+    pub fn step(&self, key: StepKey) -> Option<&StepProgress> {
+        self.occurrences
+            .get(key.occurrence as usize)?
+            .get(key.step as usize)
+    }
+
+    fn step_mut(&mut self, key: StepKey) -> Option<&mut StepProgress> {
+        self.occurrences
+            .get_mut(key.occurrence as usize)?
+            .get_mut(key.step as usize)
+    }
+
+    /// Returns a task.
+    #[must_use]
+    pub fn task(&self, key: TaskKey) -> Option<&Task> {
+        self.step(key.step)?.tasks.get(key.index as usize)
+    }
+
+    /// Iterates over all tasks with their keys.
+    pub fn tasks(&self) -> impl Iterator<Item = (TaskKey, &Task)> {
+        let job = self.id;
+        let steps = (0u32..).zip(&self.occurrences).flat_map(move |(occurrence, steps)| {
+            (0u32..).zip(steps).map(move |(step, progress)| {
+                let key = StepKey {
+                    job,
+                    occurrence,
+                    step,
+                };
+                (key, progress)
+            })
+        });
+        steps.flat_map(|(step, progress)| {
+            let tasks = (0u32..).zip(&progress.tasks);
+            tasks.map(move |(index, task)| (TaskKey { step, index }, task))
+        })
+    }
+
+    /// Returns the time at which an occurrence is due, Unix milliseconds.
+    #[must_use]
+    pub fn due_unix_ms(&self, occurrence: u32) -> u64 {
+        self.spec.schedule.map_or(self.accepted_unix_ms, |schedule| {
+            let offset_ms = schedule.interval_ms.saturating_mul(u64::from(occurrence));
+            schedule.first_unix_ms.saturating_add(offset_ms)
+        })
+    }
+
+    /// Returns whether all steps that a step waits for are done.
+    #[must_use]
+    pub fn is_unblocked(&self, key: StepKey) -> bool {
+        let Some(spec) = self.step_spec(key) else {
+            return false;
+        };
+        spec.after.iter().all(|earlier| {
+            let earlier = StepKey {
+                step: *earlier,
+                ..key
+            };
+            self.step(earlier).is_some_and(StepProgress::is_done)
+        })
+    }
+
+    /// Notes that a run may be on a worker. Returns whether the run is the next of its task.
+    pub(crate) fn place(&mut self, task: TaskKey, run: u32, worker: WorkerNumber) -> bool {
+        if self.state != JobState::Active {
+            return false;
+        }
+        let Some(step) = self.step_mut(task.step) else {
+            return false;
+        };
+        let Some(task) = step.tasks.get_mut(task.index as usize) else {
+            return false;
+        };
+        if task.state != TaskState::Waiting || run <= task.run {
+            return false;
+        }
+        task.state = TaskState::Placed(worker);
+        task.run = run;
+        self.started = true;
+        true
+    }
+
+    /// Notes the end of a run. An end of any but the current run changes nothing.
+    pub(crate) fn end(&mut self, end: &RunEnd, worker: WorkerNumber, at_unix_ms: u64) {
+        let key = end.run.task;
+        let Some(spec) = self.step_spec(key.step) else {
+            return;
+        };
+        let (gang, long_running) = (spec.gang, spec.long_running);
+        let max_attempts = self.queue.max_attempts.max(1);
+        let Some(step) = self.step_mut(key.step) else {
+            return;
+        };
+        let Some(task) = step.tasks.get_mut(key.index as usize) else {
+            return;
+        };
+        if task.run != end.run.run || task.state != TaskState::Placed(worker) {
+            return;
+        }
+        task.state = TaskState::Waiting;
+        if !end.checkpoint.is_empty() {
+            if gang {
+                step.checkpoint.clone_from(&end.checkpoint);
+            } else {
+                task.checkpoint.clone_from(&end.checkpoint);
+            }
+        }
+        let mut failed_runs = 0;
+        match end.kind {
+            EndKind::Done if long_running => {}
+            EndKind::Done if gang => {
+                // The members of a gang end together; one end stands for all.
+                for member in step.tasks.iter_mut().filter(|t| t.run == end.run.run) {
+                    member.state = TaskState::Done;
+                }
+            }
+            EndKind::Done => task.state = TaskState::Done,
+            EndKind::Failed => {
+                task.failed_on = Some(worker);
+                task.failed_runs += 1;
+                failed_runs = task.failed_runs;
+                if gang {
+                    if step.last_failed_run < end.run.run {
+                        step.last_failed_run = end.run.run;
+                        step.failed_runs += 1;
+                    }
+                    failed_runs = step.failed_runs;
+                }
+            }
+            EndKind::Interrupted => {}
+        }
+        if !long_running && failed_runs >= max_attempts {
+            self.finish(JobState::Failed, at_unix_ms);
+        }
+        self.complete_if_done(at_unix_ms);
+        self.drop_spec_if_quiet();
+    }
+
+    /// Notes that a run certainly runs no more.
+    pub(crate) fn lost(&mut self, task: TaskKey, run: u32, worker: WorkerNumber, checkpoint: &str) {
+        let gang = self.step_spec(task.step).is_some_and(|spec| spec.gang);
+        let Some(step) = self.step_mut(task.step) else {
+            return;
+        };
+        let Some(task) = step.tasks.get_mut(task.index as usize) else {
+            return;
+        };
+        if task.run == run && task.state == TaskState::Placed(worker) {
+            task.state = TaskState::Waiting;
+            if !checkpoint.is_empty() {
+                let target = if gang {
+                    &mut step.checkpoint
+                } else {
+                    &mut task.checkpoint
+                };
+                checkpoint.clone_into(target);
+            }
+        }
+        self.drop_spec_if_quiet();
+    }
+
+    pub(crate) fn cancel(&mut self, at_unix_ms: u64) {
+        self.finish(JobState::Cancelled, at_unix_ms);
+        self.drop_spec_if_quiet();
+    }
+
+    fn finish(&mut self, state: JobState, at_unix_ms: u64) {
+        if self.state == JobState::Active {
+            self.state = state;
+            self.ended_unix_ms = at_unix_ms;
+        }
+    }
+
+    fn complete_if_done(&mut self, at_unix_ms: u64) {
+        let mut steps = self.occurrences.iter().flatten();
+        if self.state == JobState::Active && steps.all(StepProgress::is_done) {
+            self.finish(JobState::Completed, at_unix_ms);
+        }
+    }
+
+    /// Frees the memory of an ended job of which nothing can still run.
+    fn drop_spec_if_quiet(&mut self) {
+        let placed = |task: &Task| matches!(task.state, TaskState::Placed(_));
+        if self.state != JobState::Active && !self.tasks().any(|(_, task)| placed(task)) {
+            self.spec = JobSpec::default();
+            self.occurrences = Vec::new();
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/leader.rs
@@ -0,0 +1,742 @@
+//! The leader's part: callers' requests, workers' leases, advice and placement.
+//!
+//! Everything here is rebuilt from the replicated state when a VM becomes the leader, and dropped
+//! when it is no longer.
+
+use acaciareel_types::{Millis, SortedVec};
+
+use crate::{
+    CallerReply, CallerRequest, CellState, Change, Command, ControlReply, ControlRequest, Effect,
+    Job, JobId, JobState, JobView, Origin, PeerMessage, QueueRow, Refusal, RunKey, StepKey,
+    TaskState, WorkerNumber, WorkerRecord,
+    admission::{Load, admit},
+    io::Io,
+    message::Addressed,
+};
+
+mod advice;
+mod orders;
+mod pass;
+mod renewal;
+mod worker;
+
+use advice::{AdviceCall, Callers, StepAdvice};
+use worker::{Phase, RunView, WorkerView};
+
+/// Times that the deployment gives.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Bounds {
+    /// Longest lease that workers grant.
+    pub lease_ms: u64,
+    /// Longest time that a stop takes.
+    pub stop_ms: u64,
+    /// How long the state of an ended job is kept.
+    pub status_ms: u64,
+}
+
+/// Pause between two passes over the waiting steps; events in between are handled together.
+const PASS_INTERVAL_MS: u64 = 4;
+/// Pause between two looks for jobs to forget.
+const FORGET_INTERVAL_MS: u64 = 5_000;
+/// Added to the time for which the state of an ended job is kept, for clocks that differ.
+const FORGET_MARGIN_MS: u64 = 60_000;
+/// Weight of the latest run in the mean run time of a queue, in thousandths.
+const RUN_TIME_WEIGHT_PERMILLE: u64 = 50;
+/// Time after which a refused job may be accepted, where nothing better is known.
+const RETRY_AFTER_MS: u64 = 1_000;
+/// Share of a service's capacity that waiting work can use, in thousandths; the rest is lost to
+/// gaps that no waiting task fits and to the advice that rules workers out.
+const USABLE_CAPACITY_PERMILLE: u64 = 850;
+
+/// A call to a worker under way.
+#[derive(Clone, Debug)]
+enum Call {
+    Start {
+        worker: WorkerNumber,
+        run: RunKey,
+        born_ms: u64,
+    },
+    Stop {
+        worker: WorkerNumber,
+        run: RunKey,
+    },
+    Renewal {
+        worker: WorkerNumber,
+        token: u64,
+        born_ms: u64,
+        acknowledged: u64,
+        fence: bool,
+    },
+}
+
+/// A step with tasks to place.
+#[derive(Clone, Debug, Default)]
+struct WaitingStep {
+    /// Positions of tasks without a run, sorted.
+    waiting: Vec<u32>,
+    /// Positions among them whose placement is proposed, sorted.
+    proposed: Vec<u32>,
+}
+
+/// State of the leader of a cell.
+#[derive(Debug)]
+pub(crate) struct Leader {
+    term: u64,
+    bounds: Bounds,
+    since_ms: Millis,
+    workers: SortedVec<WorkerNumber, WorkerView>,
+    racks: Vec<Vec<String>>,
+    steps: SortedVec<StepKey, WaitingStep>,
+    advice: SortedVec<StepKey, StepAdvice>,
+    questions: SortedVec<u64, AdviceCall>,
+    callers: Callers,
+    calls: SortedVec<u64, Call>,
+    next_call: u64,
+    submits: SortedVec<JobId, Vec<Origin>>,
+    cancels: SortedVec<JobId, Vec<Origin>>,
+    announcements: Vec<(String, Origin)>,
+    tables: Vec<(u64, Origin)>,
+    /// Jobs whose occurrences become due later.
+    scheduled: Vec<JobId>,
+    /// Mean run time of the tasks of each queue.
+    run_times_ms: SortedVec<String, u64>,
+    pass_due: bool,
+    last_pass_ms: Millis,
+    last_forget_ms: Millis,
+}
+
+impl Leader {
+    /// Takes over from the replicated state. Runs that may be under way count as running until
+    /// their workers have answered.
+    pub fn new(term: u64, bounds: Bounds, state: &CellState, io: &mut Io<'_>) -> Self {
+        let mut leader = Self {
+            term,
+            bounds,
+            since_ms: io.now_ms,
+            workers: SortedVec::new(),
+            racks: Vec::new(),
+            steps: SortedVec::new(),
+            advice: SortedVec::new(),
+            questions: SortedVec::new(),
+            callers: Callers::default(),
+            calls: SortedVec::new(),
+            next_call: 0,
+            submits: SortedVec::new(),
+            cancels: SortedVec::new(),
+            announcements: Vec::new(),
+            tables: Vec::new(),
+            scheduled: Vec::new(),
+            run_times_ms: SortedVec::new(),
+            pass_due: true,
+            last_pass_ms: Millis(0),
+            last_forget_ms: io.now_ms,
+        };
+        let lease_ms = bounds.lease_ms + bounds.lease_ms / 20;
+        for (number, record) in state.workers().iter() {
+            let mut view = leader.make_view(*number, record.clone(), io.now_ms);
+            view.inherited_until_ms = io.now_ms.saturating_add(Millis(lease_ms));
+            leader.workers.insert(*number, view);
+        }
+        for job in state.jobs().values() {
+            leader.inherit_runs(job, io.now_ms);
+            leader.refresh_job(state, job.id, io);
+        }
+        io.log(
+            "leader_started",
+            vec![
+                ("term", term.to_string()),
+                ("workers", leader.workers.len().to_string()),
+                ("jobs", state.jobs().len().to_string()),
+                ("queues_version", state.queues().version.to_string()),
+            ],
+        );
+        leader
+    }
+
+    fn inherit_runs(&mut self, job: &Job, now_ms: Millis) {
+        for (key, task) in job.tasks() {
+            let TaskState::Placed(number) = task.state else {
+                continue;
+            };
+            let demand = job.step_spec(key.step).map(pass::counted_demand);
+            if let (Some(view), Some(demand)) = (self.workers.get_mut(&number), demand) {
+                let phase = Phase::Sent {
+                    token: 0,
+                    tries: u32::MAX,
+                    calling: false,
+                };
+                let run = RunKey {
+                    task: key,
+                    run: task.run,
+                };
+                view.add_run(run, RunView::new(demand, phase, None, now_ms));
+            }
+        }
+    }
+
+    fn make_view(&mut self, number: WorkerNumber, record: WorkerRecord, now_ms: Millis) -> WorkerView {
+        let known = self.racks.iter().position(|labels| *labels == record.labels);
+        let rack = known.unwrap_or_else(|| {
+            self.racks.push(record.labels.clone());
+            self.racks.len() - 1
+        });
+        let rack = u32::try_from(rack).unwrap_or(u32::MAX);
+        WorkerView::new(number, record, rack, now_ms)
+    }
+
+    /// Tells everyone who waits for this leader that it leads no more.
+    pub fn resign(mut self, io: &mut Io<'_>) {
+        let submits = std::mem::take(&mut self.submits);
+        let cancels = std::mem::take(&mut self.cancels);
+        let waiting = submits.into_iter().chain(cancels);
+        let callers = waiting.flat_map(|(_, origins)| origins);
+        for origin in callers {
+            not_leading(origin, io);
+        }
+        let announced = self.announcements.drain(..).map(|(_, origin)| origin);
+        let tables = self.tables.drain(..).map(|(_, origin)| origin);
+        for origin in announced.chain(tables) {
+            io.reply_control(origin, ControlReply::Unavailable);
+        }
+        io.log("leader_ended", vec![("term", self.term.to_string())]);
+    }
+
+    // ---- callers ----
+
+    pub fn caller_request(
+        &mut self,
+        state: &CellState,
+        origin: Origin,
+        request: Addressed,
+        io: &mut Io<'_>,
+    ) {
+        if !io.leads {
+            return not_leading(origin, io);
+        }
+        if state.queues().version == 0 {
+            let reply = CallerReply::Refused {
+                reason: Refusal::NotReady,
+                retry_after_ms: RETRY_AFTER_MS,
+            };
+            return io.reply_caller(origin, reply);
+        }
+        let Some((queue, rest)) = state.queues().find(&request.host, &request.path) else {
+            return io.reply_caller(origin, CallerReply::UnknownQueue);
+        };
+        let id = rest.parse::<JobId>();
+        match (request.request, id) {
+            (CallerRequest::Submit(spec), Ok(id)) => {
+                let queue = queue.clone();
+                self.submit(state, origin, id, queue, spec, io);
+            }
+            (CallerRequest::Submit(_), Err(_)) => io.reply_caller(origin, CallerReply::Invalid),
+            (CallerRequest::Look, _) if rest.is_empty() => {
+                let pending = count_pending(state, &queue.name);
+                io.reply_caller(origin, CallerReply::Pending(pending));
+            }
+            (CallerRequest::Look, Ok(id)) => {
+                let reply = match state.job(id) {
+                    Some(job) => CallerReply::Job(view_of(job)),
+                    None if self.submits.contains_key(&id) => CallerReply::Job(JobView::Queued),
+                    None => CallerReply::UnknownJob,
+                };
+                io.reply_caller(origin, reply);
+            }
+            (CallerRequest::Cancel, Ok(id)) => self.cancel(state, origin, id, io),
+            (CallerRequest::Look | CallerRequest::Cancel, Err(_)) => {
+                io.reply_caller(origin, CallerReply::UnknownJob);
+            }
+        }
+    }
+
+    fn submit(
+        &mut self,
+        state: &CellState,
+        origin: Origin,
+        id: JobId,
+        queue: QueueRow,
+        spec: crate::JobSpec,
+        io: &mut Io<'_>,
+    ) {
+        if state.job(id).is_some() {
+            return io.reply_caller(origin, CallerReply::Accepted);
+        }
+        if let Some(waiting) = self.submits.get_mut(&id) {
+            waiting.push(origin);
+            return;
+        }
+        if let Err((reason, retry_after_ms)) = self.admission(state, &queue, &spec, io.now_ms) {
+            io.log(
+                "job_refused",
+                vec![
+                    ("job", id.to_string()),
+                    ("queue", queue.name),
+                    ("reason", format!("{reason:?}")),
+                    ("retry_after_ms", retry_after_ms.to_string()),
+                    ("queues_version", state.queues().version.to_string()),
+                ],
+            );
+            let reply = CallerReply::Refused {
+                reason,
+                retry_after_ms,
+            };
+            return io.reply_caller(origin, reply);
+        }
+        self.submits.insert(id, vec![origin]);
+        let at_unix_ms = io.unix_ms;
+        io.commands.push(Command::Accept {
+            id,
+            queue,
+            spec,
+            at_unix_ms,
+        });
+    }
+
+    fn admission(
+        &self,
+        state: &CellState,
+        queue: &QueueRow,
+        spec: &crate::JobSpec,
+        now_ms: Millis,
+    ) -> Result<(), (Refusal, u64)> {
+        let mut capacity_millicores = 0;
+        let mut fits = vec![false; spec.steps.len()];
+        for view in self.workers.values() {
+            if view.record.service != queue.service || !view.may_serve(now_ms) {
+                continue;
+            }
+            capacity_millicores += u64::from(view.record.capacity.cpu_millicores);
+            for (step, fits) in spec.steps.iter().zip(&mut fits) {
+                *fits |= step.demand.times_in(&view.record.capacity) > 0;
+            }
+        }
+        if capacity_millicores > 0 && fits.contains(&false) {
+            return Err((Refusal::NoWorkerFits, RETRY_AFTER_MS));
+        }
+        let chain_ms = self.chain_ms(queue, spec.steps.len());
+        let slack_ms = chain_ms * queue.slack_permille.saturating_sub(1_000) / 1_000;
+        admit(&Load {
+            capacity_millicores: capacity_millicores * USABLE_CAPACITY_PERMILLE / 1_000,
+            ahead_millicore_ms: self.work_ahead(state, queue),
+            wait_budget_ms: slack_ms + queue.target_ms,
+        })
+    }
+
+    /// Returns the work that waits and goes before a new job of a queue.
+    fn work_ahead(&self, state: &CellState, queue: &QueueRow) -> u64 {
+        let steps = self.steps.iter().filter_map(|(key, step)| {
+            let job = state.job(key.job)?;
+            let spec = job.step_spec(*key)?;
+            let before = job.queue.priority <= queue.priority && job.queue.service == queue.service;
+            let run_ms = self.run_time_ms(&job.queue, spec.estimate_ms);
+            let tasks = step.waiting.len() as u64;
+            let millicores = u64::from(spec.demand.cpu_millicores);
+            before.then_some(tasks * millicores * run_ms)
+        });
+        steps.sum()
+    }
+
+    fn run_time_ms(&self, queue: &QueueRow, estimate_ms: u64) -> u64 {
+        let mean_ms = self.run_times_ms.get(&queue.name);
+        mean_ms.copied().unwrap_or(estimate_ms)
+    }
+
+    /// Returns the usual duration of a chain of steps.
+    fn chain_ms(&self, queue: &QueueRow, steps: usize) -> u64 {
+        let steps = u64::try_from(steps.max(1)).unwrap_or(1);
+        self.run_time_ms(queue, queue.target_ms) * steps
+    }
+
+    fn cancel(&mut self, state: &CellState, origin: Origin, id: JobId, io: &mut Io<'_>) {
+        match state.job(id) {
+            Some(job) if job.state != JobState::Active => {
+                io.reply_caller(origin, CallerReply::Cancelled);
+            }
+            None if !self.submits.contains_key(&id) => {
+                io.reply_caller(origin, CallerReply::UnknownJob);
+            }
+            _ => {
+                let waiting = self.cancels.get_or_insert_with(id, Vec::new);
+                waiting.push(origin);
+                if waiting.len() == 1 {
+                    let at_unix_ms = io.unix_ms;
+                    io.commands.push(Command::Cancel { id, at_unix_ms });
+                }
+            }
+        }
+    }
+
+    // ---- workers and operators ----
+
+    pub fn control_request(
+        &mut self,
+        state: &CellState,
+        origin: Origin,
+        request: ControlRequest,
+        io: &mut Io<'_>,
+    ) {
+        if !io.leads {
+            return io.reply_control(origin, ControlReply::Unavailable);
+        }
+        match request {
+            ControlRequest::Announce {
+                worker,
+                clock_ms,
+                sequence,
+            } => self.announce(state, origin, worker, clock_ms, sequence, io),
+            ControlRequest::Deregister { worker_id } => {
+                if let Some(number) = state.worker_by_id(&worker_id)
+                    && let Some(view) = self.workers.get_mut(&number)
+                {
+                    view.deregistered_ms.get_or_insert(io.now_ms);
+                    io.log("worker_deregistered", vec![("worker", worker_id)]);
+                }
+                io.reply_control(origin, ControlReply::Done);
+            }
+            ControlRequest::PutQueues(table) => {
+                if table.version <= state.queues().version {
+                    return io.reply_control(origin, ControlReply::Done);
+                }
+                self.tables.push((table.version, origin));
+                io.commands.push(Command::Queues(table));
+            }
+            ControlRequest::GetQueues => {
+                let reply = if state.queues().version == 0 {
+                    ControlReply::Unavailable
+                } else {
+                    ControlReply::Queues(state.queues().source.clone())
+                };
+                io.reply_control(origin, reply);
+            }
+        }
+    }
+
+    fn announce(
+        &mut self,
+        state: &CellState,
+        origin: Origin,
+        worker: WorkerRecord,
+        clock_ms: Option<u64>,
+        sequence: u64,
+        io: &mut Io<'_>,
+    ) {
+        if self.is_superseded(&worker) {
+            return io.reply_control(origin, ControlReply::Done);
+        }
+        let known = state.worker_by_id(&worker.id);
+        let view = known.and_then(|number| self.workers.get_mut(&number));
+        if let Some(view) = view
+            && view.record.born_ms == worker.born_ms
+        {
+            if sequence < view.sequence {
+                return io.reply_control(origin, ControlReply::Done);
+            }
+            view.sequence = sequence;
+            view.heard_ms = io.now_ms;
+            if let Some(clock_ms) = clock_ms {
+                view.read_clock(clock_ms, io.now_ms);
+            }
+            if view.record == worker {
+                return io.reply_control(origin, ControlReply::Done);
+            }
+        }
+        let id = worker.id.clone();
+        if !self.announcements.iter().any(|(other, _)| *other == id) {
+            io.commands.push(Command::Worker(worker));
+        }
+        self.announcements.push((id, origin));
+    }
+
+    /// Returns whether a later life is known of the worker, or of another worker at its address.
+    fn is_superseded(&self, worker: &WorkerRecord) -> bool {
+        self.workers.values().any(|view| {
+            let same = view.record.id == worker.id || view.record.address == worker.address;
+            same && view.record.born_ms > worker.born_ms
+        })
+    }
+
+    // ---- committed changes ----
+
+    pub fn changed(&mut self, state: &CellState, change: Change, io: &mut Io<'_>) {
+        match change {
+            Change::Queues(version) => {
+                let done = |(wanted, _): &(u64, Origin)| *wanted <= version;
+                for (_, origin) in self.tables.extract_if(.., |entry| done(entry)) {
+                    io.reply_control(origin, ControlReply::Done);
+                }
+                io.log("queues_in_force", vec![("version", version.to_string())]);
+            }
+            Change::Worker(number) => self.worker_changed(state, number, io),
+            Change::WorkerForgotten(number) => {
+                self.workers.remove(&number);
+            }
+            Change::Accepted(id) => {
+                for origin in self.submits.remove(&id).unwrap_or_default() {
+                    io.reply_caller(origin, CallerReply::Accepted);
+                }
+                if let Some(job) = state.job(id) {
+                    io.log(
+                        "job_accepted",
+                        vec![
+                            ("job", id.to_string()),
+                            ("queue", job.queue.name.clone()),
+                            ("queues_version", state.queues().version.to_string()),
+                        ],
+                    );
+                    if job.spec.schedule.is_some() {
+                        self.scheduled.push(id);
+                    }
+                }
+                self.refresh_job(state, id, io);
+            }
+            Change::Cancelled(id) => {
+                for origin in self.cancels.remove(&id).unwrap_or_default() {
+                    io.reply_caller(origin, CallerReply::Cancelled);
+                }
+                self.refresh_job(state, id, io);
+            }
+            Change::Placed {
+                runs,
+                refused,
+                worker,
+            } => self.placed(state, runs, &refused, worker, io),
+            Change::Ended {
+                worker,
+                through,
+                jobs,
+            } => {
+                if let Some(view) = self.workers.get_mut(&worker) {
+                    view.ends_committed = view.ends_committed.max(through);
+                }
+                self.renew(worker, io);
+                for id in jobs {
+                    self.refresh_job(state, id, io);
+                }
+            }
+            Change::Lost { jobs } => {
+                for id in jobs {
+                    self.refresh_job(state, id, io);
+                }
+            }
+        }
+    }
+
+    fn worker_changed(&mut self, state: &CellState, number: WorkerNumber, io: &mut Io<'_>) {
+        let Some(record) = state.workers().get(&number).cloned() else {
+            return;
+        };
+        let id = record.id.clone();
+        for (_, origin) in self.announcements.extract_if(.., |(other, _)| *other == id) {
+            io.reply_control(origin, ControlReply::Done);
+        }
+        let known = self.workers.get(&number).map(|view| view.record.clone());
+        let event = match &known {
+            Some(known) if *known == record => return,
+            Some(known) if known.born_ms != record.born_ms => "worker_reborn",
+            Some(_) if record.draining => "worker_draining",
+            Some(_) => "worker_changed",
+            None => "worker_joined",
+        };
+        io.log(
+            event,
+            vec![
+                ("worker", id),
+                ("number", number.to_string()),
+                ("address", record.address.clone()),
+                ("service", record.service.clone()),
+            ],
+        );
+        let mut view = self.make_view(number, record, io.now_ms);
+        if let Some(old) = self.workers.remove(&number) {
+            let reborn = known.is_some_and(|known| known.born_ms != view.record.born_ms);
+            let (record, rack) = (view.record, view.rack);
+            view = old;
+            view.record = record;
+            view.rack = rack;
+            if reborn {
+                view.begin_life(io.now_ms);
+            }
+            view.recount();
+            self.workers.insert(number, view);
+            if reborn {
+                self.lose_runs(number, |_, _| true, "worker_reborn", io);
+            }
+        } else {
+            self.workers.insert(number, view);
+        }
+        self.end_predecessors(number, io);
+        self.renew(number, io);
+        self.pass_due = true;
+    }
+
+    /// Gives up the runs of workers whose address now belongs to a later one.
+    fn end_predecessors(&mut self, number: WorkerNumber, io: &mut Io<'_>) {
+        let Some(view) = self.workers.get(&number) else {
+            return;
+        };
+        let (address, born_ms) = (view.record.address.clone(), view.record.born_ms);
+        let older: Vec<WorkerNumber> = self
+            .workers
+            .values()
+            .filter(|other| other.record.address == address && other.record.born_ms < born_ms)
+            .map(|other| other.number)
+            .collect();
+        for older in older {
+            self.lose_runs(older, |_, _| true, "address_reused", io);
+            io.commands.push(Command::ForgetWorker(older));
+        }
+    }
+
+    /// Brings what is known of a job's waiting steps up to date.
+    fn refresh_job(&mut self, state: &CellState, id: JobId, io: &mut Io<'_>) {
+        self.pass_due = true;
+        let Some(job) = state.job(id) else {
+            return;
+        };
+        if job.state != JobState::Active {
+            return self.end_job(job, io);
+        }
+        for (occurrence, steps) in (0u32..).zip(&job.occurrences) {
+            let due = job.due_unix_ms(occurrence) <= io.unix_ms;
+            for (step, progress) in (0u32..).zip(steps) {
+                let key = StepKey {
+                    job: id,
+                    occurrence,
+                    step,
+                };
+                let gang = job.step_spec(key).is_some_and(|spec| spec.gang);
+                let tasks = (0u32..).zip(&progress.tasks);
+                let is_waiting = |(_, task): &(u32, &crate::Task)| task.state == TaskState::Waiting;
+                let waiting: Vec<u32> = tasks.filter(is_waiting).map(|(i, _)| i).collect();
+                let partial = gang && !waiting.is_empty() && waiting.len() < progress.tasks.len();
+                let proposing = self.steps.get(&key).is_some_and(|s| !s.proposed.is_empty());
+                if partial && !proposing {
+                    self.stop_step(key, io);
+                }
+                if waiting.is_empty() || partial || !due || !job.is_unblocked(key) {
+                    if !proposing {
+                        self.steps.remove(&key);
+                    }
+                    continue;
+                }
+                let entry = self.steps.get_or_insert_with(key, WaitingStep::default);
+                entry.waiting = waiting;
+            }
+        }
+    }
+
+    /// Forgets the waiting steps of an ended job and stops its runs.
+    fn end_job(&mut self, job: &Job, io: &mut Io<'_>) {
+        let id = job.id;
+        let known = self.steps.iter_from(&first_step(id)).next();
+        let waiting = known.is_some_and(|(key, _)| key.job == id);
+        let advised = self.advice.iter_from(&first_step(id)).next();
+        let advised = advised.is_some_and(|(key, _)| key.job == id);
+        if waiting {
+            self.steps.retain(|key, _| key.job != id);
+        }
+        if advised {
+            self.advice.retain(|key, _| key.job != id);
+        }
+        self.scheduled.retain(|scheduled| *scheduled != id);
+        if matches!(job.state, JobState::Failed | JobState::Cancelled) {
+            self.stop_runs(|key| key.task.step.job == id, io);
+        }
+        let total_ms = job.ended_unix_ms.saturating_sub(job.accepted_unix_ms);
+        io.log(
+            "job_ended",
+            vec![
+                ("job", id.to_string()),
+                ("queue", job.queue.name.clone()),
+                ("state", format!("{:?}", job.state)),
+                ("total_ms", total_ms.to_string()),
+            ],
+        );
+        io.effect(Effect::Measure {
+            name: "job_total_ms",
+            label: job.queue.name.clone(),
+            value_ms: total_ms,
+        });
+    }
+
+    // ---- time ----
+
+    pub fn tick(&mut self, state: &CellState, io: &mut Io<'_>) {
+        for id in self.scheduled.clone() {
+            self.refresh_job(state, id, io);
+        }
+        let numbers: Vec<WorkerNumber> = self.workers.keys().copied().collect();
+        for number in numbers {
+            self.check_worker(state, number, io);
+        }
+        self.expire_questions(io);
+        self.forget_jobs(state, io);
+        self.pass_due = true;
+    }
+
+    /// Places waiting tasks if anything has changed since the last pass.
+    pub fn settle(&mut self, state: &CellState, io: &mut Io<'_>) {
+        let next_ms = self.last_pass_ms.saturating_add(Millis(PASS_INTERVAL_MS));
+        if self.pass_due && io.leads && io.now_ms >= next_ms {
+            self.pass_due = false;
+            self.last_pass_ms = io.now_ms;
+            self.pass(state, io);
+        }
+    }
+
+    fn forget_jobs(&mut self, state: &CellState, io: &mut Io<'_>) {
+        let next_ms = self.last_forget_ms.saturating_add(Millis(FORGET_INTERVAL_MS));
+        if io.now_ms < next_ms {
+            return;
+        }
+        self.last_forget_ms = io.now_ms;
+        let kept_ms = self.bounds.status_ms + FORGET_MARGIN_MS;
+        let is_over = |job: &&Box<Job>| {
+            job.state != JobState::Active && job.ended_unix_ms + kept_ms < io.unix_ms
+        };
+        let over: Vec<JobId> = state.jobs().values().filter(is_over).map(|j| j.id).collect();
+        if !over.is_empty() {
+            io.commands.push(Command::ForgetJobs(over));
+        }
+        io.effect(Effect::Gauge {
+            name: "jobs_known",
+            value: state.jobs().len() as u64,
+        });
+        io.effect(Effect::Gauge {
+            name: "steps_waiting",
+            value: self.steps.len() as u64,
+        });
+    }
+}
+
+fn first_step(job: JobId) -> StepKey {
+    StepKey {
+        job,
+        occurrence: 0,
+        step: 0,
+    }
+}
+
+fn not_leading(origin: Origin, io: &mut Io<'_>) {
+    if let Origin::Entry { vm, call } = origin {
+        let message = PeerMessage::CallReply { call, reply: None };
+        io.effect(Effect::Send { to: vm, message });
+    }
+}
+
+fn count_pending(state: &CellState, queue: &str) -> u64 {
+    let pending = state.jobs().values().filter(|job| {
+        job.state == JobState::Active && !job.started && job.queue.name == queue
+    });
+    pending.count() as u64
+}
+
+fn view_of(job: &Job) -> JobView {
+    match job.state {
+        JobState::Active if job.started => JobView::Running,
+        JobState::Active => JobView::Queued,
+        JobState::Completed => JobView::Completed,
+        JobState::Failed => JobView::Failed,
+        JobState::Cancelled => JobView::Cancelled,
+    }
+}
--- /dev/null
+++ b/crates/cell/src/leader/advice.rs
@@ -0,0 +1,112 @@
+//! Calls to the policy service, spread over the entry VMs.
+//!
+//! The service handles the calls of one VM one after the other, so each call goes to the VM that
+//! is expected to be free first. Long calls leave part of the VMs free for short ones.
+
+use acaciareel_types::{Millis, SortedVec, VmId};
+
+use crate::{AdviceCost, StepKey, WorkerNumber};
+
+/// A call that takes longer is a long one: the work of urgent queues starts within some hundred
+/// milliseconds, which a call before it must not use up.
+const LONG_CALL_MS: u64 = 60;
+/// Longest wait for an answer beyond the expected time.
+const ANSWER_GRACE_MS: u64 = 1_000;
+/// Pause before a step asks again after a call without an answer.
+pub(super) const RETRY_MS: u64 = 150;
+/// A ticket is used only if it stays valid this long: the placement is committed before the start
+/// is sent, which takes two round trips and two syncs.
+pub(super) const TICKET_MARGIN_MS: u64 = 250;
+
+/// A permission to start the tasks of a step on a worker.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct Ticket {
+    pub text: String,
+    pub valid_until_ms: Millis,
+}
+
+/// What is known of the workers that may run a step.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(super) struct StepAdvice {
+    /// Workers that were asked about, sorted.
+    pub asked: Vec<WorkerNumber>,
+    /// Workers that may run the step. Which they are does not change; their tickets run out.
+    pub allowed: SortedVec<WorkerNumber, Ticket>,
+    /// Call under way.
+    pub call: Option<u64>,
+    /// Time before which no further call is made.
+    pub not_before_ms: Millis,
+}
+
+impl StepAdvice {
+    /// Returns the ticket for a worker, if it stays valid long enough.
+    pub fn ticket(&self, worker: WorkerNumber, now_ms: Millis) -> Option<&Ticket> {
+        let least_ms = now_ms.saturating_add(Millis(TICKET_MARGIN_MS));
+        let ticket = self.allowed.get(&worker);
+        ticket.filter(|ticket| ticket.valid_until_ms > least_ms)
+    }
+}
+
+/// A call under way.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct AdviceCall {
+    pub step: StepKey,
+    pub workers: Vec<WorkerNumber>,
+    pub vm: VmId,
+    pub sent_ms: Millis,
+    pub give_up_ms: Millis,
+    pub valid_ms: u64,
+}
+
+/// The VMs that ask.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Callers {
+    /// Time at which the calls given to each VM should be answered.
+    busy_until_ms: SortedVec<VmId, Millis>,
+}
+
+impl Callers {
+    pub fn add(&mut self, vm: VmId) {
+        self.busy_until_ms.get_or_insert_with(vm, || Millis(0));
+    }
+
+    pub fn remove(&mut self, vm: VmId) {
+        self.busy_until_ms.remove(&vm);
+    }
+
+    /// Notes an answer, which may come earlier than expected.
+    pub fn answered(&mut self, vm: VmId, now_ms: Millis, calls_left: bool) {
+        if let Some(busy_ms) = self.busy_until_ms.get_mut(&vm)
+            && !calls_left
+        {
+            *busy_ms = now_ms;
+        }
+    }
+
+    /// Chooses the VM for a call; returns it with the time by which the answer is overdue.
+    pub fn choose(
+        &mut self,
+        cost: &AdviceCost,
+        workers: usize,
+        now_ms: Millis,
+    ) -> Option<(VmId, Millis)> {
+        let workers = u64::try_from(workers).unwrap_or(u64::MAX);
+        let call_ms = (cost.call_us + cost.worker_us.saturating_mul(workers)).div_ceil(1_000);
+        let count = self.busy_until_ms.len();
+        let for_long = count - count / 3;
+        let usable = if call_ms > LONG_CALL_MS { for_long } else { count };
+        // Short calls look at the VMs without long calls first.
+        let best = self
+            .busy_until_ms
+            .iter()
+            .enumerate()
+            .take(usable)
+            .min_by_key(|(position, (_, busy_ms))| {
+                ((**busy_ms).max(now_ms), usize::MAX - position)
+            })
+            .map(|(_, (vm, _))| *vm)?;
+        let busy_ms = self.busy_until_ms.get_mut(&best)?;
+        *busy_ms = (*busy_ms).max(now_ms).saturating_add(Millis(call_ms + 2));
+        Some((best, busy_ms.saturating_add(Millis(ANSWER_GRACE_MS))))
+    }
+}
--- /dev/null
+++ b/crates/cell/src/leader/orders.rs
@@ -0,0 +1,345 @@
+//! Orders to workers: starts after their placement is committed, stops, and the replies.
+
+use acaciareel_types::Millis;
+
+use super::{
+    Call, Leader,
+    renewal::REPLY_TIMEOUT_MS,
+    worker::{Phase, RunView},
+};
+use crate::{
+    CellState, Effect, JobState, RunKey, StartRefusal, StepKey, WorkerNumber, WorkerReply,
+    WorkerRequest, io::Io,
+};
+
+/// Times that a start is sent before its fate is settled by a call with a higher token.
+const MAX_TRIES: u32 = 2;
+
+impl Leader {
+    pub(super) fn take_call(&mut self) -> u64 {
+        self.next_call += 1;
+        self.next_call
+    }
+
+    /// Handles the commit of placements.
+    pub(super) fn placed(
+        &mut self,
+        state: &CellState,
+        runs: Vec<RunKey>,
+        refused: &[RunKey],
+        worker: WorkerNumber,
+        io: &mut Io<'_>,
+    ) {
+        for key in runs.iter().chain(refused) {
+            if let Some(step) = self.steps.get_mut(&key.task.step) {
+                step.proposed.retain(|index| *index != key.task.index);
+            }
+        }
+        if let Some(view) = self.workers.get_mut(&worker) {
+            for key in refused {
+                view.runs.remove(key);
+            }
+            view.recount();
+            for key in &runs {
+                if let Some(run) = view.runs.get_mut(key) {
+                    run.phase = Phase::Committed;
+                }
+            }
+        }
+        let mut jobs: Vec<_> = runs.iter().chain(refused).map(|k| k.task.step.job).collect();
+        jobs.sort_unstable();
+        jobs.dedup();
+        for id in jobs {
+            self.refresh_job(state, id, io);
+        }
+        self.send_committed(state, worker, io);
+    }
+
+    /// Sends the starts of committed placements.
+    pub(super) fn send_committed(
+        &mut self,
+        state: &CellState,
+        number: WorkerNumber,
+        io: &mut Io<'_>,
+    ) {
+        let Some(view) = self.workers.get(&number) else {
+            return;
+        };
+        if !io.leads {
+            return;
+        }
+        let due: Vec<RunKey> = view
+            .runs
+            .iter()
+            .filter(|(_, run)| run.phase == Phase::Committed)
+            .map(|(key, _)| *key)
+            .collect();
+        for key in due {
+            let active = state
+                .job(key.task.step.job)
+                .is_some_and(|job| job.state == JobState::Active);
+            let sendable = active && self.send_start(state, number, key, io);
+            if !sendable {
+                self.lose_runs(number, |run, _| *run == key, "not_sent", io);
+            }
+        }
+        self.renew(number, io);
+    }
+
+    /// Sends one start; returns whether it can be sent.
+    fn send_start(
+        &mut self,
+        state: &CellState,
+        number: WorkerNumber,
+        key: RunKey,
+        io: &mut Io<'_>,
+    ) -> bool {
+        let (term, lease_ms) = (self.term, self.bounds.lease_ms);
+        let Some(job) = state.job(key.task.step.job) else {
+            return false;
+        };
+        let (Some(step), Some(spec)) = (job.step(key.task.step), job.step_spec(key.task.step))
+        else {
+            return false;
+        };
+        let Some(task) = step.tasks.get(key.task.index as usize) else {
+            return false;
+        };
+        let checkpoint = if spec.gang {
+            step.checkpoint.clone()
+        } else {
+            task.checkpoint.clone()
+        };
+        let call = self.take_call();
+        let Some(view) = self.workers.get_mut(&number) else {
+            return false;
+        };
+        let token = view.token(term);
+        let Some(lease_until_ms) = view.grant(lease_ms, io.now_ms) else {
+            return false;
+        };
+        let Some(run) = view.runs.get_mut(&key) else {
+            return false;
+        };
+        let tries = match run.phase {
+            Phase::Sent { tries, .. } => tries + 1,
+            _ => 1,
+        };
+        run.phase = Phase::Sent {
+            token,
+            tries,
+            calling: true,
+        };
+        if tries == 1 {
+            run.began_ms = io.now_ms;
+            run.progress_ms = io.now_ms;
+        }
+        let ticket = run.ticket.clone();
+        let (address, worker_id) = (view.record.address.clone(), view.record.id.clone());
+        let born_ms = view.record.born_ms;
+        self.calls.insert(
+            call,
+            Call::Start {
+                worker: number,
+                run: key,
+                born_ms,
+            },
+        );
+        io.effect(Effect::CallWorker {
+            call,
+            address,
+            worker_id,
+            request: WorkerRequest::Start {
+                run: key,
+                payload: job.spec.payload.clone(),
+                lease_until_ms,
+                token,
+                checkpoint,
+                ticket,
+            },
+            timeout_ms: REPLY_TIMEOUT_MS,
+        });
+        true
+    }
+
+    /// Handles the reply of a worker.
+    pub fn worker_replied(
+        &mut self,
+        state: &CellState,
+        call: u64,
+        reply: WorkerReply,
+        io: &mut Io<'_>,
+    ) {
+        let Some(kind) = self.calls.remove(&call) else {
+            return;
+        };
+        match (kind, reply) {
+            (
+                Call::Renewal {
+                    worker,
+                    token,
+                    born_ms,
+                    acknowledged,
+                    ..
+                },
+                WorkerReply::Renewed(report),
+            ) => {
+                let sent = (token, born_ms, acknowledged);
+                self.renewed(state, worker, call, sent, report, io);
+            }
+            (Call::Renewal { worker, fence, .. }, _) => {
+                self.renewal_failed(worker, call, fence, io);
+            }
+            (
+                Call::Start {
+                    worker,
+                    run,
+                    born_ms,
+                },
+                reply,
+            ) => {
+                let same_life = self
+                    .workers
+                    .get(&worker)
+                    .is_some_and(|view| view.record.born_ms == born_ms);
+                if same_life {
+                    self.start_replied(state, worker, run, reply, io);
+                }
+            }
+            (Call::Stop { worker, run }, reply) => {
+                if reply != WorkerReply::Stopped
+                    && let Some(view) = self.workers.get_mut(&worker)
+                    && let Some(run) = view.runs.get_mut(&run)
+                {
+                    run.stop_ms = None;
+                }
+            }
+        }
+    }
+
+    fn start_replied(
+        &mut self,
+        state: &CellState,
+        number: WorkerNumber,
+        key: RunKey,
+        reply: WorkerReply,
+        io: &mut Io<'_>,
+    ) {
+        let (at_call, term) = (self.next_call, self.term);
+        let Some(view) = self.workers.get_mut(&number) else {
+            return;
+        };
+        let current = view.token(term);
+        if reply == WorkerReply::NoReply {
+            view.missed_calls += 1;
+        } else {
+            view.heard_ms = io.now_ms;
+            view.missed_calls = 0;
+        }
+        let Some(run) = view.runs.get_mut(&key) else {
+            return;
+        };
+        let Phase::Sent { token, tries, .. } = run.phase else {
+            return;
+        };
+        run.phase = Phase::Sent {
+            token,
+            tries,
+            calling: false,
+        };
+        match reply {
+            WorkerReply::Started { clock_ms } => {
+                run.phase = Phase::Confirmed { at_call };
+                if let Some(clock_ms) = clock_ms {
+                    view.read_clock(clock_ms, io.now_ms);
+                }
+            }
+            WorkerReply::Refused(refusal) => {
+                self.start_refused(state, number, key, (refusal, tries, token < current), io);
+            }
+            WorkerReply::NoReply | WorkerReply::Stopped | WorkerReply::Renewed(_) => {
+                if tries < MAX_TRIES && token == current {
+                    self.send_start(state, number, key, io);
+                } else {
+                    view.fence_due = true;
+                }
+            }
+        }
+        self.check_worker(state, number, io);
+    }
+
+    fn start_refused(
+        &mut self,
+        state: &CellState,
+        number: WorkerNumber,
+        key: RunKey,
+        (refusal, tries, stale_token): (StartRefusal, u32, bool),
+        io: &mut Io<'_>,
+    ) {
+        let Some(view) = self.workers.get_mut(&number) else {
+            return;
+        };
+        io.effects.push(Effect::Log {
+            level: crate::LogLevel::Warn,
+            event: "start_refused",
+            fields: vec![
+                ("run", key.to_string()),
+                ("worker", view.record.id.clone()),
+                ("refusal", format!("{refusal:?}")),
+                ("tries", tries.to_string()),
+            ],
+        });
+        match refusal {
+            StartRefusal::Unwilling => view.health.note(io.now_ms, true),
+            StartRefusal::OtherLife => view.listed = false,
+            StartRefusal::Ticket => self.drop_ticket(key.task.step, number),
+            StartRefusal::Fenced
+            | StartRefusal::Old
+            | StartRefusal::Late
+            | StartRefusal::Room => {}
+        }
+        if refusal == StartRefusal::Fenced && stale_token {
+            // A call that settled other starts has overtaken this one.
+            self.send_start(state, number, key, io);
+        } else if tries > 1 || refusal == StartRefusal::Old {
+            // An earlier copy of the order may have had its effect.
+            if let Some(view) = self.workers.get_mut(&number) {
+                view.fence_due = true;
+            }
+        } else {
+            self.lose_runs(number, |run, _| *run == key, "start_refused", io);
+        }
+    }
+
+    fn drop_ticket(&mut self, step: StepKey, worker: WorkerNumber) {
+        if let Some(advice) = self.advice.get_mut(&step)
+            && let Some(ticket) = advice.allowed.get_mut(&worker)
+        {
+            ticket.valid_until_ms = Millis(0);
+        }
+    }
+
+    /// Stops all runs of a step, so that its gang can start again together.
+    pub(super) fn stop_step(&mut self, step: StepKey, io: &mut Io<'_>) {
+        self.stop_runs(|key| key.task.step == step, io);
+    }
+
+    /// Stops runs wherever they are.
+    pub(super) fn stop_runs(&mut self, wanted: impl Fn(&RunKey) -> bool, io: &mut Io<'_>) {
+        let mut workers = Vec::new();
+        for (number, view) in self.workers.iter_mut() {
+            let mut found = false;
+            let runs = view.runs.iter_mut().filter(|(key, _)| wanted(key));
+            let stop = |run: &mut RunView| !std::mem::replace(&mut run.stopping, true);
+            for (_, run) in runs {
+                found |= stop(run);
+            }
+            if found {
+                workers.push(*number);
+            }
+        }
+        for number in workers {
+            self.stop_due(number, io);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/leader/pass.rs
@@ -0,0 +1,459 @@
+//! The placement pass: waiting steps in order of urgency, workers with room and permission.
+
+use acaciareel_types::{Millis, SortedVec};
+
+use super::{
+    AdviceCall, Leader, Phase, RunView, StepAdvice,
+    advice::{RETRY_MS, Ticket},
+    worker::WorkerView,
+};
+use crate::{
+    AdviceAnswer, AdviceQuestion, CellState, Command, Demand, Effect, Job, PeerMessage, QueueRow,
+    RunKey, StepKey, StepSpec, WorkerNumber,
+    io::Io,
+    placement::{Candidate, place_gang, place_separately},
+};
+
+/// Most workers that one call for advice names (bound of the platform).
+const MAX_ASKED: usize = 100;
+/// Workers named beyond those chosen when tickets are renewed, in case one fills up meanwhile.
+const SPARE_ASKED: usize = 2;
+/// Silence after which a worker gets nothing new: two announcements and the time of a call.
+const SILENT_MS: u64 = 4_000;
+/// Calls without a reply in a row after which a worker gets nothing new.
+const MISSED_CALLS: u32 = 2;
+/// Gangs that may keep workers free for themselves at the same time. With more, most workers
+/// would wait for one gang or another.
+const MAX_RESERVING_GANGS: usize = 2;
+/// A job later than this many times its objective is worth nothing any more (rule of the users).
+const WORTHLESS_FACTOR: u64 = 3;
+
+/// Returns what a task takes from its worker's capacity.
+pub(super) fn counted_demand(spec: &StepSpec) -> Demand {
+    let cpu_millicores = if spec.uses_spare_cpu {
+        0
+    } else {
+        spec.demand.cpu_millicores
+    };
+    Demand {
+        cpu_millicores,
+        ..spec.demand
+    }
+}
+
+/// Room that is left while a pass goes through the steps.
+type Room = SortedVec<WorkerNumber, Demand>;
+
+impl WorkerView {
+    /// Returns whether the worker can be expected to take new work soon.
+    pub(super) fn may_serve(&self, now_ms: Millis) -> bool {
+        let silent_ms = now_ms.saturating_sub(self.heard_ms).0;
+        !self.record.draining && self.deregistered_ms.is_none() && silent_ms < SILENT_MS
+    }
+
+    fn is_usable(&self, now_ms: Millis) -> bool {
+        self.may_serve(now_ms)
+            && self.listed
+            && self.clock.is_some()
+            && self.missed_calls < MISSED_CALLS
+            && !self.fence_due
+            && self.fencing.is_none()
+            && !self.has_foreign()
+    }
+
+    fn has_label(&self, label: &str) -> bool {
+        self.record.labels.iter().any(|own| own == label)
+    }
+}
+
+/// Order in which waiting steps are served: on-time work by priority and age, then late work, then
+/// work that is too late to be worth anything.
+type Urgency = (u8, u32, u64);
+
+impl Leader {
+    pub(super) fn pass(&mut self, state: &CellState, io: &mut Io<'_>) {
+        let mut order: Vec<(Urgency, StepKey)> = self
+            .steps
+            .iter()
+            .filter(|(_, step)| step.waiting.len() > step.proposed.len())
+            .filter_map(|(key, _)| Some((self.urgency(state.job(key.job)?, *key, io), *key)))
+            .collect();
+        order.sort_unstable();
+        let mut room: Room = self
+            .workers
+            .iter()
+            .filter(|(_, view)| view.is_usable(io.now_ms))
+            .map(|(number, view)| (*number, view.free))
+            .collect();
+        let mut reserving = 0;
+        for (_, key) in order {
+            if self.place_step(state, key, &mut room, &mut reserving, io).is_none() {
+                self.steps.remove(&key);
+            }
+        }
+    }
+
+    fn urgency(&self, job: &Job, key: StepKey, io: &Io<'_>) -> Urgency {
+        let chain_ms = self.chain_ms(&job.queue, job.spec.steps.len());
+        let objective_ms = chain_ms * job.queue.slack_permille / 1_000 + job.queue.target_ms;
+        let due_ms = job.due_unix_ms(key.occurrence);
+        let age_ms = io.unix_ms.saturating_sub(due_ms);
+        let left = job.spec.steps.len().saturating_sub(key.step as usize);
+        let finish_ms = age_ms + self.chain_ms(&job.queue, left);
+        let class = if finish_ms <= objective_ms {
+            0
+        } else if age_ms <= objective_ms * WORTHLESS_FACTOR {
+            1
+        } else {
+            2
+        };
+        (class, job.queue.priority, due_ms)
+    }
+
+    /// Tries to place the tasks of one step. Returns `None` if the step is not known any more.
+    fn place_step(
+        &mut self,
+        state: &CellState,
+        key: StepKey,
+        room: &mut Room,
+        reserving: &mut usize,
+        io: &mut Io<'_>,
+    ) -> Option<()> {
+        let job = state.job(key.job)?;
+        let spec = job.step_spec(key)?;
+        let queue = state.queues().by_name(&job.queue.name).unwrap_or(&job.queue);
+        let step = self.steps.get(&key)?;
+        let free_tasks: Vec<u32> = step
+            .waiting
+            .iter()
+            .filter(|index| step.proposed.binary_search(index).is_err())
+            .copied()
+            .collect();
+        let tasks = u32::try_from(free_tasks.len()).unwrap_or(u32::MAX);
+        let demand = counted_demand(spec);
+        let mut candidates = self.candidates(job, spec, key, queue, room, io.now_ms);
+        if queue.advice.is_some() && !self.restrict_to_allowed(key, queue, &mut candidates, io) {
+            return Some(());
+        }
+        let chosen = if spec.gang {
+            place_gang(&demand, tasks, &candidates, spec.rack_local)
+        } else {
+            Some(place_separately(&demand, tasks, candidates.clone()))
+        };
+        let Some(chosen) = chosen else {
+            if *reserving < MAX_RESERVING_GANGS {
+                *reserving += 1;
+                self.reserve(&demand, tasks, &candidates, room);
+            }
+            return Some(());
+        };
+        for worker in &chosen {
+            if let Some(free) = room.get_mut(worker) {
+                *free = free.minus(&demand, 1);
+            }
+        }
+        let Some(cost) = queue.advice else {
+            self.propose(job, key, &free_tasks, &chosen, io);
+            return Some(());
+        };
+        let advice = self.advice.get(&key)?;
+        let valid = |worker: &WorkerNumber| advice.ticket(*worker, io.now_ms).is_some();
+        let missing: Vec<WorkerNumber> = chosen.iter().filter(|w| !valid(w)).copied().collect();
+        if missing.is_empty() {
+            self.propose(job, key, &free_tasks, &chosen, io);
+            return Some(());
+        }
+        if !spec.gang {
+            let ready: Vec<WorkerNumber> = chosen.iter().filter(|w| valid(w)).copied().collect();
+            self.propose(job, key, &free_tasks, &ready, io);
+        }
+        let mut asked = if spec.gang { chosen } else { missing };
+        asked.sort_unstable();
+        asked.dedup();
+        let wanted = asked.len() + SPARE_ASKED;
+        for candidate in &candidates {
+            if asked.len() < wanted && candidate.slots(&demand) > 0 {
+                asked.push(candidate.worker);
+                asked.sort_unstable();
+                asked.dedup();
+            }
+        }
+        self.ask(key, queue, cost.valid_ms, asked, io);
+        Some(())
+    }
+
+    /// Returns the workers that may run tasks of the step, apart from advice.
+    fn candidates(
+        &self,
+        job: &Job,
+        spec: &StepSpec,
+        key: StepKey,
+        queue: &QueueRow,
+        room: &Room,
+        now_ms: Millis,
+    ) -> Vec<Candidate> {
+        let failed_on = |worker: WorkerNumber| {
+            let step = job.step(key);
+            step.is_some_and(|step| step.tasks.iter().any(|t| t.failed_on == Some(worker)))
+        };
+        let usable = room.iter().filter_map(|(number, free)| {
+            let view = self.workers.get(number)?;
+            let label = spec.required_label.as_deref();
+            let fits = view.record.service == queue.service
+                && label.is_none_or(|label| view.has_label(label));
+            if !fits {
+                return None;
+            }
+            let on_worker = view.runs.keys().filter(|run| run.task.step == key).count();
+            let on_worker = u32::try_from(on_worker).unwrap_or(u32::MAX);
+            let mut limit = spec
+                .max_per_worker
+                .map_or(u32::MAX, |most| most.saturating_sub(on_worker));
+            if view.health.on_probation(now_ms) {
+                limit = limit.min(u32::from(view.runs.is_empty()));
+            }
+            let rack = spec.preferred_rack.as_deref();
+            Some(Candidate {
+                worker: *number,
+                free: *free,
+                limit,
+                on_preferred_rack: rack.is_none_or(|rack| view.has_label(rack)),
+                rack: view.rack,
+                risk: u32::from(failed_on(*number)) + view.health.failing_permille / 300,
+            })
+        });
+        usable.collect()
+    }
+
+    /// Keeps the workers that the policy service allows. Returns false while it is not known.
+    fn restrict_to_allowed(
+        &mut self,
+        key: StepKey,
+        queue: &QueueRow,
+        candidates: &mut Vec<Candidate>,
+        io: &mut Io<'_>,
+    ) -> bool {
+        let Some(cost) = queue.advice else {
+            return true;
+        };
+        let advice = self.advice.get_or_insert_with(key, StepAdvice::default);
+        if advice.asked.is_empty() {
+            let mut workers: Vec<&Candidate> = candidates.iter().collect();
+            workers.sort_by_key(|c| (u32::MAX - c.free.cpu_millicores, c.worker));
+            let workers = workers.iter().map(|c| c.worker).take(MAX_ASKED).collect();
+            self.ask(key, queue, cost.valid_ms, workers, io);
+            return false;
+        }
+        // While a gang's tickets are renewed, only workers of that call can be complete in time.
+        candidates.retain(|candidate| advice.allowed.contains_key(&candidate.worker));
+        true
+    }
+
+    /// Keeps the workers free on which a gang finds room soonest: those with most room now.
+    fn reserve(&self, demand: &Demand, tasks: u32, candidates: &[Candidate], room: &mut Room) {
+        let mut best: Vec<&Candidate> = candidates.iter().collect();
+        best.sort_by_key(|c| (u32::MAX - c.free.cpu_millicores, c.worker));
+        let mut slots = 0;
+        for candidate in best {
+            if slots >= tasks {
+                return;
+            }
+            let Some(view) = self.workers.get(&candidate.worker) else {
+                continue;
+            };
+            slots += demand.times_in(&view.record.capacity).min(candidate.limit);
+            if let Some(free) = room.get_mut(&candidate.worker) {
+                *free = Demand::default();
+            }
+        }
+    }
+
+    /// Proposes runs, one task for each worker named.
+    fn propose(
+        &mut self,
+        job: &Job,
+        key: StepKey,
+        tasks: &[u32],
+        chosen: &[WorkerNumber],
+        io: &mut Io<'_>,
+    ) {
+        let (Some(spec), Some(progress)) = (job.step_spec(key), job.step(key)) else {
+            return;
+        };
+        let demand = counted_demand(spec);
+        let gang_run = progress.next_gang_run();
+        let mut placements: SortedVec<WorkerNumber, Vec<RunKey>> = SortedVec::new();
+        for (index, worker) in tasks.iter().zip(chosen) {
+            let Some(task) = progress.tasks.get(*index as usize) else {
+                continue;
+            };
+            let run = RunKey {
+                task: crate::TaskKey {
+                    step: key,
+                    index: *index,
+                },
+                run: if spec.gang { gang_run } else { task.run + 1 },
+            };
+            let ticket = self.advice.get(&key).and_then(|a| a.allowed.get(worker));
+            let ticket = ticket.map(|ticket| ticket.text.clone());
+            let view = RunView::new(demand, Phase::Proposed, ticket, io.now_ms);
+            if let Some(worker) = self.workers.get_mut(worker) {
+                worker.add_run(run, view);
+            }
+            if let Some(step) = self.steps.get_mut(&key) {
+                let (Ok(at) | Err(at)) = step.proposed.binary_search(index);
+                step.proposed.insert(at, *index);
+            }
+            placements.get_or_insert_with(*worker, Vec::new).push(run);
+        }
+        for (worker, runs) in placements {
+            let id = self.workers.get(&worker).map(|view| view.record.id.clone());
+            let waited_ms = io.unix_ms.saturating_sub(job.due_unix_ms(key.occurrence));
+            io.log(
+                "runs_placed",
+                vec![
+                    ("step", key.to_string()),
+                    ("queue", job.queue.name.clone()),
+                    ("runs", runs.len().to_string()),
+                    ("worker", id.unwrap_or_default()),
+                    ("waited_ms", waited_ms.to_string()),
+                ],
+            );
+            io.commands.push(Command::Place { runs, worker });
+        }
+    }
+
+    // ---- advice ----
+
+    /// Asks which of these workers may run a step, unless a question is under way.
+    fn ask(
+        &mut self,
+        key: StepKey,
+        queue: &QueueRow,
+        valid_ms: u64,
+        workers: Vec<WorkerNumber>,
+        io: &mut Io<'_>,
+    ) {
+        let Some(cost) = queue.advice else {
+            return;
+        };
+        let advice = self.advice.get_or_insert_with(key, StepAdvice::default);
+        if advice.call.is_some() || io.now_ms < advice.not_before_ms || workers.is_empty() {
+            return;
+        }
+        let Some((vm, give_up_ms)) = self.callers.choose(&cost, workers.len(), io.now_ms) else {
+            return;
+        };
+        self.next_call += 1;
+        let call = self.next_call;
+        let advice = self.advice.get_or_insert_with(key, StepAdvice::default);
+        advice.call = Some(call);
+        let id_of = |worker: &WorkerNumber| self.workers.get(worker).map(|v| v.record.id.clone());
+        let question = AdviceQuestion {
+            step: key.to_string(),
+            worker_ids: workers.iter().filter_map(id_of).collect(),
+        };
+        let sent = AdviceCall {
+            step: key,
+            workers,
+            vm,
+            sent_ms: io.now_ms,
+            give_up_ms,
+            valid_ms,
+        };
+        self.questions.insert(call, sent);
+        let message = PeerMessage::Ask { call, question };
+        io.effect(Effect::Send { to: vm, message });
+    }
+
+    /// Handles the answer to a question.
+    pub fn advised(&mut self, call: u64, answer: AdviceAnswer, io: &mut Io<'_>) {
+        let Some(question) = self.questions.remove(&call) else {
+            return;
+        };
+        let calls_left = self.questions.values().any(|other| other.vm == question.vm);
+        self.callers.answered(question.vm, io.now_ms, calls_left);
+        let waited_ms = io.now_ms.saturating_sub(question.sent_ms).0;
+        io.effect(Effect::Measure {
+            name: "advice_ms",
+            label: String::new(),
+            value_ms: waited_ms,
+        });
+        self.pass_due = true;
+        let Some(advice) = self.advice.get_mut(&question.step) else {
+            return;
+        };
+        if advice.call == Some(call) {
+            advice.call = None;
+        }
+        let Some(rows) = answer else {
+            advice.not_before_ms = io.now_ms.saturating_add(Millis(RETRY_MS));
+            io.warn(
+                "advice_missing",
+                vec![
+                    ("step", question.step.to_string()),
+                    ("vm", question.vm.to_string()),
+                    ("waited_ms", waited_ms.to_string()),
+                ],
+            );
+            return;
+        };
+        // The ticket may be as old as the question.
+        let valid_until_ms = io.now_ms.saturating_add(Millis(question.valid_ms));
+        for worker in &question.workers {
+            if let Err(at) = advice.asked.binary_search(worker) {
+                advice.asked.insert(at, *worker);
+            }
+            let id = self.workers.get(worker).map(|view| &view.record.id);
+            let row = rows.iter().find(|(allowed, _)| Some(allowed) == id);
+            if let Some((_, text)) = row {
+                let ticket = Ticket {
+                    text: text.clone(),
+                    valid_until_ms,
+                };
+                advice.allowed.insert(*worker, ticket);
+            }
+        }
+    }
+
+    /// Gives up questions that were not answered in time.
+    pub(super) fn expire_questions(&mut self, io: &mut Io<'_>) {
+        let overdue: Vec<u64> = self
+            .questions
+            .iter()
+            .filter(|(_, question)| question.give_up_ms < io.now_ms)
+            .map(|(call, _)| *call)
+            .collect();
+        for call in overdue {
+            self.advised(call, None, io);
+        }
+    }
+
+    /// Notes a VM that can ask for advice.
+    pub fn caller_joined(&mut self, vm: acaciareel_types::VmId) {
+        self.callers.add(vm);
+    }
+
+    /// Forgets a VM that can no longer ask.
+    pub fn caller_left(&mut self, vm: acaciareel_types::VmId, io: &mut Io<'_>) {
+        self.callers.remove(vm);
+        let lost: Vec<u64> = self
+            .questions
+            .iter()
+            .filter(|(_, question)| question.vm == vm)
+            .map(|(call, _)| *call)
+            .collect();
+        for call in lost {
+            self.advised(call, None, io);
+        }
+    }
+
+    /// Adds a run time to the mean of its queue.
+    pub(super) fn note_run_time(&mut self, state_queue: &str, took_ms: u64) {
+        let weight = super::RUN_TIME_WEIGHT_PERMILLE;
+        let mean_ms = self
+            .run_times_ms
+            .get_or_insert_with(state_queue.to_owned(), || took_ms);
+        *mean_ms = (*mean_ms * (1_000 - weight) + took_ms * weight) / 1_000;
+    }
+}
--- /dev/null
+++ b/crates/cell/src/model.rs
@@ -0,0 +1,241 @@
+//! What callers, operators and workers declare.
+
+use std::{error::Error, fmt};
+
+use serde::{Deserialize, Serialize};
+
+/// An amount of each resource that tasks share on a worker.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Demand {
+    /// Processor share in thousandths of a core.
+    pub cpu_millicores: u32,
+    /// Memory in units of 2^20 bytes.
+    pub memory_mib: u32,
+    /// Accelerators.
+    pub accelerators: u32,
+}
+
+impl Demand {
+    /// Returns how many times this demand fits into `room`.
+    #[must_use]
+    pub fn times_in(&self, room: &Self) -> u32 {
+        let times = |need: u32, have: u32| have.checked_div(need).unwrap_or(u32::MAX);
+        times(self.cpu_millicores, room.cpu_millicores)
+            .min(times(self.memory_mib, room.memory_mib))
+            .min(times(self.accelerators, room.accelerators))
+    }
+
+    /// Subtracts `count` times another demand, down to zero.
+    #[must_use]
+    pub fn minus(&self, other: &Self, count: u32) -> Self {
+        let rest = |have: u32, need: u32| have.saturating_sub(need.saturating_mul(count));
+        Self {
+            cpu_millicores: rest(self.cpu_millicores, other.cpu_millicores),
+            memory_mib: rest(self.memory_mib, other.memory_mib),
+            accelerators: rest(self.accelerators, other.accelerators),
+        }
+    }
+}
+
+/// One step of a job: tasks that are alike.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[allow(
+    clippy::struct_excessive_bools,
+    reason = "each flag is a property that the caller declares on its own"
+)]
+pub struct StepSpec {
+    /// Number of tasks.
+    pub tasks: u32,
+    /// What each task needs.
+    pub demand: Demand,
+    /// Whether the processor share is taken from what others leave unused, without counting
+    /// against the worker's capacity.
+    pub uses_spare_cpu: bool,
+    /// Caller's rough estimate of a task's run time.
+    pub estimate_ms: u64,
+    /// Earlier steps that must be done first, sorted.
+    pub after: Vec<u32>,
+    /// Whether tasks save checkpoints.
+    pub checkpointing: bool,
+    /// Whether all tasks must run at the same time, under one run number.
+    pub gang: bool,
+    /// Whether tasks are slower on more than one rack.
+    pub rack_local: bool,
+    /// Label that a worker must have.
+    pub required_label: Option<String>,
+    /// Rack that holds the data.
+    pub preferred_rack: Option<String>,
+    /// Most tasks of the step on one worker.
+    pub max_per_worker: Option<u32>,
+    /// Whether copies of a task may run at the same time.
+    pub speculative: bool,
+    /// Whether tasks run until the job is cancelled.
+    pub long_running: bool,
+}
+
+/// Occurrences of a repeated job.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Schedule {
+    /// Time of the first occurrence, Unix milliseconds.
+    pub first_unix_ms: u64,
+    /// Time between occurrences.
+    pub interval_ms: u64,
+    /// Number of occurrences.
+    pub occurrences: u32,
+}
+
+/// Most tasks of one job, over all occurrences; bounds what a caller can make the leader hold.
+const MAX_TASKS: u64 = 20_000;
+/// Most steps of one job.
+const MAX_STEPS: usize = 256;
+
+/// A job as its caller submits it.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct JobSpec {
+    /// Text that is handed to each task.
+    pub payload: String,
+    /// Steps in order.
+    pub steps: Vec<StepSpec>,
+    /// Occurrences of a repeated job.
+    pub schedule: Option<Schedule>,
+}
+
+/// Why a job cannot be accepted in any state of the cell.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum JobSpecError {
+    /// A step waits for itself or a later step.
+    StepOrder {
+        /// Position of the step.
+        step: usize,
+    },
+    /// More tasks or steps than one job may have.
+    TooLarge,
+}
+
+impl fmt::Display for JobSpecError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::StepOrder { step } => write!(f, "step {step} depends on itself or a later step"),
+            Self::TooLarge => write!(
+                f,
+                "a job may have at most {MAX_STEPS} steps and {MAX_TASKS} tasks"
+            ),
+        }
+    }
+}
+
+impl Error for JobSpecError {}
+
+impl JobSpec {
+    /// Checks what does not depend on the state of the cell.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the steps are out of order or the job is too large.
+    pub fn check(&self) -> Result<(), JobSpecError> {
+        for (step, spec) in self.steps.iter().enumerate() {
+            if spec.after.iter().any(|earlier| *earlier as usize >= step) {
+                return Err(JobSpecError::StepOrder { step });
+            }
+        }
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.tasks)).sum();
+        let occurrences = self.schedule.map_or(1, |s| u64::from(s.occurrences.max(1)));
+        if tasks.saturating_mul(occurrences) > MAX_TASKS || self.steps.len() > MAX_STEPS {
+            return Err(JobSpecError::TooLarge);
+        }
+        Ok(())
+    }
+
+    /// Returns the number of occurrences.
+    #[must_use]
+    pub fn occurrences(&self) -> u32 {
+        self.schedule.map_or(1, |schedule| schedule.occurrences.max(1))
+    }
+}
+
+/// Cost of asking the policy service which workers may run a step.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AdviceCost {
+    /// Time of one call in microseconds.
+    pub call_us: u64,
+    /// Further time for each worker named, in microseconds.
+    pub worker_us: u64,
+    /// How long a ticket is valid.
+    pub valid_ms: u64,
+}
+
+/// One queue of jobs: where its callers send them, and how they run.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct QueueRow {
+    /// Name.
+    pub name: String,
+    /// Host that callers name.
+    pub host: String,
+    /// Start of the path that callers name.
+    pub path_prefix: String,
+    /// Service whose workers run the tasks.
+    pub service: String,
+    /// Urgency; 0 comes first.
+    pub priority: u32,
+    /// Failed runs of a task after which its job fails.
+    pub max_attempts: u32,
+    /// Objective: this factor, in thousandths, of the longest chain of work.
+    pub slack_permille: u64,
+    /// Objective: added to the chain of work.
+    pub target_ms: u64,
+    /// Policy service of the queue, if it has one.
+    pub advice: Option<AdviceCost>,
+}
+
+/// The table of queues as an operator sends it.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct QueueTable {
+    /// Version; the highest is in force. 0 before the first table.
+    pub version: u64,
+    /// Queues, sorted by host and path prefix.
+    pub rows: Vec<QueueRow>,
+    /// The table in the operator's own form, for reading it back.
+    pub source: Vec<u8>,
+}
+
+impl QueueTable {
+    /// Finds the queue of a path: the row of the host with the longest prefix. Returns it with the
+    /// rest of the path.
+    #[must_use]
+    pub fn find<'a, 'b>(&'a self, host: &str, path: &'b str) -> Option<(&'a QueueRow, &'b str)> {
+        let first = self.rows.partition_point(|row| row.host.as_str() < host);
+        self.rows[first..]
+            .iter()
+            .take_while(|row| row.host == host)
+            .filter(|row| path.starts_with(&row.path_prefix))
+            .max_by_key(|row| row.path_prefix.len())
+            .map(|row| (row, &path[row.path_prefix.len()..]))
+    }
+
+    /// Returns a queue by name.
+    #[must_use]
+    pub fn by_name(&self, name: &str) -> Option<&QueueRow> {
+        self.rows.iter().find(|row| row.name == name)
+    }
+}
+
+/// What a worker announces of itself.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WorkerRecord {
+    /// Id that the worker chose.
+    pub id: String,
+    /// Start of this life, Unix milliseconds of the worker's clock.
+    pub born_ms: u64,
+    /// Address of its HTTP interface.
+    pub address: String,
+    /// Service whose tasks it runs.
+    pub service: String,
+    /// Failure domain.
+    pub failure_domain: String,
+    /// Kind and rack, sorted.
+    pub labels: Vec<String>,
+    /// What it can hold.
+    pub capacity: Demand,
+    /// Whether it leaves and takes nothing new.
+    pub draining: bool,
+}
--- /dev/null
+++ b/crates/cell/src/state.rs
@@ -0,0 +1,228 @@
+//! The replicated state machine of a cell.
+
+use acaciareel_types::SortedVec;
+use serde::{Deserialize, Serialize};
+
+use crate::{Command, Job, JobId, JobState, QueueTable, RunKey, WorkerNumber, WorkerRecord};
+
+/// What a command changed, for the leader that serves from this state.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// A queue table was handled; the one in force has at least this version.
+    Queues(u64),
+    /// A worker joined or changed.
+    Worker(WorkerNumber),
+    /// A worker was forgotten.
+    WorkerForgotten(WorkerNumber),
+    /// A job is known.
+    Accepted(JobId),
+    /// A cancellation was handled.
+    Cancelled(JobId),
+    /// Runs were placed on a worker.
+    Placed {
+        /// Runs that may start.
+        runs: Vec<RunKey>,
+        /// Runs that may not, because their job or task has moved on.
+        refused: Vec<RunKey>,
+        /// Worker.
+        worker: WorkerNumber,
+    },
+    /// Ends of a worker were handled.
+    Ended {
+        /// Worker.
+        worker: WorkerNumber,
+        /// Number of the last of them.
+        through: u64,
+        /// Jobs concerned, sorted.
+        jobs: Vec<JobId>,
+    },
+    /// Runs were given up.
+    Lost {
+        /// Jobs concerned, sorted.
+        jobs: Vec<JobId>,
+    },
+}
+
+/// Queue table, workers and jobs.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct CellState {
+    queues: QueueTable,
+    workers: SortedVec<WorkerNumber, WorkerRecord>,
+    next_worker: u32,
+    jobs: SortedVec<JobId, Box<Job>>,
+}
+
+/// Form of the state in a snapshot.
+#[derive(Deserialize, Serialize)]
+struct Stored {
+    queues: QueueTable,
+    workers: Vec<(WorkerNumber, WorkerRecord)>,
+    next_worker: u32,
+    jobs: Vec<Job>,
+}
+
+impl CellState {
+    /// Returns the queue table in force.
+    #[must_use]
+    pub fn queues(&self) -> &QueueTable {
+        &self.queues
+    }
+
+    /// Returns the workers.
+    #[must_use]
+    pub fn workers(&self) -> &SortedVec<WorkerNumber, WorkerRecord> {
+        &self.workers
+    }
+
+    /// Returns the jobs.
+    #[must_use]
+    pub fn jobs(&self) -> &SortedVec<JobId, Box<Job>> {
+        &self.jobs
+    }
+
+    /// Returns a job.
+    #[must_use]
+    pub fn job(&self, id: JobId) -> Option<&Job> {
+        self.jobs.get(&id).map(AsRef::as_ref)
+    }
+
+    /// Returns the number of the worker with an id.
+    #[must_use]
+    pub fn worker_by_id(&self, id: &str) -> Option<WorkerNumber> {
+        let mut workers = self.workers.iter();
+        workers.find(|(_, record)| record.id == id).map(|(n, _)| *n)
+    }
+
+    /// Applies a committed command.
+    pub fn apply(&mut self, command: Command) -> Change {
+        match command {
+            Command::Queues(table) => {
+                if table.version > self.queues.version {
+                    self.queues = table;
+                }
+                Change::Queues(self.queues.version)
+            }
+            Command::Worker(record) => Change::Worker(self.put_worker(record)),
+            Command::ForgetWorker(worker) => {
+                self.workers.remove(&worker);
+                Change::WorkerForgotten(worker)
+            }
+            Command::Accept {
+                id,
+                queue,
+                spec,
+                at_unix_ms,
+            } => {
+                self.jobs
+                    .get_or_insert_with(id, || Box::new(Job::new(id, queue, spec, at_unix_ms)));
+                Change::Accepted(id)
+            }
+            Command::Cancel { id, at_unix_ms } => {
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.cancel(at_unix_ms);
+                }
+                Change::Cancelled(id)
+            }
+            Command::Place { runs, worker } => self.place(runs, worker),
+            Command::Ends {
+                worker,
+                through,
+                ends,
+                at_unix_ms,
+            } => {
+                for end in &ends {
+                    if let Some(job) = self.jobs.get_mut(&end.run.task.step.job) {
+                        job.end(end, worker, at_unix_ms);
+                    }
+                }
+                Change::Ended {
+                    worker,
+                    through,
+                    jobs: jobs_of(ends.iter().map(|end| end.run)),
+                }
+            }
+            Command::Lost { worker, runs } => {
+                for (key, checkpoint) in &runs {
+                    if let Some(job) = self.jobs.get_mut(&key.task.step.job) {
+                        job.lost(key.task, key.run, worker, checkpoint);
+                    }
+                }
+                Change::Lost {
+                    jobs: jobs_of(runs.iter().map(|(key, _)| *key)),
+                }
+            }
+            Command::ForgetJobs(ids) => {
+                let ended = |job: &Job| job.state != JobState::Active && job.occurrences.is_empty();
+                self.jobs
+                    .retain(|id, job| ids.binary_search(id).is_err() || !ended(job));
+                Change::Lost { jobs: Vec::new() }
+            }
+        }
+    }
+
+    /// Adds a worker or changes its record. A life that began earlier than the one known is late
+    /// news and changes nothing.
+    fn put_worker(&mut self, record: WorkerRecord) -> WorkerNumber {
+        let number = self.worker_by_id(&record.id).unwrap_or_else(|| {
+            self.next_worker += 1;
+            WorkerNumber(self.next_worker)
+        });
+        let known = self.workers.get(&number);
+        if known.is_none_or(|known| known.born_ms <= record.born_ms) {
+            self.workers.insert(number, record);
+        }
+        number
+    }
+
+    fn place(&mut self, runs: Vec<RunKey>, worker: WorkerNumber) -> Change {
+        let known = self.workers.contains_key(&worker);
+        let (runs, refused) = runs.into_iter().partition(|key| {
+            let job = self.jobs.get_mut(&key.task.step.job);
+            known && job.is_some_and(|job| job.place(key.task, key.run, worker))
+        });
+        Change::Placed {
+            runs,
+            refused,
+            worker,
+        }
+    }
+
+    /// Encodes the state for a snapshot.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the state cannot be encoded, which its types exclude.
+    #[must_use]
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let stored = Stored {
+            queues: self.queues.clone(),
+            workers: self.workers.iter().map(|(n, w)| (*n, w.clone())).collect(),
+            next_worker: self.next_worker,
+            jobs: self.jobs.values().map(|job| Job::clone(job)).collect(),
+        };
+        postcard::to_allocvec(&stored).expect("plain data can be encoded")
+    }
+
+    /// Decodes a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are not a snapshot.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let stored: Stored = postcard::from_bytes(bytes)?;
+        let jobs = stored.jobs.into_iter().map(|job| (job.id, Box::new(job)));
+        Ok(Self {
+            queues: stored.queues,
+            workers: stored.workers.into_iter().collect(),
+            next_worker: stored.next_worker,
+            jobs: jobs.collect(),
+        })
+    }
+}
+
+fn jobs_of(runs: impl Iterator<Item = RunKey>) -> Vec<JobId> {
+    let mut jobs: Vec<JobId> = runs.map(|key| key.task.step.job).collect();
+    jobs.sort_unstable();
+    jobs.dedup();
+    jobs
+}
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -237,6 +237,9 @@
     pub election_timeout_ms: Millis,
     /// Lease of a leader, shorter than the election timeout.
     pub lease_ms: Millis,
+    /// Whether the leader makes an initial voter that returned as a learner a voter again. Without
+    /// it, promotions are left to whoever drives the replica.
+    pub promotes_returned: bool,
     /// Seed of election timeouts.
     pub seed: u64,
 }
--- a/crates/consensus/tests/replica/network.rs
+++ b/crates/consensus/tests/replica/network.rs
@@ -26,6 +26,7 @@
         heartbeat_ms: Millis(100),
         election_timeout_ms: Millis(600),
         lease_ms: Millis(LEASE_MS),
+        promotes_returned: true,
         seed,
     }
 }
--- a/crates/node/src/groups.rs
+++ b/crates/node/src/groups.rs
@@ -71,6 +71,7 @@
                     heartbeat_ms: REPLICA_HEARTBEAT_MS,
                     election_timeout_ms: ELECTION_TIMEOUT_MS,
                     lease_ms: LEASE_MS,
+                    promotes_returned: true,
                     seed: group_seed(settings.seed, group, settings.vm),
                 };
                 let mut replica = Replica::new(group_settings, restored.remove(group), now_ms);
