--- a/crates/acaciareeld/src/cell/run.rs
+++ b/crates/acaciareeld/src/cell/run.rs
@@ -40,6 +40,7 @@
     outbound::Outbound,
 };
 use crate::{
+    daemon::wait_for,
     error::DaemonError,
     logging, metering,
     storage::{self, Storage, StorageError},
@@ -175,7 +176,7 @@
     let mut terminate = signal(SignalKind::terminate()).change_context(DaemonError::Start)?;
     let mut hangup = signal(SignalKind::hangup()).change_context(DaemonError::Start)?;
     let (inputs, mut received) = mpsc::channel(INPUT_QUEUE);
-    let (failed, storage_failed) = watch::channel(false);
+    let (failed, mut storage_failed) = watch::channel(false);
     let me = vm_at(config.address);
     let (machine, storage, incarnation) = create(&config, me, &inputs, failed)?;
     let hello = PeerMessage::Hello {
@@ -218,7 +219,6 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut settings_checks = time::interval(SETTINGS_INTERVAL);
     let mut upkeep = time::interval(UPKEEP_INTERVAL);
-    let mut storage_failed = storage_failed;
     let mut batch = Vec::with_capacity(INPUT_BATCH);
     while !runner.stopped {
         select! {
@@ -229,7 +229,7 @@
                 runner.reduce(Event::Stop);
             }
             _ = hangup.recv() => settings.check(true, &mut runner),
-            _ = storage_failed.changed() => return Err(Report::new(DaemonError::Run)),
+            () = wait_for(&mut storage_failed) => return Err(Report::new(DaemonError::Run)),
             _ = ticks.tick() => runner.reduce(Event::Tick),
             count = received.recv_many(&mut batch, INPUT_BATCH) => {
                 if count == 0 {
--- a/crates/acaciareeld/src/daemon.rs
+++ b/crates/acaciareeld/src/daemon.rs
@@ -173,7 +173,8 @@
     }
 }
 
-async fn wait_for(flag: &mut watch::Receiver<bool>) {
+/// Waits until a flag is set.
+pub async fn wait_for(flag: &mut watch::Receiver<bool>) {
     if flag.wait_for(|set| *set).await.is_err() {
         // The sender is gone without a word; whoever held it tells the reason elsewhere.
         std::future::pending::<()>().await;
