Ask about workers that were not named in a step's first question

Ruled out: lost answers (advice_missing 3 times, all asked again). Change: workers with room that were not asked about are asked when the step cannot be placed. Also: consensus messages go over dialled links only.

--- a/crates/acaciareeld/src/cell/links.rs
+++ b/crates/acaciareeld/src/cell/links.rs
@@ -93,13 +93,15 @@
         })
     }
 
-    /// Sends a frame to a VM, if there is a connection.
+    /// Sends a frame to a VM, if there is a connection. Messages of consensus go over connections
+    /// that this VM dialled only, since the other side knows its incarnation on these alone.
     pub fn send(&self, to: VmId, frame: Frame) {
         let frame = match try_send(&lock(&self.dialled), to, frame) {
             Ok(()) => return,
             Err(frame) => frame,
         };
-        if try_send(&lock(&self.accepted), to, frame).is_err() {
+        let consensus = matches!(frame, Frame::Consensus(_));
+        if consensus || try_send(&lock(&self.accepted), to, frame).is_err() {
             counter!("acaciareel_cell_frames_dropped_total").increment(1);
         }
     }
--- a/crates/acaciareeld/src/logging.rs
+++ b/crates/acaciareeld/src/logging.rs
@@ -38,9 +38,9 @@
 }
 
 /// Bytes of log lines that are written at once.
-const BUFFER_BYTES: usize = 16 << 10;
+const BUFFER_BYTES: usize = 2 << 10;
 /// Longest time that a log line waits in the buffer.
-const FLUSH_INTERVAL: Duration = Duration::from_millis(250);
+const FLUSH_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Starts logging on standard output, buffered so that a line costs no system call of its own.
 ///
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -132,14 +132,17 @@
         let tasks = u32::try_from(free_tasks.len()).unwrap_or(u32::MAX);
         let demand = counted_demand(spec);
         let mut candidates = self.candidates(job, spec, key, queue, room, io.now_ms);
-        if queue.advice.is_some() && !self.restrict_to_allowed(key, queue, &mut candidates, io) {
-            return Some(());
-        }
+        let unasked = self.restrict_to_allowed(key, queue, &demand, &mut candidates);
         let chosen = if spec.gang {
             place_gang(&demand, tasks, &candidates, spec.rack_local)
         } else {
             Some(place_separately(&demand, tasks, candidates.clone()))
         };
+        let placed = chosen.as_ref().map_or(0, Vec::len);
+        if placed < free_tasks.len() && !unasked.is_empty() {
+            let valid_ms = queue.advice.map_or(0, |cost| cost.valid_ms);
+            self.ask(key, queue, valid_ms, unasked, io);
+        }
         let Some(chosen) = chosen else {
             if *reserving < MAX_RESERVING_GANGS {
                 *reserving += 1;
@@ -225,28 +228,30 @@
         usable.collect()
     }
 
-    /// Keeps the workers that the policy service allows. Returns false while it is not known.
+    /// Keeps the workers that the policy service allows. Returns the workers with room that it was
+    /// not asked about yet, those with most room first.
     fn restrict_to_allowed(
         &mut self,
         key: StepKey,
         queue: &QueueRow,
+        demand: &Demand,
         candidates: &mut Vec<Candidate>,
-        io: &mut Io<'_>,
-    ) -> bool {
-        let Some(cost) = queue.advice else {
-            return true;
-        };
-        let advice = self.advice.get_or_insert_with(key, StepAdvice::default);
-        if advice.asked.is_empty() {
-            let mut workers: Vec<&Candidate> = candidates.iter().collect();
-            workers.sort_by_key(|c| (u32::MAX - c.free.cpu_millicores, c.worker));
-            let workers = workers.iter().map(|c| c.worker).take(MAX_ASKED).collect();
-            self.ask(key, queue, cost.valid_ms, workers, io);
-            return false;
+    ) -> Vec<WorkerNumber> {
+        if queue.advice.is_none() {
+            return Vec::new();
         }
-        // While a gang's tickets are renewed, only workers of that call can be complete in time.
+        let advice = self.advice.get_or_insert_with(key, StepAdvice::default);
+        let mut unasked: Vec<&Candidate> = candidates
+            .iter()
+            .filter(|c| advice.asked.binary_search(&c.worker).is_err())
+            .collect();
+        unasked.sort_by_key(|c| {
+            let full = c.slots(demand) == 0;
+            (full, u32::MAX - c.free.cpu_millicores, c.worker)
+        });
+        let unasked = unasked.iter().map(|c| c.worker).take(MAX_ASKED).collect();
         candidates.retain(|candidate| advice.allowed.contains_key(&candidate.worker));
-        true
+        unasked
     }
 
     /// Keeps the workers free on which a gang finds room soonest: those with most room now.
