Let removed members and VMs with empty disks join a cell again

Cause: a voter replaced while frozen kept asking for votes that nobody answered; a seed with an empty disk had no connection to a leader that is no seed.

--- a/crates/cell/src/control.rs
+++ b/crates/cell/src/control.rs
@@ -34,6 +34,8 @@
 /// Silence after which a voter is replaced, if another VM waits to take its place. A VM that is
 /// restarted is back sooner or is promoted again later.
 const REPLACE_AFTER_MS: u64 = 1_500;
+/// How long a connection is kept to a VM that is no member but sends messages of the group.
+const CONTACT_KEPT_MS: u64 = 5_000;
 /// Silence after which an entry VM is not asked for advice any more.
 const ENTRY_SILENT_MS: u64 = 1_500;
 /// How long a stopping VM waits for its successor before it ends.
@@ -73,6 +75,8 @@
     entries: SortedVec<VmId, Millis>,
     /// Time at which each silent voter was last seen alive.
     alive_ms: SortedVec<VmId, Millis>,
+    /// Control VMs that sent a consensus message, with the time of the last one.
+    heard_ms: SortedVec<VmId, Millis>,
     connected: Vec<VmId>,
     next_status_ms: Millis,
     next_members_ms: Millis,
@@ -115,6 +119,7 @@
             bytes_since_snapshot: 0,
             entries: SortedVec::new(),
             alive_ms: SortedVec::new(),
+            heard_ms: SortedVec::new(),
             connected: Vec::new(),
             next_status_ms: Millis(0),
             next_members_ms: Millis(0),
@@ -145,6 +150,7 @@
                 incarnation,
                 message,
             } => {
+                self.heard_ms.insert(from, now_ms);
                 let from = MemberId {
                     vm: from,
                     incarnation,
@@ -401,8 +407,15 @@
         vms
     }
 
-    fn connect(&mut self, out: &mut Vec<Effect>) {
+    /// Keeps connections to the members, the seeds and every VM that sends messages of the group:
+    /// a VM with an empty disk knows no members, and the leader need not be a seed.
+    fn connect(&mut self, now_ms: Millis, out: &mut Vec<Effect>) {
+        self.heard_ms
+            .retain(|_, at_ms| now_ms.saturating_sub(*at_ms).0 < CONTACT_KEPT_MS);
         let mut vms = self.members();
+        vms.extend(self.heard_ms.keys().copied());
+        vms.sort_unstable();
+        vms.dedup();
         vms.retain(|vm| *vm != self.me.vm);
         if vms != self.connected {
             self.connected.clone_from(&vms);
@@ -494,7 +507,7 @@
     fn tick(&mut self, time: (Millis, u64), out: &mut Vec<Effect>) {
         let now_ms = time.0;
         self.drive(Input::Tick, time, out);
-        self.connect(out);
+        self.connect(now_ms, out);
         let silent: Vec<VmId> = self
             .entries
             .iter()
--- a/crates/consensus/tests/replica/membership.rs
+++ b/crates/consensus/tests/replica/membership.rs
@@ -76,6 +76,30 @@
     }
 }
 
+/// Guards against a member that was removed while it was away, does not learn of it because nobody
+/// sends to it any more, and asks for votes for ever.
+#[test]
+fn member_removed_while_away_joins_again() {
+    for seed in 0..10 {
+        let mut network = Network::formed(seed, 3);
+        let leader = network.commit(0..10);
+        let away = leader % 3 + 1;
+        network.isolate(&[away]);
+        network.run(500);
+        network.input(leader, Input::Change(MemberChange::Remove(VmId(away))));
+        network.run(1_000);
+        assert_eq!(network.replica(leader).members().len(), 2);
+
+        network.cuts.clear();
+
+        network.run_until(5_000, |network| {
+            network.replica(leader).members().len() == 3 && network.is_voter(away)
+        });
+        network.commit(10..20);
+        network.converge(5_000);
+    }
+}
+
 /// Guards against a member that cannot catch up once the log is truncated, whatever chunks of the
 /// snapshot are lost or repeated.
 #[test]
