--- a/crates/cell/src/entry.rs
+++ b/crates/cell/src/entry.rs
@@ -53,6 +53,8 @@
     incarnation: Incarnation,
     seeds: Vec<VmId>,
     members: Vec<VmId>,
+    /// Term in which the members were told.
+    members_term: u64,
     connected: Vec<VmId>,
     standings: SortedVec<VmId, Standing>,
     leader: Option<VmId>,
@@ -71,6 +73,7 @@
             incarnation,
             seeds,
             members: Vec::new(),
+            members_term: 0,
             connected: Vec::new(),
             standings: SortedVec::new(),
             leader: None,
@@ -198,9 +201,11 @@
                     heard_ms: now_ms,
                 };
                 self.standings.insert(from, standing);
+                // Followers count too: the leader need not be a seed.
                 let members: Vec<VmId> = members.into_iter().map(VmId).collect();
-                if leads && members != self.members {
+                if term >= self.members_term && members != self.members {
                     self.members = members;
+                    self.members_term = term;
                     self.connect(out);
                 }
                 self.choose_leader(now_ms, out);
