Let leases of silent workers end, and bound the calls for advice in flight

Change: no lease is granted after two calls without a reply; a VM gets no further question while its earlier ones take over 250 ms.

--- a/crates/cell/src/leader/advice.rs
+++ b/crates/cell/src/leader/advice.rs
@@ -10,6 +10,10 @@
 /// A call that takes longer is a long one: the work of urgent queues starts within some hundred
 /// milliseconds, which a call before it must not use up.
 const LONG_CALL_MS: u64 = 60;
+/// A VM whose earlier calls take longer than this gets no further one. Calls that wait at the VM
+/// cannot be put in order of urgency any more, and after an outage hundreds of steps ask at once:
+/// they would wait longer than an answer is waited for, and all be asked again.
+const MAX_BACKLOG_MS: u64 = 250;
 /// Longest wait for an answer beyond the expected time.
 const ANSWER_GRACE_MS: u64 = 1_000;
 /// Pause before a step asks again after a call without an answer.
@@ -95,12 +99,14 @@
         let count = self.busy_until_ms.len();
         let for_long = count - count / 3;
         let usable = if call_ms > LONG_CALL_MS { for_long } else { count };
+        let latest_ms = now_ms.saturating_add(Millis(MAX_BACKLOG_MS));
         // Short calls look at the VMs without long calls first.
         let best = self
             .busy_until_ms
             .iter()
             .enumerate()
             .take(usable)
+            .filter(|(_, (_, busy_ms))| **busy_ms <= latest_ms)
             .min_by_key(|(position, (_, busy_ms))| {
                 ((**busy_ms).max(now_ms), usize::MAX - position)
             })
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -15,7 +15,10 @@
 /// Pause after a renewal without a reply, times the number of those in a row.
 const RETRY_MS: u64 = 150;
 /// Longest pause after a renewal without a reply.
-const MAX_RETRY_MS: u64 = 2_000;
+const MAX_RETRY_MS: u64 = 600;
+/// Calls without a reply in a row after which the lease is not extended any more. Each call might
+/// reach the worker, so a lease that every attempt extends would never be known to be over.
+const GRANTING_CALLS: u32 = 2;
 /// How long a worker that has said that it ended may take to end.
 const DEREGISTERED_GRACE_MS: u64 = 1_000;
 /// A run whose progress stands still this long is stopped and placed elsewhere. The slowest
@@ -85,7 +88,7 @@
         let call = self.take_call();
         let view = self.workers.get_mut(&number)?;
         let token = view.token(term);
-        let lease_until_ms = if view.runs.is_empty() {
+        let lease_until_ms = if view.runs.is_empty() || view.missed_calls >= GRANTING_CALLS {
             None
         } else {
             view.grant(lease_ms, io.now_ms)
