--- a/crates/cell/src/leader/orders.rs
+++ b/crates/cell/src/leader/orders.rs
@@ -4,7 +4,6 @@
 
 use super::{
     Call, Leader,
-    renewal::REPLY_TIMEOUT_MS,
     worker::{Phase, RunView},
 };
 use crate::{
@@ -12,8 +11,11 @@
     WorkerRequest, io::Io,
 };
 
-/// Times that a start is sent before its fate is settled by a call with a higher token.
-const MAX_TRIES: u32 = 2;
+/// Times that a start is sent before its fate is settled by a call with a higher token. A start
+/// that is repeated has no further effect, so it is repeated soon.
+const MAX_TRIES: u32 = 3;
+/// Wait for the reply to the first try of a start; each further one waits twice as long.
+const FIRST_TRY_MS: u64 = 120;
 
 impl Leader {
     pub(super) fn take_call(&mut self) -> u64 {
@@ -161,7 +163,7 @@
                 checkpoint,
                 ticket,
             },
-            timeout_ms: REPLY_TIMEOUT_MS,
+            timeout_ms: FIRST_TRY_MS << (tries - 1).min(MAX_TRIES),
         });
         true
     }
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -7,11 +7,12 @@
     CellState, Command, Effect, EndKind, RenewalReport, RunKey, WorkerNumber, WorkerRequest, io::Io,
 };
 
-/// How long a renewal waits at the worker for the next end. The platform allows 2,000 ms; the lease
-/// must survive several renewals that get lost.
-const RENEWAL_WAIT_MS: u64 = 1_500;
-/// Longest wait for the reply of a worker beyond the wait that was asked for.
-pub(super) const REPLY_TIMEOUT_MS: u64 = 800;
+/// How long a renewal waits at the worker for the next end. Ends are not seen while a renewal that
+/// was lost is waited for, and urgent jobs have some hundred milliseconds to spare.
+const RENEWAL_WAIT_MS: u64 = 500;
+/// Longest wait for the reply of a worker beyond the wait that was asked for: some 30 ms of round
+/// trip and the delays of a leader that is slowed to a sixth.
+const REPLY_TIMEOUT_MS: u64 = 250;
 /// Pause after a renewal without a reply, times the number of those in a row.
 const RETRY_MS: u64 = 150;
 /// Longest pause after a renewal without a reply.
