Try: stop resumable runs for gangs and urgent tasks without room

Cause looked at: gangs (race-verify) end late in bursts while season-audit, with much slack, is served in time.

--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -16,6 +16,7 @@
 mod message;
 mod model;
 mod placement;
+mod preemption;
 mod state;
 
 pub use crate::{
@@ -39,5 +40,6 @@
         WorkerRecord,
     },
     placement::{Candidate, place_gang, place_separately},
+    preemption::{Offer, choose_victims},
     state::{CellState, Change},
 };
