--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -76,8 +76,6 @@
     waiting: Vec<u32>,
     /// Positions among them whose placement is proposed, sorted.
     proposed: Vec<u32>,
-    /// Time at which runs were last stopped for this step.
-    preempted_ms: Option<Millis>,
 }
 
 /// State of the leader of a cell.
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -12,7 +12,6 @@
     RunKey, StepKey, StepSpec, WorkerNumber,
     io::Io,
     placement::{Candidate, place_gang, place_separately},
-    preemption::{Offer, choose_victims},
 };
 
 /// Most workers that one call for advice names (bound of the platform).
@@ -26,10 +25,6 @@
 /// Gangs that may keep room for themselves at the same time. With more, most workers would wait
 /// for one gang or another.
 const MAX_RESERVING_GANGS: usize = 4;
-/// Pause before more is stopped for the same step: the time of a stop and of the next pass.
-const PREEMPTION_PAUSE_MS: u64 = 800;
-/// Least run time before a run is stopped for others; checkpoints come every 0.5 to 1 s.
-const MIN_RUN_BEFORE_PREEMPTION_MS: u64 = 700;
 /// A job later than this many times its objective is worth nothing any more (rule of the users).
 const WORTHLESS_FACTOR: u64 = 3;
 
@@ -71,26 +66,6 @@
     }
 }
 
-/// Returns the runs that may be stopped for work of a priority, with what each frees: less urgent
-/// ones that go on from a checkpoint later, and have run long enough to have saved one.
-fn preemptible_runs(
-    state: &CellState,
-    view: &WorkerView,
-    priority: u32,
-    now_ms: Millis,
-) -> Vec<(RunKey, Demand)> {
-    let runs = view.runs.iter().filter(|(key, run)| {
-        let ran_ms = now_ms.saturating_sub(run.began_ms).0;
-        let sound = matches!(run.phase, Phase::Confirmed { .. }) && !run.stopping;
-        let job = state.job(key.task.step.job);
-        let spec = job.and_then(|job| job.step_spec(key.task.step));
-        let resumes = spec.is_some_and(|s| s.checkpointing && !s.gang && !s.long_running);
-        let less_urgent = job.is_some_and(|job| job.queue.priority > priority);
-        sound && resumes && less_urgent && ran_ms >= MIN_RUN_BEFORE_PREEMPTION_MS
-    });
-    runs.map(|(key, run)| (*key, run.demand)).collect()
-}
-
 /// Order in which waiting steps are served: on-time work by priority and age, then late work, then
 /// work that is too late to be worth anything.
 type Urgency = (u8, u32, u64);
@@ -174,18 +149,6 @@
             let valid_ms = queue.advice.map_or(0, |cost| cost.valid_ms);
             self.ask(key, queue, valid_ms, unasked, io);
         }
-        if placed < free_tasks.len() {
-            let missing = u32::try_from(free_tasks.len() - placed).unwrap_or(u32::MAX);
-            let wanted = if spec.gang { tasks } else { missing };
-            self.preempt(
-                state,
-                key,
-                queue.priority,
-                (&demand, wanted),
-                &candidates,
-                io,
-            );
-        }
         let Some(chosen) = chosen else {
             if *reserving < MAX_RESERVING_GANGS {
                 *reserving += 1;
@@ -328,51 +291,6 @@
         }
     }
 
-    /// Stops less urgent runs that resume from a checkpoint, where that makes room for all of the
-    /// tasks. Chooses the workers on which least has to stop.
-    fn preempt(
-        &mut self,
-        state: &CellState,
-        key: StepKey,
-        priority: u32,
-        (demand, tasks): (&Demand, u32),
-        candidates: &[Candidate],
-        io: &mut Io<'_>,
-    ) {
-        let Some(step) = self.steps.get_mut(&key) else {
-            return;
-        };
-        let pause_ms = Millis(PREEMPTION_PAUSE_MS);
-        if step
-            .preempted_ms
-            .is_some_and(|at_ms| io.now_ms < at_ms.saturating_add(pause_ms))
-        {
-            return;
-        }
-        let mut offers = Vec::new();
-        for candidate in candidates {
-            let Some(view) = self.workers.get(&candidate.worker) else {
-                continue;
-            };
-            let runs = preemptible_runs(state, view, priority, io.now_ms);
-            offers.extend(Offer::new(candidate, demand, &runs));
-        }
-        let victims = choose_victims(tasks, offers);
-        if victims.is_empty() {
-            return;
-        }
-        step.preempted_ms = Some(io.now_ms);
-        io.log(
-            "runs_preempted",
-            vec![
-                ("for_step", key.to_string()),
-                ("tasks", tasks.to_string()),
-                ("runs", victims.len().to_string()),
-            ],
-        );
-        self.stop_runs(|run| victims.contains(run), io);
-    }
-
     /// Proposes runs, one task for each worker named.
     fn propose(
         &mut self,
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -16,7 +16,6 @@
 mod message;
 mod model;
 mod placement;
-mod preemption;
 mod state;
 
 pub use crate::{
@@ -40,6 +39,5 @@
         WorkerRecord,
     },
     placement::{Candidate, place_gang, place_separately},
-    preemption::{Offer, choose_victims},
     state::{CellState, Change},
 };
--- a/crates/cell/src/model.rs
+++ b/crates/cell/src/model.rs
@@ -25,16 +25,6 @@
             .min(times(self.accelerators, room.accelerators))
     }
 
-    /// Adds another demand.
-    #[must_use]
-    pub fn plus(&self, other: &Self) -> Self {
-        Self {
-            cpu_millicores: self.cpu_millicores.saturating_add(other.cpu_millicores),
-            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
-            accelerators: self.accelerators.saturating_add(other.accelerators),
-        }
-    }
-
     /// Subtracts `count` times another demand, down to zero.
     #[must_use]
     pub fn minus(&self, other: &Self, count: u32) -> Self {
