Ask for advice while a job is committed, and let control VMs ask too

Change: first questions go out with the proposal; control VMs ask as well; the VM is chosen by when it is free plus its usual overhead.

--- a/crates/cell/src/control.rs
+++ b/crates/cell/src/control.rs
@@ -307,7 +307,8 @@
             effects: out,
             commands: &mut self.commands,
         };
-        let mut leader = Leader::new(term, self.bounds, &self.state, &mut io);
+        let mut leader = Leader::new(self.me.vm, term, self.bounds, &self.state, &mut io);
+        leader.caller_joined(self.me.vm);
         for vm in self.entries.keys() {
             leader.caller_joined(*vm);
         }
@@ -368,6 +369,20 @@
 
     // ---- members ----
 
+    /// Lets the other control VMs that answer ask for advice too.
+    fn update_callers(&mut self, time: (Millis, u64), out: &mut Vec<Effect>) {
+        let progress = self.replica.progress(time.0);
+        self.with_leader(time, out, |leader, _, io| {
+            for (vm, member) in progress.iter() {
+                if member.alive {
+                    leader.caller_joined(*vm);
+                } else {
+                    leader.caller_left(*vm, io);
+                }
+            }
+        });
+    }
+
     /// Takes one step towards an odd number of live voters.
     fn manage_members(&mut self, time: (Millis, u64), out: &mut Vec<Effect>) {
         if self.leader.is_none() || !self.replica.can_change_members() {
@@ -534,6 +549,7 @@
         }
         if now_ms >= self.next_members_ms {
             self.next_members_ms = now_ms.saturating_add(Millis(MEMBERS_INTERVAL_MS));
+            self.update_callers(time, out);
             self.manage_members(time, out);
         }
         self.with_leader(time, out, Leader::tick);
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -3,7 +3,7 @@
 //! Everything here is rebuilt from the replicated state when a VM becomes the leader, and dropped
 //! when it is no longer.
 
-use acaciareel_types::{Millis, SortedVec};
+use acaciareel_types::{Millis, SortedVec, VmId};
 
 use crate::{
     CallerReply, CallerRequest, CellState, Change, Command, ControlReply, ControlRequest, Effect,
@@ -81,6 +81,7 @@
 /// State of the leader of a cell.
 #[derive(Debug)]
 pub(crate) struct Leader {
+    me: VmId,
     term: u64,
     bounds: Bounds,
     workers: SortedVec<WorkerNumber, WorkerView>,
@@ -107,8 +108,9 @@
 impl Leader {
     /// Takes over from the replicated state. Runs that may be under way count as running until
     /// their workers have answered.
-    pub fn new(term: u64, bounds: Bounds, state: &CellState, io: &mut Io<'_>) -> Self {
+    pub fn new(me: VmId, term: u64, bounds: Bounds, state: &CellState, io: &mut Io<'_>) -> Self {
         let mut leader = Self {
+            me,
             term,
             bounds,
             workers: SortedVec::new(),
@@ -289,6 +291,7 @@
             return io.reply_caller(origin, reply);
         }
         self.submits.insert(id, vec![origin]);
+        self.ask_early(id, &queue, &spec, io);
         let at_unix_ms = io.unix_ms;
         io.commands.push(Command::Accept {
             id,
--- a/crates/cell/src/leader/advice.rs
+++ b/crates/cell/src/leader/advice.rs
@@ -14,8 +14,10 @@
 /// cannot be put in order of urgency any more, and after an outage hundreds of steps ask at once:
 /// they would wait longer than an answer is waited for, and all be asked again.
 const MAX_BACKLOG_MS: u64 = 250;
+/// Weight of the latest answer in the usual overhead of a VM, in thousandths.
+const OVERHEAD_WEIGHT_PERMILLE: u64 = 200;
 /// Longest wait for an answer beyond the expected time.
-const ANSWER_GRACE_MS: u64 = 1_000;
+pub(super) const ANSWER_GRACE_MS: u64 = 1_000;
 /// Pause before a step asks again after a call without an answer.
 pub(super) const RETRY_MS: u64 = 150;
 /// A ticket is used only if it stays valid this long: the placement is committed before the start
@@ -58,36 +60,49 @@
     pub workers: Vec<WorkerNumber>,
     pub vm: VmId,
     pub sent_ms: Millis,
-    pub give_up_ms: Millis,
+    /// Time at which the service should be done.
+    pub expected_ms: Millis,
     pub valid_ms: u64,
 }
 
+/// A VM that asks.
+#[derive(Clone, Copy, Debug, Default)]
+struct Caller {
+    /// Time at which the calls given to it should be answered.
+    busy_until_ms: Millis,
+    /// Usual time of an answer beyond that of the service itself.
+    overhead_ms: u64,
+}
+
 /// The VMs that ask.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Callers {
-    /// Time at which the calls given to each VM should be answered.
-    busy_until_ms: SortedVec<VmId, Millis>,
+    callers: SortedVec<VmId, Caller>,
 }
 
 impl Callers {
     pub fn add(&mut self, vm: VmId) {
-        self.busy_until_ms.get_or_insert_with(vm, || Millis(0));
+        self.callers.get_or_insert_with(vm, Caller::default);
     }
 
     pub fn remove(&mut self, vm: VmId) {
-        self.busy_until_ms.remove(&vm);
+        self.callers.remove(&vm);
     }
 
-    /// Notes an answer, which may come earlier than expected.
-    pub fn answered(&mut self, vm: VmId, now_ms: Millis, calls_left: bool) {
-        if let Some(busy_ms) = self.busy_until_ms.get_mut(&vm)
-            && !calls_left
-        {
-            *busy_ms = now_ms;
+    /// Notes an answer. With no other call under way, the VM is free from now on.
+    pub fn answered(&mut self, call: &AdviceCall, now_ms: Millis, calls_left: bool) {
+        let Some(caller) = self.callers.get_mut(&call.vm) else {
+            return;
+        };
+        let late_ms = now_ms.saturating_sub(call.expected_ms).0;
+        let weight = OVERHEAD_WEIGHT_PERMILLE;
+        caller.overhead_ms = (caller.overhead_ms * (1_000 - weight) + late_ms * weight) / 1_000;
+        if !calls_left {
+            caller.busy_until_ms = now_ms;
         }
     }
 
-    /// Chooses the VM for a call; returns it with the time by which the answer is overdue.
+    /// Chooses the VM for a call; returns it with the time at which the service should be done.
     pub fn choose(
         &mut self,
         cost: &AdviceCost,
@@ -96,7 +111,7 @@
     ) -> Option<(VmId, Millis)> {
         let workers = u64::try_from(workers).unwrap_or(u64::MAX);
         let call_ms = (cost.call_us + cost.worker_us.saturating_mul(workers)).div_ceil(1_000);
-        let count = self.busy_until_ms.len();
+        let count = self.callers.len();
         let for_long = count - count / 3;
         let usable = if call_ms > LONG_CALL_MS {
             for_long
@@ -105,16 +120,21 @@
         };
         let latest_ms = now_ms.saturating_add(Millis(MAX_BACKLOG_MS));
         // Short calls look at the VMs without long calls first.
-        let best = self
-            .busy_until_ms
-            .iter()
+        let (vm, caller) = self
+            .callers
+            .iter_mut()
             .enumerate()
             .take(usable)
-            .filter(|(_, (_, busy_ms))| **busy_ms <= latest_ms)
-            .min_by_key(|(position, (_, busy_ms))| ((**busy_ms).max(now_ms), usize::MAX - position))
-            .map(|(_, (vm, _))| *vm)?;
-        let busy_ms = self.busy_until_ms.get_mut(&best)?;
-        *busy_ms = (*busy_ms).max(now_ms).saturating_add(Millis(call_ms + 2));
-        Some((best, busy_ms.saturating_add(Millis(ANSWER_GRACE_MS))))
+            .filter(|(_, (_, caller))| caller.busy_until_ms <= latest_ms)
+            .min_by_key(|(position, (_, caller))| {
+                let free_ms = caller.busy_until_ms.max(now_ms).0;
+                (free_ms + caller.overhead_ms, usize::MAX - position)
+            })
+            .map(|(_, entry)| entry)?;
+        caller.busy_until_ms = caller
+            .busy_until_ms
+            .max(now_ms)
+            .saturating_add(Millis(call_ms));
+        Some((*vm, caller.busy_until_ms))
     }
 }
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -4,7 +4,7 @@
 
 use super::{
     AdviceCall, Leader, Phase, RunView, StepAdvice,
-    advice::{RETRY_MS, Ticket},
+    advice::{ANSWER_GRACE_MS, RETRY_MS, Ticket},
     worker::WorkerView,
 };
 use crate::{
@@ -348,6 +348,45 @@
 
     // ---- advice ----
 
+    /// Asks about the first steps of a job while its acceptance is being committed.
+    pub(super) fn ask_early(
+        &mut self,
+        id: crate::JobId,
+        queue: &QueueRow,
+        spec: &crate::JobSpec,
+        io: &mut Io<'_>,
+    ) {
+        let Some(cost) = queue.advice else {
+            return;
+        };
+        if spec.schedule.is_some() {
+            return;
+        }
+        for (step, spec) in (0..).zip(&spec.steps) {
+            if !spec.after.is_empty() {
+                continue;
+            }
+            let demand = counted_demand(spec);
+            let label = spec.required_label.as_deref();
+            let mut workers: Vec<(u32, WorkerNumber)> = self
+                .workers
+                .values()
+                .filter(|view| view.is_usable(io.now_ms) && view.record.service == queue.service)
+                .filter(|view| label.is_none_or(|label| view.has_label(label)))
+                .filter(|view| demand.times_in(&view.record.capacity) > 0)
+                .map(|view| (u32::MAX - view.free.cpu_millicores, view.number))
+                .collect();
+            workers.sort_unstable();
+            let workers = workers.into_iter().map(|(_, n)| n).take(MAX_ASKED);
+            let key = StepKey {
+                job: id,
+                occurrence: 0,
+                step,
+            };
+            self.ask(key, queue, cost.valid_ms, workers.collect(), io);
+        }
+    }
+
     /// Asks which of these workers may run a step, unless a question is under way.
     fn ask(
         &mut self,
@@ -364,7 +403,7 @@
         if advice.call.is_some() || io.now_ms < advice.not_before_ms || workers.is_empty() {
             return;
         }
-        let Some((vm, give_up_ms)) = self.callers.choose(&cost, workers.len(), io.now_ms) else {
+        let Some((vm, expected_ms)) = self.callers.choose(&cost, workers.len(), io.now_ms) else {
             return;
         };
         self.next_call += 1;
@@ -381,10 +420,17 @@
             workers,
             vm,
             sent_ms: io.now_ms,
-            give_up_ms,
+            expected_ms,
             valid_ms,
         };
         self.questions.insert(call, sent);
+        if vm == self.me {
+            return io.effect(Effect::Advise {
+                call,
+                for_vm: vm,
+                question,
+            });
+        }
         let message = PeerMessage::Ask { call, question };
         io.effect(Effect::Send { to: vm, message });
     }
@@ -395,7 +441,7 @@
             return;
         };
         let calls_left = self.questions.values().any(|other| other.vm == question.vm);
-        self.callers.answered(question.vm, io.now_ms, calls_left);
+        self.callers.answered(&question, io.now_ms, calls_left);
         let waited_ms = io.now_ms.saturating_sub(question.sent_ms).0;
         io.effect(Effect::Measure {
             name: "advice_ms",
@@ -421,7 +467,6 @@
             );
             return;
         };
-        // The ticket may be as old as the question.
         let valid_until_ms = io.now_ms.saturating_add(Millis(question.valid_ms));
         for worker in &question.workers {
             if let Err(at) = advice.asked.binary_search(worker) {
@@ -444,7 +489,10 @@
         let overdue: Vec<u64> = self
             .questions
             .iter()
-            .filter(|(_, question)| question.give_up_ms < io.now_ms)
+            .filter(|(_, question)| {
+                let give_up_ms = question.expected_ms.saturating_add(Millis(ANSWER_GRACE_MS));
+                give_up_ms < io.now_ms
+            })
             .map(|(call, _)| *call)
             .collect();
         for call in overdue {
