Let steps with much slack leave room to gangs that wait

Cause: in bursts 2 to 5% of the cores are free, in gaps of less than one core a worker: tasks of season-audit and cleat-calc, which can wait 10 s and more, fill each gap, and gangs of the most valued kind wait up to 40 s.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -100,6 +100,10 @@
     scheduled: Vec<JobId>,
     /// Mean run time of the tasks of each queue.
     run_times_ms: SortedVec<String, u64>,
+    /// Workers kept free for gangs in this pass, sorted.
+    kept_for_gangs: Vec<WorkerNumber>,
+    /// Workers kept free for gangs in the pass before, sorted.
+    avoided: Vec<WorkerNumber>,
     pass_due: bool,
     last_pass_ms: Millis,
     last_forget_ms: Millis,
@@ -127,6 +131,8 @@
             tables: Vec::new(),
             scheduled: Vec::new(),
             run_times_ms: SortedVec::new(),
+            kept_for_gangs: Vec::new(),
+            avoided: Vec::new(),
             pass_due: true,
             last_pass_ms: Millis(0),
             last_forget_ms: io.now_ms,
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -22,9 +22,12 @@
 const SILENT_MS: u64 = 4_000;
 /// Calls without a reply in a row after which a worker gets nothing new.
 const MISSED_CALLS: u32 = 2;
-/// Gangs that may keep room for themselves at the same time. With more, most workers would wait
-/// for one gang or another.
-const MAX_RESERVING_GANGS: usize = 4;
+/// Late gangs that may keep room for themselves at the same time; they are worth a fifth.
+const MAX_LATE_RESERVING_GANGS: usize = 1;
+/// A step that can wait this share of its objective, in thousandths, and still be done in time
+/// leaves the room to gangs that wait. In a burst, small tasks with much time otherwise fill every
+/// gap, and no worker is ever free enough for a gang.
+const PATIENT_PERMILLE: u64 = 300;
 /// A job later than this many times its objective is worth nothing any more (rule of the users).
 const WORTHLESS_FACTOR: u64 = 3;
 
@@ -41,8 +44,17 @@
     }
 }
 
+/// Room on one worker while a pass goes through the steps.
+#[derive(Clone, Copy, Debug)]
+struct Gap {
+    /// What is free.
+    free: Demand,
+    /// What is free and not kept for a gang.
+    open: Demand,
+}
+
 /// Room that is left while a pass goes through the steps.
-type Room = SortedVec<WorkerNumber, Demand>;
+type Room = SortedVec<WorkerNumber, Gap>;
 
 impl WorkerView {
     /// Returns whether the worker can be expected to take new work soon.
@@ -68,7 +80,22 @@
 
 /// Order in which waiting steps are served: on-time work by priority and age, then late work, then
 /// work that is too late to be worth anything.
-type Urgency = (u8, u32, u64);
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Urgency {
+    standing: Standing,
+    priority: u32,
+    due_unix_ms: u64,
+    /// Whether the step can wait for long and still be done in time.
+    patient: bool,
+}
+
+/// Whether a job can still meet its objective.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Standing {
+    OnTime,
+    Late,
+    Worthless,
+}
 
 impl Leader {
     pub(super) fn pass(&mut self, state: &CellState, io: &mut Io<'_>) {
@@ -83,12 +110,17 @@
             .workers
             .iter()
             .filter(|(_, view)| view.is_usable(io.now_ms))
-            .map(|(number, view)| (*number, view.free))
+            .map(|(number, view)| {
+                let (free, open) = (view.free, view.free);
+                (*number, Gap { free, open })
+            })
             .collect();
         let mut reserving = 0;
-        for (_, key) in order {
+        let kept = std::mem::take(&mut self.kept_for_gangs);
+        self.avoided = kept;
+        for (urgency, key) in order {
             if self
-                .place_step(state, key, &mut room, &mut reserving, io)
+                .place_step(state, (key, urgency), &mut room, &mut reserving, io)
                 .is_none()
             {
                 self.steps.remove(&key);
@@ -103,21 +135,27 @@
         let age_ms = io.unix_ms.saturating_sub(due_ms);
         let left = job.spec.steps.len().saturating_sub(key.step as usize);
         let finish_ms = age_ms + self.chain_ms(&job.queue, left);
-        let class = if finish_ms <= objective_ms {
-            0
+        let standing = if finish_ms <= objective_ms {
+            Standing::OnTime
         } else if age_ms <= objective_ms * WORTHLESS_FACTOR {
-            1
+            Standing::Late
         } else {
-            2
+            Standing::Worthless
         };
-        (class, job.queue.priority, due_ms)
+        let laxity_ms = objective_ms.saturating_sub(finish_ms);
+        Urgency {
+            standing,
+            priority: job.queue.priority,
+            due_unix_ms: due_ms,
+            patient: laxity_ms > objective_ms * PATIENT_PERMILLE / 1_000,
+        }
     }
 
     /// Tries to place the tasks of one step. Returns `None` if the step is not known any more.
     fn place_step(
         &mut self,
         state: &CellState,
-        key: StepKey,
+        (key, urgency): (StepKey, Urgency),
         room: &mut Room,
         reserving: &mut usize,
         io: &mut Io<'_>,
@@ -137,7 +175,7 @@
             .collect();
         let tasks = u32::try_from(free_tasks.len()).unwrap_or(u32::MAX);
         let demand = counted_demand(spec);
-        let mut candidates = self.candidates(job, spec, key, queue, room, io.now_ms);
+        let mut candidates = self.candidates(job, spec, (key, urgency), queue, room, io.now_ms);
         let unasked = self.restrict_to_allowed(key, queue, &demand, &mut candidates);
         let chosen = if spec.gang {
             place_gang(&demand, tasks, &candidates, spec.rack_local)
@@ -150,17 +188,22 @@
             self.ask(key, queue, valid_ms, unasked, io);
         }
         let Some(chosen) = chosen else {
-            if *reserving < MAX_RESERVING_GANGS {
-                *reserving += 1;
+            let on_time = urgency.standing == Standing::OnTime;
+            if on_time || *reserving < MAX_LATE_RESERVING_GANGS {
+                *reserving += usize::from(!on_time);
                 self.reserve(&demand, tasks, &candidates, room);
             }
             return Some(());
         };
         for worker in &chosen {
-            if let Some(free) = room.get_mut(worker) {
-                *free = free.minus(&demand, 1);
+            if let Some(gap) = room.get_mut(worker) {
+                gap.free = gap.free.minus(&demand, 1);
+                gap.open = gap.open.minus(&demand, 1);
             }
         }
+        if spec.gang {
+            self.keep_for_gang(chosen.iter().copied());
+        }
         let Some(cost) = queue.advice else {
             self.propose(job, key, &free_tasks, &chosen, io);
             return Some(());
@@ -196,7 +239,7 @@
         &self,
         job: &Job,
         spec: &StepSpec,
-        key: StepKey,
+        (key, urgency): (StepKey, Urgency),
         queue: &QueueRow,
         room: &Room,
         now_ms: Millis,
@@ -205,7 +248,7 @@
             let step = job.step(key);
             step.is_some_and(|step| step.tasks.iter().any(|t| t.failed_on == Some(worker)))
         };
-        let usable = room.iter().filter_map(|(number, free)| {
+        let usable = room.iter().filter_map(|(number, gap)| {
             let view = self.workers.get(number)?;
             let label = spec.required_label.as_deref();
             let fits = view.record.service == queue.service
@@ -222,13 +265,20 @@
                 limit = limit.min(u32::from(view.runs.is_empty()));
             }
             let rack = spec.preferred_rack.as_deref();
+            let avoided = !spec.gang && self.avoided.binary_search(number).is_ok();
             Some(Candidate {
                 worker: *number,
-                free: *free,
+                free: if urgency.patient && !spec.gang {
+                    gap.open
+                } else {
+                    gap.free
+                },
                 limit,
                 on_preferred_rack: rack.is_none_or(|rack| view.has_label(rack)),
                 rack: view.rack,
-                risk: u32::from(failed_on(*number)) + view.health.failing_permille / 300,
+                risk: u32::from(failed_on(*number))
+                    + u32::from(avoided)
+                    + view.health.failing_permille / 300,
             })
         });
         usable.collect()
@@ -262,13 +312,16 @@
 
     /// Keeps room for a gang: what already fits on its workers, and the workers that lack least for
     /// one more task.
-    fn reserve(&self, demand: &Demand, tasks: u32, candidates: &[Candidate], room: &mut Room) {
+    fn reserve(&mut self, demand: &Demand, tasks: u32, candidates: &[Candidate], room: &mut Room) {
         let mut left = tasks;
         for candidate in candidates {
             let slots = candidate.slots(demand).min(left);
             left -= slots;
-            if let Some(free) = room.get_mut(&candidate.worker) {
-                *free = free.minus(demand, slots);
+            if let Some(gap) = room.get_mut(&candidate.worker) {
+                gap.open = gap.open.minus(demand, slots);
+            }
+            if slots > 0 {
+                self.keep_for_gang([candidate.worker]);
             }
         }
         let mut next: Vec<(u32, WorkerNumber)> = candidates
@@ -285,8 +338,19 @@
             .collect();
         next.sort_unstable();
         for (_, worker) in next.into_iter().take(left as usize) {
-            if let Some(free) = room.get_mut(&worker) {
-                *free = Demand::default();
+            if let Some(gap) = room.get_mut(&worker) {
+                gap.open = Demand::default();
+            }
+            self.keep_for_gang([worker]);
+        }
+    }
+
+    /// Notes workers that other tasks avoid in the next pass: the small gaps on a worker that
+    /// drains for a gang fit short tasks best, which would then keep it from ever being free.
+    fn keep_for_gang(&mut self, workers: impl IntoIterator<Item = WorkerNumber>) {
+        for worker in workers {
+            if let Err(at) = self.kept_for_gangs.binary_search(&worker) {
+                self.kept_for_gangs.insert(at, worker);
             }
         }
     }
