Ask about few workers, look at each worker less often

Ruled out: consensus and logs. Change: a question names 48 workers, scattered by step; further ones after 1.5 s; a pass looks at allowed workers only; runs are counted only for steps with a limit; a worker is checked each 50 ms; heartbeats go to the leader at once.

--- a/crates/acaciareeld/src/cell/inbound.rs
+++ b/crates/acaciareeld/src/cell/inbound.rs
@@ -13,7 +13,7 @@
 use acaciareel_cell::{Addressed, CallerReply, ControlReply, ControlRequest, Event};
 use acaciareel_platform::{
     http::{self, ControlError},
-    jobs,
+    jobs, workers,
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -70,7 +70,9 @@
     pub closing: AtomicBool,
     /// Number of the next request.
     pub next_connection: AtomicU64,
-    /// Port of the interface for workers and operators, the same on all control VMs.
+    /// Address of this VM's interface for workers and operators, if it serves one.
+    pub control: Option<SocketAddr>,
+    /// Port of that interface, the same on all control VMs.
     pub control_port: u16,
     /// Metrics page.
     pub metrics: PrometheusHandle,
@@ -278,6 +280,7 @@
         info!(event = "control_request", method:% = method, path, reply = reply_name(&reply); "");
     }
     match reply {
+        ControlReply::Done if quiet => acknowledge(shared.control),
         ControlReply::Done => empty(StatusCode::OK),
         ControlReply::Unavailable => empty(StatusCode::SERVICE_UNAVAILABLE),
         ControlReply::Queues(source) => json(StatusCode::OK, Bytes::from(source)),
@@ -292,6 +295,20 @@
     }
 }
 
+/// Acknowledges an announcement. Only the leader does, so it names itself for the next ones, which
+/// saves the redirection by other VMs.
+fn acknowledge(leader: Option<SocketAddr>) -> Response<Body> {
+    let body = leader.map(workers::encode_acknowledgement);
+    match body {
+        Some(Ok(body)) => json(StatusCode::OK, Bytes::from(body)),
+        Some(Err(error)) => {
+            warn!(event = "acknowledgement_not_encoded", reason:% = error; "");
+            empty(StatusCode::OK)
+        }
+        None => empty(StatusCode::OK),
+    }
+}
+
 fn reply_name(reply: &ControlReply) -> &'static str {
     match reply {
         ControlReply::Done => "done",
--- a/crates/acaciareeld/src/cell/run.rs
+++ b/crates/acaciareeld/src/cell/run.rs
@@ -192,6 +192,7 @@
         ready: AtomicBool::new(false),
         closing: AtomicBool::new(false),
         next_connection: AtomicU64::new(1),
+        control: config.listen.control,
         control_port: config.control_port,
         metrics: metrics.clone(),
     });
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -36,6 +36,8 @@
 
 /// Pause between two passes over the waiting steps; events in between are handled together.
 const PASS_INTERVAL_MS: u64 = 4;
+/// Ticks between two looks at the same worker; a tick is 10 ms.
+const TICKS_PER_CHECK: u32 = 5;
 /// Pause between two looks for jobs to forget.
 const FORGET_INTERVAL_MS: u64 = 5_000;
 /// Added to the time for which the state of an ended job is kept, for clocks that differ.
@@ -104,6 +106,7 @@
     kept_for_gangs: Vec<WorkerNumber>,
     /// Workers kept free for gangs in the pass before, sorted.
     avoided: Vec<WorkerNumber>,
+    tick_count: u32,
     pass_due: bool,
     last_pass_ms: Millis,
     last_forget_ms: Millis,
@@ -133,6 +136,7 @@
             run_times_ms: SortedVec::new(),
             kept_for_gangs: Vec::new(),
             avoided: Vec::new(),
+            tick_count: 0,
             pass_due: true,
             last_pass_ms: Millis(0),
             last_forget_ms: io.now_ms,
@@ -675,7 +679,12 @@
         for id in self.scheduled.clone() {
             self.refresh_job(state, id, io);
         }
-        let numbers: Vec<WorkerNumber> = self.workers.keys().copied().collect();
+        // A part of the workers in each tick: with hundreds of them, looking at all runs a hundred
+        // times a second would take a tenth of the leader's processor.
+        self.tick_count = self.tick_count.wrapping_add(1);
+        let due = self.tick_count % TICKS_PER_CHECK;
+        let numbers = self.workers.keys().copied();
+        let numbers: Vec<WorkerNumber> = numbers.filter(|n| n.0 % TICKS_PER_CHECK == due).collect();
         for number in numbers {
             self.check_worker(state, number, io);
         }
--- a/crates/cell/src/leader/advice.rs
+++ b/crates/cell/src/leader/advice.rs
@@ -42,6 +42,8 @@
     pub call: Option<u64>,
     /// Time before which no further call is made.
     pub not_before_ms: Millis,
+    /// Time before which no further workers are asked about.
+    pub widen_ms: Millis,
 }
 
 impl StepAdvice {
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -14,8 +14,11 @@
     placement::{Candidate, place_gang, place_separately},
 };
 
-/// Most workers that one call for advice names (bound of the platform).
-const MAX_ASKED: usize = 100;
+/// Workers that one call for advice names. The platform takes 100; a call takes longer for each,
+/// and a third of these are enough for the largest gangs.
+const MAX_ASKED: usize = 48;
+/// Pause before a step asks about further workers; room is more likely to come on known ones.
+const WIDEN_PAUSE_MS: u64 = 1_500;
 /// Workers named beyond those chosen when tickets are renewed, in case one fills up meanwhile.
 const SPARE_ASKED: usize = 2;
 /// Silence after which a worker gets nothing new: two announcements and the time of a call.
@@ -73,11 +76,27 @@
             && !self.has_foreign()
     }
 
+    /// Returns whether the worker can run tasks of a step, apart from room and advice.
+    fn suits(&self, spec: &StepSpec, queue: &QueueRow) -> bool {
+        let label = spec.required_label.as_deref();
+        self.record.service == queue.service
+            && label.is_none_or(|label| self.has_label(label))
+            && counted_demand(spec).times_in(&self.record.capacity) > 0
+    }
+
     fn has_label(&self, label: &str) -> bool {
         self.record.labels.iter().any(|own| own == label)
     }
 }
 
+/// Returns a number that orders workers differently for each step (FNV-1a over both).
+fn scatter(key: StepKey, worker: WorkerNumber) -> u64 {
+    let bytes = [key.job.0, u64::from(key.step), u64::from(worker.0)];
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, part| {
+        (hash ^ part).wrapping_mul(0x0100_0000_01b3)
+    })
+}
+
 /// Order in which waiting steps are served: on-time work by priority and age, then late work, then
 /// work that is too late to be worth anything.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -106,15 +125,7 @@
             .filter_map(|(key, _)| Some((self.urgency(state.job(key.job)?, *key, io), *key)))
             .collect();
         order.sort_unstable();
-        let mut room: Room = self
-            .workers
-            .iter()
-            .filter(|(_, view)| view.is_usable(io.now_ms))
-            .map(|(number, view)| {
-                let (free, open) = (view.free, view.free);
-                (*number, Gap { free, open })
-            })
-            .collect();
+        let mut room = self.room(io.now_ms);
         let mut reserving = 0;
         let kept = std::mem::take(&mut self.kept_for_gangs);
         self.avoided = kept;
@@ -128,6 +139,19 @@
         }
     }
 
+    /// Returns the room on all usable workers.
+    fn room(&self, now_ms: Millis) -> Room {
+        let usable = self
+            .workers
+            .iter()
+            .filter(|(_, view)| view.is_usable(now_ms));
+        let gap = |view: &WorkerView| Gap {
+            free: view.free,
+            open: view.free,
+        };
+        usable.map(|(number, view)| (*number, gap(view))).collect()
+    }
+
     fn urgency(&self, job: &Job, key: StepKey, io: &Io<'_>) -> Urgency {
         let chain_ms = self.chain_ms(&job.queue, job.spec.steps.len());
         let objective_ms = chain_ms * job.queue.slack_permille / 1_000 + job.queue.target_ms;
@@ -162,10 +186,7 @@
     ) -> Option<()> {
         let job = state.job(key.job)?;
         let spec = job.step_spec(key)?;
-        let queue = state
-            .queues()
-            .by_name(&job.queue.name)
-            .unwrap_or(&job.queue);
+        let queue = &job.queue;
         let step = self.steps.get(&key)?;
         let free_tasks: Vec<u32> = step
             .waiting
@@ -175,17 +196,19 @@
             .collect();
         let tasks = u32::try_from(free_tasks.len()).unwrap_or(u32::MAX);
         let demand = counted_demand(spec);
-        let mut candidates = self.candidates(job, spec, (key, urgency), queue, room, io.now_ms);
-        let unasked = self.restrict_to_allowed(key, queue, &demand, &mut candidates);
+        let candidates = self.candidates(job, spec, (key, urgency), room, io.now_ms);
         let chosen = if spec.gang {
             place_gang(&demand, tasks, &candidates, spec.rack_local)
         } else {
             Some(place_separately(&demand, tasks, candidates.clone()))
         };
         let placed = chosen.as_ref().map_or(0, Vec::len);
-        if placed < free_tasks.len() && !unasked.is_empty() {
-            let valid_ms = queue.advice.map_or(0, |cost| cost.valid_ms);
-            self.ask(key, queue, valid_ms, unasked, io);
+        if let Some(cost) = queue.advice
+            && placed < free_tasks.len()
+            && self.may_ask(key, io.now_ms)
+        {
+            let unasked = self.unasked(spec, key, queue, room);
+            self.ask(key, queue, cost.valid_ms, unasked, io);
         }
         let Some(chosen) = chosen else {
             let on_time = urgency.standing == Standing::OnTime;
@@ -234,40 +257,34 @@
         Some(())
     }
 
-    /// Returns the workers that may run tasks of the step, apart from advice.
+    /// Returns the workers that may run tasks of the step: the usable ones, and of these the ones
+    /// that the policy service allows.
     fn candidates(
         &self,
         job: &Job,
         spec: &StepSpec,
         (key, urgency): (StepKey, Urgency),
-        queue: &QueueRow,
         room: &Room,
         now_ms: Millis,
     ) -> Vec<Candidate> {
-        let failed_on = |worker: WorkerNumber| {
-            let step = job.step(key);
-            step.is_some_and(|step| step.tasks.iter().any(|t| t.failed_on == Some(worker)))
-        };
-        let usable = room.iter().filter_map(|(number, gap)| {
-            let view = self.workers.get(number)?;
-            let label = spec.required_label.as_deref();
-            let fits = view.record.service == queue.service
-                && label.is_none_or(|label| view.has_label(label));
-            if !fits {
+        let tasks = job.step(key).into_iter().flat_map(|step| &step.tasks);
+        let failed_on: Vec<WorkerNumber> = tasks.filter_map(|task| task.failed_on).collect();
+        let candidate = |number: WorkerNumber, gap: &Gap| {
+            let view = self.workers.get(&number)?;
+            if !view.suits(spec, &job.queue) {
                 return None;
             }
-            let on_worker = view.runs.keys().filter(|run| run.task.step == key).count();
-            let on_worker = u32::try_from(on_worker).unwrap_or(u32::MAX);
-            let mut limit = spec
-                .max_per_worker
-                .map_or(u32::MAX, |most| most.saturating_sub(on_worker));
+            let mut limit = spec.max_per_worker.map_or(u32::MAX, |most| {
+                let here = view.runs.keys().filter(|run| run.task.step == key).count();
+                most.saturating_sub(u32::try_from(here).unwrap_or(u32::MAX))
+            });
             if view.health.on_probation(now_ms) {
                 limit = limit.min(u32::from(view.runs.is_empty()));
             }
             let rack = spec.preferred_rack.as_deref();
-            let avoided = !spec.gang && self.avoided.binary_search(number).is_ok();
+            let avoided = !spec.gang && self.avoided.binary_search(&number).is_ok();
             Some(Candidate {
-                worker: *number,
+                worker: number,
                 free: if urgency.patient && !spec.gang {
                     gap.open
                 } else {
@@ -276,38 +293,65 @@
                 limit,
                 on_preferred_rack: rack.is_none_or(|rack| view.has_label(rack)),
                 rack: view.rack,
-                risk: u32::from(failed_on(*number))
+                risk: u32::from(failed_on.contains(&number))
                     + u32::from(avoided)
                     + view.health.failing_permille / 300,
             })
-        });
-        usable.collect()
+        };
+        if job.queue.advice.is_none() {
+            return room
+                .iter()
+                .filter_map(|(n, gap)| candidate(*n, gap))
+                .collect();
+        }
+        let Some(advice) = self.advice.get(&key) else {
+            return Vec::new();
+        };
+        let allowed = advice.allowed.keys();
+        let allowed = allowed.filter_map(|number| Some((*number, room.get(number)?)));
+        allowed.filter_map(|(n, gap)| candidate(n, gap)).collect()
     }
 
-    /// Keeps the workers that the policy service allows. Returns the workers with room that it was
-    /// not asked about yet, those with most room first.
-    fn restrict_to_allowed(
+    /// Returns whether a step may ask about workers that it has not asked about.
+    fn may_ask(&self, key: StepKey, now_ms: Millis) -> bool {
+        self.advice.get(&key).is_none_or(|advice| {
+            let first = advice.asked.is_empty();
+            advice.call.is_none()
+                && now_ms >= advice.not_before_ms
+                && (first || now_ms >= advice.widen_ms)
+        })
+    }
+
+    /// Returns workers that a step has not asked about: those with room before the others, and
+    /// among them other ones for each step, so that steps do not all wait for the same workers.
+    fn unasked(
         &mut self,
+        spec: &StepSpec,
         key: StepKey,
         queue: &QueueRow,
-        demand: &Demand,
-        candidates: &mut Vec<Candidate>,
+        room: &Room,
     ) -> Vec<WorkerNumber> {
-        if queue.advice.is_none() {
-            return Vec::new();
-        }
-        let advice = self.advice.get_or_insert_with(key, StepAdvice::default);
-        let mut unasked: Vec<&Candidate> = candidates
+        let demand = counted_demand(spec);
+        let asked = self
+            .advice
+            .get(&key)
+            .map_or(&[][..], |advice| &advice.asked);
+        let mut unasked: Vec<(bool, u64, WorkerNumber)> = room
             .iter()
-            .filter(|c| advice.asked.binary_search(&c.worker).is_err())
+            .filter(|(number, _)| asked.binary_search(number).is_err())
+            .filter(|(number, _)| {
+                self.workers
+                    .get(number)
+                    .is_some_and(|view| view.suits(spec, queue))
+            })
+            .map(|(number, gap)| {
+                let full = demand.times_in(&gap.free) == 0;
+                (full, scatter(key, *number), *number)
+            })
             .collect();
-        unasked.sort_by_key(|c| {
-            let full = c.slots(demand) == 0;
-            (full, u32::MAX - c.free.cpu_millicores, c.worker)
-        });
-        let unasked = unasked.iter().map(|c| c.worker).take(MAX_ASKED).collect();
-        candidates.retain(|candidate| advice.allowed.contains_key(&candidate.worker));
-        unasked
+        unasked.sort_unstable();
+        let unasked = unasked.into_iter().map(|(_, _, number)| number);
+        unasked.take(MAX_ASKED).collect()
     }
 
     /// Keeps room for a gang: what already fits on its workers, and the workers that lack least for
@@ -426,28 +470,18 @@
         if spec.schedule.is_some() {
             return;
         }
+        let room = self.room(io.now_ms);
         for (step, spec) in (0..).zip(&spec.steps) {
             if !spec.after.is_empty() {
                 continue;
             }
-            let demand = counted_demand(spec);
-            let label = spec.required_label.as_deref();
-            let mut workers: Vec<(u32, WorkerNumber)> = self
-                .workers
-                .values()
-                .filter(|view| view.is_usable(io.now_ms) && view.record.service == queue.service)
-                .filter(|view| label.is_none_or(|label| view.has_label(label)))
-                .filter(|view| demand.times_in(&view.record.capacity) > 0)
-                .map(|view| (u32::MAX - view.free.cpu_millicores, view.number))
-                .collect();
-            workers.sort_unstable();
-            let workers = workers.into_iter().map(|(_, n)| n).take(MAX_ASKED);
             let key = StepKey {
                 job: id,
                 occurrence: 0,
                 step,
             };
-            self.ask(key, queue, cost.valid_ms, workers.collect(), io);
+            let workers = self.unasked(spec, key, queue, &room);
+            self.ask(key, queue, cost.valid_ms, workers, io);
         }
     }
 
@@ -519,6 +553,7 @@
         if advice.call == Some(call) {
             advice.call = None;
         }
+        advice.widen_ms = io.now_ms.saturating_add(Millis(WIDEN_PAUSE_MS));
         let Some(rows) = answer else {
             advice.not_before_ms = io.now_ms.saturating_add(Millis(RETRY_MS));
             io.warn(
