--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -10,6 +10,11 @@
 /// How long a renewal waits at the worker for the next end. Ends are not seen while a renewal that
 /// was lost is waited for, and urgent jobs have some hundred milliseconds to spare.
 const RENEWAL_WAIT_MS: u64 = 500;
+/// Further wait for each worker: with hundreds of workers, renewals without news would take a
+/// large part of the leader's processor.
+const RENEWAL_WAIT_FOR_EACH_WORKER_MS: u64 = 4;
+/// Longest wait of a renewal; the platform allows 2,000 ms.
+const MAX_RENEWAL_WAIT_MS: u64 = 1_800;
 /// Longest wait for the reply of a worker beyond the wait that was asked for: some 30 ms of round
 /// trip and the delays of a leader that is slowed to a sixth.
 const REPLY_TIMEOUT_MS: u64 = 250;
@@ -33,6 +38,8 @@
 impl Leader {
     /// Sends a renewal if one is needed and none is under way.
     pub(super) fn renew(&mut self, number: WorkerNumber, io: &mut Io<'_>) {
+        let workers = self.workers.len() as u64;
+        let longest_wait_ms = RENEWAL_WAIT_MS + RENEWAL_WAIT_FOR_EACH_WORKER_MS * workers;
         let Some(view) = self.workers.get_mut(&number) else {
             return;
         };
@@ -48,7 +55,7 @@
             return;
         }
         let wait_ms = if view.listed && !view.runs.is_empty() && !view.fence_due {
-            RENEWAL_WAIT_MS
+            longest_wait_ms.min(MAX_RENEWAL_WAIT_MS)
         } else {
             0
         };
