Relay calls to workers through the other control VMs in large cells

Cause: at 350 workers the leader's HTTP calls (2,000 a second) take its 0.4 of a core in bursts; starts were late and gangs ended alone. Ruled out: the reducers (2% of a core at 660 starts a second in virtual time).

--- a/crates/acaciareeld/src/cell/run.rs
+++ b/crates/acaciareeld/src/cell/run.rs
@@ -185,6 +185,7 @@
         vm: me.0,
         incarnation: incarnation.0,
         entry: config.role == Role::Entry,
+        failure_domain: config.failure_domain.clone(),
     };
     let links = Links::new(hello, config.listen.peers_port, inputs.clone());
     let shared = Arc::new(Shared {
@@ -262,7 +263,7 @@
         .filter(|_| config.role == Role::Control)
     else {
         let incarnation = storage::new_incarnation();
-        let entry = Entry::new(me, incarnation, config.seeds.clone());
+        let entry = Entry::new(config.seeds.clone());
         return Ok((Machine::Entry(entry), None, incarnation));
     };
     let opened = Storage::open(folder, me).map_err(|report| {
@@ -391,6 +392,7 @@
             Effect::Persist { ticket, records } => self.persist(ticket, records),
             Effect::CallWorker {
                 call,
+                for_vm,
                 address,
                 worker_id,
                 request,
@@ -402,7 +404,11 @@
                     let reply = outbound
                         .call_worker(&address, &worker_id, &request, limit)
                         .await;
-                    Event::WorkerReplied { call, reply }
+                    Event::WorkerReplied {
+                        call,
+                        for_vm,
+                        reply,
+                    }
                 });
             }
             Effect::Advise {
--- a/crates/acaciareeld/tests/cell/env.rs
+++ b/crates/acaciareeld/tests/cell/env.rs
@@ -22,6 +22,8 @@
 use crate::worker::{self, Checks};
 
 const CONTROLS: u8 = 3;
+/// Number of the entry VM.
+pub const ENTRY: usize = CONTROLS as usize;
 const CONTROL_PORT: u16 = 18_166;
 const ENTRY_PORT: u16 = 18_161;
 const CONFIG: &str = r#"{"version":1,"routes":[{"name":"q","host":"jobs.example","path_prefix":"/q/","timeout_ms":3000,"target_duration_ms":1000,"priority":1,"service":"s","max_attempts":3,"slack_factor":8.0}],"services":[{"name":"s"}]}"#;
@@ -87,7 +89,7 @@
             assert!(began.elapsed() < Duration::from_secs(10), "no leader");
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
-        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
         cell
     }
 
@@ -100,12 +102,7 @@
     }
 
     fn callers(&self) -> SocketAddr {
-        (self.address(self.entry()), ENTRY_PORT).into()
-    }
-
-    /// Returns the number of the entry VM.
-    pub fn entry(&self) -> usize {
-        usize::from(CONTROLS)
+        (self.address(ENTRY), ENTRY_PORT).into()
     }
 
     fn settings_file(&self, vm: usize) -> PathBuf {
@@ -125,7 +122,7 @@
             .map(|vm| self.control(vm).to_string())
             .collect();
         let address = SocketAddr::from((self.address(vm), 0)).ip();
-        let role = if vm == self.entry() {
+        let role = if vm == ENTRY {
             format!(
                 "role = entry\n[listen]\ncallers = {}\nreadiness = {address}:18167\n",
                 self.callers()
--- a/crates/acaciareeld/tests/cell/main.rs
+++ b/crates/acaciareeld/tests/cell/main.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use env::{Cell, Signal};
+use env::{Cell, ENTRY, Signal};
 
 /// Submits jobs one after the other and returns the ids of the accepted ones.
 async fn submit(cell: &Cell, ids: std::ops::Range<u64>, gap: Duration) -> Vec<u64> {
@@ -60,10 +60,9 @@
     let ids = [ids, submit(&cell, 5..10, Duration::from_millis(50)).await].concat();
     cell.wait_until_completed(&ids, Duration::from_secs(30))
         .await;
-    let entry = cell.entry();
-    cell.signal(entry, Signal::Terminate);
+    cell.signal(ENTRY, Signal::Terminate);
     let answered = cell.submit(5).await;
-    let entry_ended = cell.wait_for_exit(entry, Duration::from_secs(6)).await;
+    let entry_ended = cell.wait_for_exit(ENTRY, Duration::from_secs(6)).await;
 
     assert_eq!((leader_ended, entry_ended), (Some(0), Some(0)));
     assert_eq!(answered, Some(200));
@@ -76,12 +75,12 @@
 async fn settings_are_read_again() {
     let cell = Cell::start(3, 1).await;
 
-    cell.spoil_settings(cell.entry());
+    cell.spoil_settings(ENTRY);
     tokio::time::sleep(Duration::from_millis(2_500)).await;
-    let refused = cell.log_of(cell.entry());
-    cell.write_settings(cell.entry(), "level = debug");
+    let refused = cell.log_of(ENTRY);
+    cell.write_settings(ENTRY, "level = debug");
     tokio::time::sleep(Duration::from_millis(2_500)).await;
-    let reloaded = cell.log_of(cell.entry());
+    let reloaded = cell.log_of(ENTRY);
 
     assert!(refused.contains("event=settings_refused"), "{refused}");
     assert!(reloaded.contains("event=settings_reloaded"), "{reloaded}");
--- a/crates/cell/src/control.rs
+++ b/crates/cell/src/control.rs
@@ -75,6 +75,8 @@
     entries: SortedVec<VmId, Millis>,
     /// Time at which each silent voter was last seen alive.
     alive_ms: SortedVec<VmId, Millis>,
+    /// Failure domains of the other control VMs.
+    domains: SortedVec<VmId, String>,
     /// Control VMs that sent a consensus message, with the time of the last one.
     heard_ms: SortedVec<VmId, Millis>,
     connected: Vec<VmId>,
@@ -119,6 +121,7 @@
             bytes_since_snapshot: 0,
             entries: SortedVec::new(),
             alive_ms: SortedVec::new(),
+            domains: SortedVec::new(),
             heard_ms: SortedVec::new(),
             connected: Vec::new(),
             next_status_ms: Millis(0),
@@ -163,7 +166,18 @@
                 connection,
                 request,
             } => self.control(connection, request, time, out),
-            Event::WorkerReplied { call, reply } => {
+            Event::WorkerReplied {
+                call,
+                for_vm,
+                reply,
+            } if for_vm != self.me.vm => {
+                let message = PeerMessage::Relayed { call, reply };
+                out.push(Effect::Send {
+                    to: for_vm,
+                    message,
+                });
+            }
+            Event::WorkerReplied { call, reply, .. } => {
                 self.with_leader(time, out, |leader, state, io| {
                     leader.worker_replied(state, call, &reply, io);
                 });
@@ -369,15 +383,19 @@
 
     // ---- members ----
 
-    /// Lets the other control VMs that answer ask for advice too.
+    /// Lets the other control VMs that answer ask for advice and call workers too.
     fn update_callers(&mut self, time: (Millis, u64), out: &mut Vec<Effect>) {
         let progress = self.replica.progress(time.0);
-        self.with_leader(time, out, |leader, _, io| {
+        let domains = self.domains.clone();
+        self.with_leader(time, out, |leader, state, io| {
             for (vm, member) in progress.iter() {
                 if member.alive {
                     leader.caller_joined(*vm);
+                    let domain = domains.get(vm).map_or("", String::as_str);
+                    leader.relay_joined(*vm, domain);
                 } else {
                     leader.caller_left(*vm, io);
+                    leader.relay_left(*vm, state, io);
                 }
             }
         });
@@ -474,6 +492,32 @@
             self.entries.insert(from, time.0);
         }
         match message {
+            PeerMessage::Hello {
+                entry: false,
+                failure_domain,
+                ..
+            } => {
+                self.domains.insert(from, failure_domain);
+            }
+            PeerMessage::Relay {
+                call,
+                address,
+                worker_id,
+                request,
+                timeout_ms,
+            } => out.push(Effect::CallWorker {
+                call,
+                for_vm: from,
+                address,
+                worker_id,
+                request,
+                timeout_ms,
+            }),
+            PeerMessage::Relayed { call, reply } => {
+                self.with_leader(time, out, |leader, state, io| {
+                    leader.worker_replied(state, call, &reply, io);
+                });
+            }
             PeerMessage::Hello { entry: true, .. } => {
                 self.entries.insert(from, time.0);
                 self.with_leader(time, out, |leader, _, _| leader.caller_joined(from));
@@ -497,10 +541,7 @@
                 for_vm: from,
                 question,
             }),
-            PeerMessage::Hello { .. }
-            | PeerMessage::Ping
-            | PeerMessage::Status { .. }
-            | PeerMessage::CallReply { .. } => {}
+            PeerMessage::Ping | PeerMessage::Status { .. } | PeerMessage::CallReply { .. } => {}
         }
     }
 
--- a/crates/cell/src/entry.rs
+++ b/crates/cell/src/entry.rs
@@ -1,6 +1,6 @@
 //! Reducer of an entry VM: forwards callers' requests to the leader, and asks for advice.
 
-use acaciareel_types::{Incarnation, Millis, SortedVec, VmId};
+use acaciareel_types::{Millis, SortedVec, VmId};
 
 use crate::{Addressed, CallerReply, CallerRequest, Effect, Event, LogLevel, PeerMessage, Refusal};
 
@@ -47,8 +47,6 @@
 /// An entry VM.
 #[derive(Debug)]
 pub struct Entry {
-    me: VmId,
-    incarnation: Incarnation,
     seeds: Vec<VmId>,
     members: Vec<VmId>,
     /// Term in which the members were told.
@@ -65,10 +63,8 @@
 impl Entry {
     /// Creates an entry VM.
     #[must_use]
-    pub fn new(me: VmId, incarnation: Incarnation, seeds: Vec<VmId>) -> Self {
+    pub fn new(seeds: Vec<VmId>) -> Self {
         Self {
-            me,
-            incarnation,
             seeds,
             members: Vec::new(),
             members_term: 0,
@@ -218,6 +214,8 @@
             PeerMessage::Hello { .. }
             | PeerMessage::Ping
             | PeerMessage::Call { .. }
+            | PeerMessage::Relay { .. }
+            | PeerMessage::Relayed { .. }
             | PeerMessage::Asked { .. } => {}
         }
     }
@@ -359,16 +357,6 @@
             out.push(Effect::ReplyCaller { connection, reply });
         }
     }
-
-    /// Returns the first message of a connection to a control VM.
-    #[must_use]
-    pub fn hello(&self) -> PeerMessage {
-        PeerMessage::Hello {
-            vm: self.me.0,
-            incarnation: self.incarnation.0,
-            entry: true,
-        }
-    }
 }
 
 fn refused(reason: Refusal) -> CallerReply {
--- a/crates/cell/src/io.rs
+++ b/crates/cell/src/io.rs
@@ -2,6 +2,7 @@
 
 use acaciareel_consensus::{Message, Record};
 use acaciareel_types::{Incarnation, Millis, VmId};
+use serde::{Deserialize, Serialize};
 
 use crate::{
     Addressed, AdviceAnswer, AdviceQuestion, CallerReply, Command, PeerMessage, QueueTable, RunEnd,
@@ -54,7 +55,7 @@
 }
 
 /// Call to a worker.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum WorkerRequest {
     /// Starts a run.
     Start {
@@ -92,7 +93,7 @@
 }
 
 /// Why a worker refused a start.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum StartRefusal {
     /// The worker has seen a higher fencing token.
     Fenced,
@@ -111,7 +112,7 @@
 }
 
 /// A run that a worker reports as running.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ReportedRun {
     /// Run.
     pub run: RunKey,
@@ -122,7 +123,7 @@
 }
 
 /// What a worker replies to a renewal.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RenewalReport {
     /// Reading of the worker's clock.
     pub clock_ms: u64,
@@ -135,7 +136,7 @@
 }
 
 /// Reply of a worker.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum WorkerReply {
     /// The run is there.
     Started {
@@ -225,6 +226,8 @@
     WorkerReplied {
         /// Call.
         call: u64,
+        /// VM that made the call.
+        for_vm: VmId,
         /// Reply.
         reply: WorkerReply,
     },
@@ -271,6 +274,8 @@
     CallWorker {
         /// Call.
         call: u64,
+        /// VM that the reply is for.
+        for_vm: VmId,
         /// Address of the worker.
         address: String,
         /// Id of the life that is meant.
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -17,6 +17,7 @@
 mod advice;
 mod orders;
 mod pass;
+mod relay;
 mod renewal;
 mod worker;
 
@@ -93,6 +94,7 @@
     questions: SortedVec<u64, AdviceCall>,
     callers: Callers,
     calls: SortedVec<u64, Call>,
+    relays: relay::Relays,
     next_call: u64,
     submits: SortedVec<JobId, Vec<Origin>>,
     cancels: SortedVec<JobId, Vec<Origin>>,
@@ -127,6 +129,7 @@
             questions: SortedVec::new(),
             callers: Callers::default(),
             calls: SortedVec::new(),
+            relays: relay::Relays::default(),
             next_call: 0,
             submits: SortedVec::new(),
             cancels: SortedVec::new(),
@@ -689,6 +692,7 @@
             self.check_worker(state, number, io);
         }
         self.expire_questions(io);
+        self.expire_relayed(state, io);
         self.forget_jobs(state, io);
         self.pass_due = true;
     }
--- a/crates/cell/src/leader/orders.rs
+++ b/crates/cell/src/leader/orders.rs
@@ -141,7 +141,6 @@
             run.progress_ms = io.now_ms;
         }
         let ticket = run.ticket.clone();
-        let (address, worker_id) = (view.record.address.clone(), view.record.id.clone());
         let born_ms = view.record.born_ms;
         self.calls.insert(
             call,
@@ -151,20 +150,16 @@
                 born_ms,
             },
         );
-        io.effect(Effect::CallWorker {
-            call,
-            address,
-            worker_id,
-            request: WorkerRequest::Start {
-                run: key,
-                payload: job.spec.payload.clone(),
-                lease_until_ms,
-                token,
-                checkpoint,
-                ticket,
-            },
-            timeout_ms: FIRST_TRY_MS << (tries - 1).min(MAX_TRIES),
-        });
+        let request = WorkerRequest::Start {
+            run: key,
+            payload: job.spec.payload.clone(),
+            lease_until_ms,
+            token,
+            checkpoint,
+            ticket,
+        };
+        let timeout_ms = FIRST_TRY_MS << (tries - 1).min(MAX_TRIES);
+        self.call_worker(number, call, request, timeout_ms, io);
         true
     }
 
@@ -176,6 +171,7 @@
         reply: &WorkerReply,
         io: &mut Io<'_>,
     ) {
+        self.relayed(call);
         let Some(kind) = self.calls.remove(&call) else {
             return;
         };
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -101,7 +101,6 @@
             view.grant(lease_ms, io.now_ms)
         };
         let acknowledged = view.ends_committed;
-        let (address, worker_id) = (view.record.address.clone(), view.record.id.clone());
         let born_ms = view.record.born_ms;
         self.calls.insert(
             call,
@@ -113,18 +112,13 @@
                 fence,
             },
         );
-        io.effect(Effect::CallWorker {
-            call,
-            address,
-            worker_id,
-            request: WorkerRequest::Renew {
-                lease_until_ms,
-                token,
-                acknowledged,
-                wait_ms,
-            },
-            timeout_ms: wait_ms + REPLY_TIMEOUT_MS,
-        });
+        let request = WorkerRequest::Renew {
+            lease_until_ms,
+            token,
+            acknowledged,
+            wait_ms,
+        };
+        self.call_worker(number, call, request, wait_ms + REPLY_TIMEOUT_MS, io);
         Some(call)
     }
 
@@ -464,7 +458,6 @@
                 due.push(*key);
             }
         }
-        let (address, worker_id) = (view.record.address.clone(), view.record.id.clone());
         for run in due {
             let call = self.take_call();
             let stop = Call::Stop {
@@ -472,13 +465,8 @@
                 run,
             };
             self.calls.insert(call, stop);
-            io.effect(Effect::CallWorker {
-                call,
-                address: address.clone(),
-                worker_id: worker_id.clone(),
-                request: WorkerRequest::Stop { run, token },
-                timeout_ms: REPLY_TIMEOUT_MS,
-            });
+            let request = WorkerRequest::Stop { run, token };
+            self.call_worker(number, call, request, REPLY_TIMEOUT_MS, io);
         }
     }
 }
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::JobSpec;
+use crate::{JobSpec, WorkerReply, WorkerRequest};
 
 /// What a caller asks an entry VM.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -107,6 +107,8 @@
         incarnation: u64,
         /// Whether the sender takes requests of callers.
         entry: bool,
+        /// Failure domain of the sender.
+        failure_domain: String,
     },
     /// What a control VM believes; sent at intervals on each connection that it accepted.
     Status {
@@ -140,6 +142,26 @@
         /// Question.
         question: AdviceQuestion,
     },
+    /// The leader asks another control VM to call a worker.
+    Relay {
+        /// Number that the leader gave the call.
+        call: u64,
+        /// Address of the worker.
+        address: String,
+        /// Id of the life that is meant.
+        worker_id: String,
+        /// Request.
+        request: WorkerRequest,
+        /// Longest wait for the reply.
+        timeout_ms: u64,
+    },
+    /// Reply to `Relay`.
+    Relayed {
+        /// Number of the call.
+        call: u64,
+        /// Reply of the worker.
+        reply: WorkerReply,
+    },
     /// Reply to `Ask`.
     Asked {
         /// Number of the question.
--- a/crates/cell/tests/cell/faults.rs
+++ b/crates/cell/tests/cell/faults.rs
@@ -304,3 +304,32 @@
         );
     }
 }
+
+/// Guards against calls to workers that are lost for ever with the control VM that made them for
+/// the leader.
+#[test]
+fn relay_killed_under_load() {
+    for seed in 0..2 {
+        let mut sim = Sim::new(seed, 3, 130);
+        sim.form(vec![queue("batch", 2, true)]);
+        sim.run(2_000);
+        let leader = sim.leader().expect("leader");
+        let relay = control(leader.0 % 3 + 1);
+        let mut sent = submit_many(&mut sim, 0..60, 20);
+        let relayed = sim.orders_by(relay);
+        sim.kill(relay);
+        sent.extend(submit_many(&mut sim, 60..120, 20));
+        sim.start(relay, false);
+        sim.run(20_000);
+
+        let ids = accepted(&sim, &sent);
+
+        assert!(relayed > 20, "{relayed} orders relayed");
+        assert_eq!(ids.len(), 120);
+        assert_eq!(
+            sim.unfinished(ids.into_iter()),
+            Vec::<u64>::new(),
+            "seed {seed}"
+        );
+    }
+}
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -36,13 +36,16 @@
     life: u64,
 }
 
+/// Number of a call and the VM that the reply is for.
+type CallFor = (u64, VmId);
+
 /// An order on its way to a worker.
 struct Order {
     from: VmId,
     /// Process that waits for the reply.
     life: u64,
     /// Call to reply to; `None` if the reply gets lost.
-    call: Option<u64>,
+    call: Option<CallFor>,
     worker_id: String,
     request: WorkerRequest,
 }
@@ -53,7 +56,7 @@
     vms: BTreeMap<VmId, Vm>,
     events: BTreeMap<(u64, u64), (VmId, u64, Event)>,
     orders: BTreeMap<(u64, u64), Order>,
-    holds: Vec<(VmId, u64, u64, String, u64)>,
+    holds: Vec<(VmId, u64, CallFor, String, u64)>,
     next: u64,
     linked: BTreeSet<(VmId, VmId)>,
     pub cuts: BTreeSet<(VmId, VmId)>,
@@ -74,6 +77,7 @@
     seeds: Vec<VmId>,
     next_heartbeat_ms: BTreeMap<String, u64>,
     pub starts: u64,
+    orders_by: BTreeMap<VmId, u64>,
     /// Tasks of which a run has ended as done.
     done: BTreeSet<TaskKey>,
     /// Prints the log lines of the VMs.
@@ -154,6 +158,7 @@
             seeds: (1..=3.min(controls)).map(control).collect(),
             next_heartbeat_ms: BTreeMap::new(),
             starts: 0,
+            orders_by: BTreeMap::new(),
             done: BTreeSet::new(),
             verbose: std::env::var_os("CELL_SIM_LOG").is_some(),
         };
@@ -212,7 +217,7 @@
         slot.dials.clear();
         if vm.0 > 100 {
             slot.incarnation += 1;
-            let entry = Entry::new(vm, Incarnation(slot.incarnation), seeds);
+            let entry = Entry::new(seeds);
             slot.reducer = Some(Reducer::Entry(Box::new(entry)));
             return;
         }
@@ -278,6 +283,11 @@
         leaders.max_by_key(|vm| reachable(vm))
     }
 
+    /// Returns how many orders to workers a VM has sent.
+    pub fn orders_by(&self, vm: VmId) -> u64 {
+        self.orders_by.get(&vm).copied().unwrap_or(0)
+    }
+
     pub fn entry_is_ready(&self, vm: VmId) -> bool {
         let reducer = self.vms.get(&vm).and_then(|slot| slot.reducer.as_ref());
         matches!(reducer, Some(Reducer::Entry(entry)) if entry.is_ready())
@@ -336,11 +346,12 @@
             }
             Effect::CallWorker {
                 call,
+                for_vm,
                 worker_id,
                 request,
                 timeout_ms,
                 ..
-            } => self.send_order(vm, call, worker_id, request, timeout_ms),
+            } => self.send_order(vm, (call, for_vm), worker_id, request, timeout_ms),
             Effect::Advise {
                 call,
                 for_vm,
@@ -408,6 +419,7 @@
                 vm: a.0,
                 incarnation: self.vms[&a].incarnation,
                 entry: a.0 > 100,
+                failure_domain: "a".to_owned(),
             };
             self.post(LINK_MS, b, Event::Peer { from: a, message });
         }
@@ -418,17 +430,18 @@
     fn send_order(
         &mut self,
         vm: VmId,
-        call: u64,
+        call: CallFor,
         worker_id: String,
         request: WorkerRequest,
         timeout_ms: u64,
     ) {
+        *self.orders_by.entry(vm).or_default() += 1;
         let reachable = !self.cut_workers.contains(&worker_id)
             && self.workers.get(&worker_id).is_some_and(|w| w.alive);
         let lost = self.random(100) < self.lost_replies_percent;
         if !reachable || lost {
             let reply = WorkerReply::NoReply;
-            self.post(timeout_ms, vm, Event::WorkerReplied { call, reply });
+            self.post(timeout_ms, vm, replied(call, reply));
         }
         if reachable {
             let late_ms = if lost {
@@ -496,7 +509,7 @@
                 .push((vm, life, call, worker_id.clone(), until_ms));
             return;
         }
-        self.post(LINK_MS, vm, Event::WorkerReplied { call, reply });
+        self.post(LINK_MS, vm, replied(call, reply));
     }
 
     /// Checks what must hold whenever a worker starts a run.
@@ -567,7 +580,7 @@
             if !alive || !worker.alive {
                 if alive {
                     let reply = WorkerReply::NoReply;
-                    self.post(800, vm, Event::WorkerReplied { call, reply });
+                    self.post(800, vm, replied(call, reply));
                 }
             } else if worker.has_ends() || now_ms >= until_ms {
                 let reply = if self.cut_workers.contains(&worker_id) {
@@ -575,7 +588,7 @@
                 } else {
                     WorkerReply::Renewed(worker.report(now_ms))
                 };
-                self.post(LINK_MS, vm, Event::WorkerReplied { call, reply });
+                self.post(LINK_MS, vm, replied(call, reply));
             } else {
                 self.holds.push((vm, life, call, worker_id, until_ms));
             }
@@ -717,6 +730,14 @@
     }
 }
 
+fn replied((call, for_vm): CallFor, reply: WorkerReply) -> Event {
+    Event::WorkerReplied {
+        call,
+        for_vm,
+        reply,
+    }
+}
+
 /// Decides by name which workers the policy allows: about three in five, and of the first four at
 /// least one.
 pub fn may_run(step: &str, worker_id: &str) -> bool {
