Let gangs keep to workers with tickets, and stop runs of ended jobs once

An end of a job was told once for each later change. Callers at a VM that is cut off came back to it. Change: gangs prefer workers whose tickets are valid, and renew half as many more; ends are told once, and a new leader stops what ended jobs still run (test seen to fail without); Retry-After is 2 s where no control VM is heard.

--- a/crates/cell/src/entry.rs
+++ b/crates/cell/src/entry.rs
@@ -17,6 +17,9 @@
 const RESEND_MS: u64 = 1_000;
 /// When a refused caller should come back, where nothing better is known.
 const RETRY_AFTER_MS: u64 = 1_000;
+/// When a caller should come back to a cell whose entry VM is cut off: the platform takes a VM out of
+/// rotation after two missed looks, one a second.
+const CUT_OFF_RETRY_AFTER_MS: u64 = 2_000;
 /// How long a stopping VM waits for requests that still come in. The platform stops sending after
 /// two missed looks at readiness, one a second.
 const STOP_SERVE_MS: u64 = 3_000;
@@ -321,6 +324,20 @@
         }
     }
 
+    /// Returns when a caller should come back that found no leader: after an election, or, where no
+    /// control VM is heard at all, once the platform has sent it to other VMs.
+    fn retry_after_ms(&self, now_ms: Millis) -> u64 {
+        let hears_some = self
+            .standings
+            .values()
+            .any(|standing| now_ms.saturating_sub(standing.heard_ms).0 < LEADER_SILENT_MS);
+        if hears_some {
+            RETRY_AFTER_MS
+        } else {
+            CUT_OFF_RETRY_AFTER_MS
+        }
+    }
+
     /// Answers requests whose callers would give up, and refuses those that no leader can get.
     fn give_up(&mut self, now_ms: Millis, out: &mut Vec<Effect>) {
         let mut over = Vec::new();
@@ -338,7 +355,10 @@
             let reply = if pending.ever_sent {
                 CallerReply::Uncertain
             } else {
-                refused(Refusal::NoLeader)
+                CallerReply::Refused {
+                    reason: Refusal::NoLeader,
+                    retry_after_ms: self.retry_after_ms(now_ms),
+                }
             };
             out.push(Effect::Log {
                 level: LogLevel::Warn,
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -100,6 +100,8 @@
     cancels: SortedVec<JobId, Vec<Origin>>,
     announcements: Vec<(String, Origin)>,
     tables: Vec<(u64, Origin)>,
+    /// Jobs that have not ended, so that each end is told once; sorted.
+    active: Vec<JobId>,
     /// Jobs whose occurrences become due later.
     scheduled: Vec<JobId>,
     /// Mean run time of the tasks of each queue.
@@ -135,6 +137,7 @@
             cancels: SortedVec::new(),
             announcements: Vec::new(),
             tables: Vec::new(),
+            active: Vec::new(),
             scheduled: Vec::new(),
             run_times_ms: SortedVec::new(),
             kept_for_gangs: Vec::new(),
@@ -182,7 +185,9 @@
                     task: key,
                     run: task.run,
                 };
-                view.add_run(run, RunView::new(demand, phase, None, now_ms));
+                let mut inherited = RunView::new(demand, phase, None, now_ms);
+                inherited.stopping = matches!(job.state, JobState::Failed | JobState::Cancelled);
+                view.add_run(run, inherited);
             }
         }
     }
@@ -610,8 +615,16 @@
         let Some(job) = state.job(id) else {
             return;
         };
+        let known = self.active.binary_search(&id);
         if job.state != JobState::Active {
-            return self.end_job(job, io);
+            if let Ok(at) = known {
+                self.active.remove(at);
+                self.end_job(job, io);
+            }
+            return;
+        }
+        if let Err(at) = known {
+            self.active.insert(at, id);
         }
         for (occurrence, steps) in (0u32..).zip(&job.occurrences) {
             let due = job.due_unix_ms(occurrence) <= io.unix_ms;
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -14,12 +14,17 @@
     placement::{Candidate, place_gang, place_separately},
 };
 
-/// Workers that one call for advice names. The platform takes 100; a call takes longer for each,
-/// and a third of these are enough for the largest gangs.
-const MAX_ASKED: usize = 48;
+/// Workers that one call for advice names. A call takes longer for each.
+const ASKED: usize = 48;
+/// Most workers that one call names (bound of the platform).
+const MAX_ASKED: usize = 100;
+/// Workers that are asked about for each task of a gang: a third is allowed, and of these few have
+/// room for a task.
+const ASKED_FOR_GANG_TASK: usize = 5;
 /// Pause before a step asks about further workers; room is more likely to come on known ones.
 const WIDEN_PAUSE_MS: u64 = 1_500;
-/// Workers named beyond those chosen when tickets are renewed, in case one fills up meanwhile.
+/// Workers named beyond those chosen, and half as many again, when tickets are renewed, in case
+/// some fill up meanwhile.
 const SPARE_ASKED: usize = 2;
 /// Silence after which a worker gets nothing new: two announcements and the time of a call.
 const SILENT_MS: u64 = 4_000;
@@ -245,7 +250,7 @@
         let mut asked = if spec.gang { chosen } else { missing };
         asked.sort_unstable();
         asked.dedup();
-        let wanted = asked.len() + SPARE_ASKED;
+        let wanted = (asked.len() + SPARE_ASKED + asked.len() / 2).min(MAX_ASKED);
         for candidate in &candidates {
             if asked.len() < wanted && candidate.slots(&demand) > 0 {
                 asked.push(candidate.worker);
@@ -269,6 +274,8 @@
     ) -> Vec<Candidate> {
         let tasks = job.step(key).into_iter().flat_map(|step| &step.tasks);
         let failed_on: Vec<WorkerNumber> = tasks.filter_map(|task| task.failed_on).collect();
+        let advice = self.advice.get(&key);
+        // A gang that chose other workers each time its tickets arrive would never start.
         let candidate = |number: WorkerNumber, gap: &Gap| {
             let view = self.workers.get(&number)?;
             if !view.suits(spec, &job.queue) {
@@ -283,6 +290,8 @@
             }
             let rack = spec.preferred_rack.as_deref();
             let avoided = !spec.gang && self.avoided.binary_search(&number).is_ok();
+            let unticketed =
+                spec.gang && advice.is_some_and(|advice| advice.ticket(number, now_ms).is_none());
             Some(Candidate {
                 worker: number,
                 free: if urgency.patient && !spec.gang {
@@ -295,6 +304,7 @@
                 rack: view.rack,
                 risk: u32::from(failed_on.contains(&number))
                     + u32::from(avoided)
+                    + u32::from(unticketed)
                     + view.health.failing_permille / 300,
             })
         };
@@ -304,7 +314,7 @@
                 .filter_map(|(n, gap)| candidate(*n, gap))
                 .collect();
         }
-        let Some(advice) = self.advice.get(&key) else {
+        let Some(advice) = advice else {
             return Vec::new();
         };
         let allowed = advice.allowed.keys();
@@ -350,8 +360,13 @@
             })
             .collect();
         unasked.sort_unstable();
+        let most = if spec.gang {
+            (spec.tasks as usize * ASKED_FOR_GANG_TASK).clamp(ASKED, MAX_ASKED)
+        } else {
+            ASKED
+        };
         let unasked = unasked.into_iter().map(|(_, _, number)| number);
-        unasked.take(MAX_ASKED).collect()
+        unasked.take(most).collect()
     }
 
     /// Keeps room for a gang: what already fits on its workers, and the workers that lack least for
--- a/crates/cell/tests/cell/faults.rs
+++ b/crates/cell/tests/cell/faults.rs
@@ -333,3 +333,26 @@
         );
     }
 }
+
+/// Guards against runs of a cancelled job that go on because the leader that was to stop them
+/// ended before it reached their worker.
+#[test]
+fn new_leader_stops_the_runs_of_cancelled_jobs() {
+    let mut sim = Sim::new(1, 3, 2);
+    sim.form(vec![queue("batch", 2, false)]);
+    sim.submit("batch", 7, job(vec![step(4, 1_000, 60_000)]));
+    sim.run(500);
+    let running = |sim: &Sim| sim.workers.values().map(|w| w.running.len()).sum::<usize>();
+    assert_eq!(running(&sim), 4);
+
+    sim.cut_workers = sim.workers.keys().cloned().collect();
+    let path = format!("/batch/{}", acaciareel_cell::JobId(7));
+    sim.call(entry(1), path, acaciareel_cell::CallerRequest::Cancel);
+    sim.run(200);
+    let leader = sim.leader().expect("leader");
+    sim.kill(leader);
+    sim.cut_workers.clear();
+    sim.run(3_500);
+
+    assert_eq!(running(&sim), 0);
+}
