--- a/crates/cell/src/admission.rs
+++ b/crates/cell/src/admission.rs
@@ -21,21 +21,52 @@
 /// Longest time to come back; the backlog is known too roughly beyond.
 const MAX_RETRY_AFTER_MS: u64 = 10_000;
 
+/// A refusal with what decided it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refused {
+    /// Why.
+    pub reason: Refusal,
+    /// When to come back.
+    pub retry_after_ms: u64,
+    /// How long the work ahead takes.
+    pub wait_ms: u64,
+    /// Longest that the job may wait and still meet its objective.
+    pub wait_budget_ms: u64,
+}
+
+impl Refused {
+    /// Makes a refusal that does not depend on the load.
+    #[must_use]
+    pub fn regardless_of_load(reason: Refusal) -> Self {
+        Self {
+            reason,
+            retry_after_ms: MIN_RETRY_AFTER_MS,
+            wait_ms: 0,
+            wait_budget_ms: 0,
+        }
+    }
+}
+
 /// Decides whether a job is accepted.
 ///
 /// # Errors
 ///
 /// Returns the reason of the refusal and when to come back: once the measured backlog will have
 /// shrunk to what the job can wait for.
-pub fn admit(load: &Load) -> Result<(), (Refusal, u64)> {
+pub fn admit(load: &Load) -> Result<(), Refused> {
     if load.capacity_millicores == 0 {
-        return Err((Refusal::NotReady, MIN_RETRY_AFTER_MS));
+        return Err(Refused::regardless_of_load(Refusal::NotReady));
     }
     let wait_ms = load.ahead_millicore_ms / load.capacity_millicores;
-    if wait_ms <= load.wait_budget_ms {
+    let wait_budget_ms = load.wait_budget_ms;
+    if wait_ms <= wait_budget_ms {
         return Ok(());
     }
-    let excess_ms = wait_ms - load.wait_budget_ms;
-    let retry_after_ms = excess_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
-    Err((Refusal::Backlog, retry_after_ms))
+    let excess_ms = wait_ms - wait_budget_ms;
+    Err(Refused {
+        reason: Refusal::Backlog,
+        retry_after_ms: excess_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS),
+        wait_ms,
+        wait_budget_ms,
+    })
 }
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -9,7 +9,7 @@
     CallerReply, CallerRequest, CellState, Change, Command, ControlReply, ControlRequest, Effect,
     Job, JobId, JobState, JobView, Origin, PeerMessage, QueueRow, Refusal, RunKey, StepKey,
     TaskState, WorkerNumber, WorkerRecord,
-    admission::{Load, admit},
+    admission::{Load, Refused, admit},
     io::Io,
     message::Addressed,
 };
@@ -291,13 +291,21 @@
             waiting.push(origin);
             return;
         }
-        if let Err((reason, retry_after_ms)) = self.admission(state, &queue, &spec, io.now_ms) {
+        if let Err(refused) = self.admission(state, &queue, &spec, io.now_ms) {
+            let Refused {
+                reason,
+                retry_after_ms,
+                wait_ms,
+                wait_budget_ms,
+            } = refused;
             io.log(
                 "job_refused",
                 vec![
                     ("job", id.to_string()),
                     ("queue", queue.name),
                     ("reason", format!("{reason:?}")),
+                    ("wait_ms", wait_ms.to_string()),
+                    ("wait_budget_ms", wait_budget_ms.to_string()),
                     ("retry_after_ms", retry_after_ms.to_string()),
                     ("queues_version", state.queues().version.to_string()),
                 ],
@@ -325,7 +333,7 @@
         queue: &QueueRow,
         spec: &crate::JobSpec,
         now_ms: Millis,
-    ) -> Result<(), (Refusal, u64)> {
+    ) -> Result<(), Refused> {
         let mut capacity_millicores = 0;
         let mut fits = vec![false; spec.steps.len()];
         for view in self.workers.values() {
@@ -338,7 +346,7 @@
             }
         }
         if capacity_millicores > 0 && fits.contains(&false) {
-            return Err((Refusal::NoWorkerFits, RETRY_AFTER_MS));
+            return Err(Refused::regardless_of_load(Refusal::NoWorkerFits));
         }
         let chain_ms = self.chain_ms(queue, spec.steps.len());
         let slack_ms = chain_ms * queue.slack_permille.saturating_sub(1_000) / 1_000;
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -19,7 +19,7 @@
 mod state;
 
 pub use crate::{
-    admission::{Load, admit},
+    admission::{Load, Refused, admit},
     command::{Command, EndKind, RunEnd},
     control::{Control, ControlSettings},
     entry::Entry,
--- a/crates/cell/tests/cell/faults.rs
+++ b/crates/cell/tests/cell/faults.rs
@@ -356,3 +356,24 @@
 
     assert_eq!(running(&sim), 0);
 }
+
+/// Guards against callers that come back to an entry VM that is cut off before the platform has
+/// taken it out of rotation, and against `NotRun` answers that come late (loftbook inc-2a52).
+#[test]
+fn entry_vm_that_is_cut_off_sends_callers_away() {
+    let mut sim = Sim::new(1, 3, 2);
+    sim.form(vec![queue("batch", 2, false)]);
+    sim.isolate(entry(1));
+    sim.run(2_500);
+
+    let call = sim.submit("batch", 2, job(vec![step(1, 1_000, 500)]));
+    sim.run(600);
+
+    let refused = CallerReply::Refused {
+        reason: acaciareel_cell::Refusal::NoLeader,
+        retry_after_ms: 2_000,
+    };
+    assert_eq!(sim.replies.get(&call), Some(&refused));
+    assert!(!sim.entry_is_ready(entry(1)));
+    assert_eq!(sim.starts, 0);
+}
--- a/crates/cell/tests/cell/load.rs
+++ b/crates/cell/tests/cell/load.rs
@@ -145,3 +145,27 @@
     sim.run(30_000);
     assert_eq!(sim.unfinished(0..40), Vec::<u64>::new());
 }
+
+/// Guards against a gang that waits while small tasks with much time to spare fill every gap (vdm
+/// inc-7c2d: posture scans waited up to 40 s in a burst).
+#[test]
+fn gang_finds_room_among_patient_tasks() {
+    let mut sim = Sim::new(7, 3, 4);
+    let mut patient = queue("batch", 2, false);
+    patient.slack_permille = 20_000;
+    patient.target_ms = 20_000;
+    sim.form(vec![queue("gangs", 1, false), patient]);
+    for id in 0..20 {
+        sim.submit("batch", id, job(vec![step(16, 2_000, 2_500)]));
+        sim.run(20);
+    }
+    sim.run(1_000);
+
+    sim.submit("gangs", 100, job(vec![gang(4, 20_000, 500)]));
+    sim.run(6_500);
+
+    assert_eq!(sim.unfinished(100..101), Vec::<u64>::new());
+    assert!(sim.unfinished(0..20).len() > 5, "the batch was over anyway");
+    sim.run(30_000);
+    assert_eq!(sim.unfinished(0..20), Vec::<u64>::new());
+}
