--- a/crates/cell/src/control.rs
+++ b/crates/cell/src/control.rs
@@ -5,7 +5,7 @@
 use acaciareel_consensus::{
     GroupSettings, Input, MemberChange, MemberId, Output, Replica, Restored, Role,
 };
-use acaciareel_types::{Incarnation, LogIndex, Millis, SortedVec, VmId};
+use acaciareel_types::{LogIndex, Millis, SortedVec, VmId};
 
 use crate::{
     CellState, Command, ControlReply, ControlRequest, Effect, Event, Origin, PeerMessage,
@@ -608,12 +608,6 @@
             }
         }
     }
-
-    /// Returns the life of this VM's state.
-    #[must_use]
-    pub fn incarnation(&self) -> Incarnation {
-        self.me.incarnation
-    }
 }
 
 fn log(out: &mut Vec<Effect>, event: &'static str, fields: Vec<(&'static str, String)>) {
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -6,22 +6,23 @@
 use acaciareel_types::{Millis, SortedVec, VmId};
 
 use crate::{
-    CallerReply, CallerRequest, CellState, Change, Command, ControlReply, ControlRequest, Effect,
-    Job, JobId, JobState, JobView, Origin, PeerMessage, QueueRow, Refusal, RunKey, StepKey,
-    TaskState, WorkerNumber, WorkerRecord,
-    admission::{Load, Refused, admit},
-    io::Io,
-    message::Addressed,
+    CallerReply, CellState, Change, Command, ControlReply, Effect, Job, JobId, JobState, Origin,
+    PeerMessage, RunKey, StepKey, TaskState, WorkerNumber, WorkerRecord, io::Io,
 };
 
 mod advice;
+mod announcements;
+mod callers;
 mod orders;
 mod pass;
+mod questions;
 mod relay;
 mod renewal;
+mod run_times;
 mod worker;
 
 use advice::{AdviceCall, Callers, StepAdvice};
+use run_times::RunTimes;
 use worker::{Phase, RunView, WorkerView};
 
 /// Times that the deployment gives.
@@ -43,13 +44,6 @@
 const FORGET_INTERVAL_MS: u64 = 5_000;
 /// Added to the time for which the state of an ended job is kept, for clocks that differ.
 const FORGET_MARGIN_MS: u64 = 60_000;
-/// Weight of the latest run in the mean run time of a queue, in thousandths.
-const RUN_TIME_WEIGHT_PERMILLE: u64 = 50;
-/// Time after which a refused job may be accepted, where nothing better is known.
-const RETRY_AFTER_MS: u64 = 1_000;
-/// Share of a service's capacity that waiting work can use, in thousandths; the rest is lost to
-/// gaps that no waiting task fits and to the advice that rules workers out.
-const USABLE_CAPACITY_PERMILLE: u64 = 850;
 
 /// A call to a worker under way.
 #[derive(Clone, Debug)]
@@ -104,8 +98,7 @@
     active: Vec<JobId>,
     /// Jobs whose occurrences become due later.
     scheduled: Vec<JobId>,
-    /// Mean run time of the tasks of each queue.
-    run_times_ms: SortedVec<String, u64>,
+    run_times: RunTimes,
     /// Workers kept free for gangs in this pass, sorted.
     kept_for_gangs: Vec<WorkerNumber>,
     /// Workers kept free for gangs in the pass before, sorted.
@@ -139,7 +132,7 @@
             tables: Vec::new(),
             active: Vec::new(),
             scheduled: Vec::new(),
-            run_times_ms: SortedVec::new(),
+            run_times: RunTimes::default(),
             kept_for_gangs: Vec::new(),
             avoided: Vec::new(),
             tick_count: 0,
@@ -227,269 +220,6 @@
         io.log("leader_ended", vec![("term", self.term.to_string())]);
     }
 
-    // ---- callers ----
-
-    pub fn caller_request(
-        &mut self,
-        state: &CellState,
-        origin: Origin,
-        request: Addressed,
-        io: &mut Io<'_>,
-    ) {
-        if !io.leads {
-            return not_leading(origin, io);
-        }
-        if state.queues().version == 0 {
-            let reply = CallerReply::Refused {
-                reason: Refusal::NotReady,
-                retry_after_ms: RETRY_AFTER_MS,
-            };
-            return io.reply_caller(origin, reply);
-        }
-        let Some((queue, rest)) = state.queues().find(&request.host, &request.path) else {
-            return io.reply_caller(origin, CallerReply::UnknownQueue);
-        };
-        let id = rest.parse::<JobId>();
-        match (request.request, id) {
-            (CallerRequest::Submit(spec), Ok(id)) => {
-                let queue = queue.clone();
-                self.submit(state, origin, id, queue, spec, io);
-            }
-            (CallerRequest::Submit(_), Err(_)) => io.reply_caller(origin, CallerReply::Invalid),
-            (CallerRequest::Look, _) if rest.is_empty() => {
-                let pending = count_pending(state, &queue.name);
-                io.reply_caller(origin, CallerReply::Pending(pending));
-            }
-            (CallerRequest::Look, Ok(id)) => {
-                let reply = match state.job(id) {
-                    Some(job) => CallerReply::Job(view_of(job)),
-                    None if self.submits.contains_key(&id) => CallerReply::Job(JobView::Queued),
-                    None => CallerReply::UnknownJob,
-                };
-                io.reply_caller(origin, reply);
-            }
-            (CallerRequest::Cancel, Ok(id)) => self.cancel(state, origin, id, io),
-            (CallerRequest::Look | CallerRequest::Cancel, Err(_)) => {
-                io.reply_caller(origin, CallerReply::UnknownJob);
-            }
-        }
-    }
-
-    fn submit(
-        &mut self,
-        state: &CellState,
-        origin: Origin,
-        id: JobId,
-        queue: QueueRow,
-        spec: crate::JobSpec,
-        io: &mut Io<'_>,
-    ) {
-        if state.job(id).is_some() {
-            return io.reply_caller(origin, CallerReply::Accepted);
-        }
-        if let Some(waiting) = self.submits.get_mut(&id) {
-            waiting.push(origin);
-            return;
-        }
-        if let Err(refused) = self.admission(state, &queue, &spec, io.now_ms) {
-            let Refused {
-                reason,
-                retry_after_ms,
-                wait_ms,
-                wait_budget_ms,
-            } = refused;
-            io.log(
-                "job_refused",
-                vec![
-                    ("job", id.to_string()),
-                    ("queue", queue.name),
-                    ("reason", format!("{reason:?}")),
-                    ("wait_ms", wait_ms.to_string()),
-                    ("wait_budget_ms", wait_budget_ms.to_string()),
-                    ("retry_after_ms", retry_after_ms.to_string()),
-                    ("queues_version", state.queues().version.to_string()),
-                ],
-            );
-            let reply = CallerReply::Refused {
-                reason,
-                retry_after_ms,
-            };
-            return io.reply_caller(origin, reply);
-        }
-        self.submits.insert(id, vec![origin]);
-        self.ask_early(id, &queue, &spec, io);
-        let at_unix_ms = io.unix_ms;
-        io.commands.push(Command::Accept {
-            id,
-            queue,
-            spec,
-            at_unix_ms,
-        });
-    }
-
-    fn admission(
-        &self,
-        state: &CellState,
-        queue: &QueueRow,
-        spec: &crate::JobSpec,
-        now_ms: Millis,
-    ) -> Result<(), Refused> {
-        let mut capacity_millicores = 0;
-        let mut fits = vec![false; spec.steps.len()];
-        for view in self.workers.values() {
-            if view.record.service != queue.service || !view.may_serve(now_ms) {
-                continue;
-            }
-            capacity_millicores += u64::from(view.record.capacity.cpu_millicores);
-            for (step, fits) in spec.steps.iter().zip(&mut fits) {
-                *fits |= step.demand.times_in(&view.record.capacity) > 0;
-            }
-        }
-        if capacity_millicores > 0 && fits.contains(&false) {
-            return Err(Refused::regardless_of_load(Refusal::NoWorkerFits));
-        }
-        let chain_ms = self.chain_ms(queue, spec.steps.len());
-        let slack_ms = chain_ms * queue.slack_permille.saturating_sub(1_000) / 1_000;
-        admit(&Load {
-            capacity_millicores: capacity_millicores * USABLE_CAPACITY_PERMILLE / 1_000,
-            ahead_millicore_ms: self.work_ahead(state, queue),
-            wait_budget_ms: slack_ms + queue.target_ms,
-        })
-    }
-
-    /// Returns the work that waits and goes before a new job of a queue.
-    fn work_ahead(&self, state: &CellState, queue: &QueueRow) -> u64 {
-        let steps = self.steps.iter().filter_map(|(key, step)| {
-            let job = state.job(key.job)?;
-            let spec = job.step_spec(*key)?;
-            let before = job.queue.priority <= queue.priority && job.queue.service == queue.service;
-            let run_ms = self.run_time_ms(&job.queue, spec.estimate_ms);
-            let tasks = step.waiting.len() as u64;
-            let millicores = u64::from(spec.demand.cpu_millicores);
-            before.then_some(tasks * millicores * run_ms)
-        });
-        steps.sum()
-    }
-
-    fn run_time_ms(&self, queue: &QueueRow, estimate_ms: u64) -> u64 {
-        let mean_ms = self.run_times_ms.get(&queue.name);
-        mean_ms.copied().unwrap_or(estimate_ms)
-    }
-
-    /// Returns the usual duration of a chain of steps.
-    fn chain_ms(&self, queue: &QueueRow, steps: usize) -> u64 {
-        let steps = u64::try_from(steps.max(1)).unwrap_or(1);
-        self.run_time_ms(queue, queue.target_ms) * steps
-    }
-
-    fn cancel(&mut self, state: &CellState, origin: Origin, id: JobId, io: &mut Io<'_>) {
-        match state.job(id) {
-            Some(job) if job.state != JobState::Active => {
-                io.reply_caller(origin, CallerReply::Cancelled);
-            }
-            None if !self.submits.contains_key(&id) => {
-                io.reply_caller(origin, CallerReply::UnknownJob);
-            }
-            _ => {
-                let waiting = self.cancels.get_or_insert_with(id, Vec::new);
-                waiting.push(origin);
-                if waiting.len() == 1 {
-                    let at_unix_ms = io.unix_ms;
-                    io.commands.push(Command::Cancel { id, at_unix_ms });
-                }
-            }
-        }
-    }
-
-    // ---- workers and operators ----
-
-    pub fn control_request(
-        &mut self,
-        state: &CellState,
-        origin: Origin,
-        request: ControlRequest,
-        io: &mut Io<'_>,
-    ) {
-        if !io.leads {
-            return io.reply_control(origin, ControlReply::Unavailable);
-        }
-        match request {
-            ControlRequest::Announce {
-                worker,
-                clock_ms,
-                sequence,
-            } => self.announce(state, origin, worker, clock_ms, sequence, io),
-            ControlRequest::Deregister { worker_id } => {
-                if let Some(number) = state.worker_by_id(&worker_id)
-                    && let Some(view) = self.workers.get_mut(&number)
-                {
-                    view.deregistered_ms.get_or_insert(io.now_ms);
-                    io.log("worker_deregistered", vec![("worker", worker_id)]);
-                }
-                io.reply_control(origin, ControlReply::Done);
-            }
-            ControlRequest::PutQueues(table) => {
-                if table.version <= state.queues().version {
-                    return io.reply_control(origin, ControlReply::Done);
-                }
-                self.tables.push((table.version, origin));
-                io.commands.push(Command::Queues(table));
-            }
-            ControlRequest::GetQueues => {
-                let reply = if state.queues().version == 0 {
-                    ControlReply::Unavailable
-                } else {
-                    ControlReply::Queues(state.queues().source.clone())
-                };
-                io.reply_control(origin, reply);
-            }
-        }
-    }
-
-    fn announce(
-        &mut self,
-        state: &CellState,
-        origin: Origin,
-        worker: WorkerRecord,
-        clock_ms: Option<u64>,
-        sequence: u64,
-        io: &mut Io<'_>,
-    ) {
-        if self.is_superseded(&worker) {
-            return io.reply_control(origin, ControlReply::Done);
-        }
-        let known = state.worker_by_id(&worker.id);
-        let view = known.and_then(|number| self.workers.get_mut(&number));
-        if let Some(view) = view
-            && view.record.born_ms == worker.born_ms
-        {
-            if sequence < view.sequence {
-                return io.reply_control(origin, ControlReply::Done);
-            }
-            view.sequence = sequence;
-            view.heard_ms = io.now_ms;
-            if let Some(clock_ms) = clock_ms {
-                view.read_clock(clock_ms, io.now_ms);
-            }
-            if view.record == worker {
-                return io.reply_control(origin, ControlReply::Done);
-            }
-        }
-        let id = worker.id.clone();
-        if !self.announcements.iter().any(|(other, _)| *other == id) {
-            io.commands.push(Command::Worker(worker));
-        }
-        self.announcements.push((id, origin));
-    }
-
-    /// Returns whether a later life is known of the worker, or of another worker at its address.
-    fn is_superseded(&self, worker: &WorkerRecord) -> bool {
-        self.workers.values().any(|view| {
-            let same = view.record.id == worker.id || view.record.address == worker.address;
-            same && view.record.born_ms > worker.born_ms
-        })
-    }
-
     // ---- committed changes ----
 
     pub fn changed(&mut self, state: &CellState, change: Change, io: &mut Io<'_>) {
@@ -774,21 +504,3 @@
         io.effect(Effect::Send { to: vm, message });
     }
 }
-
-fn count_pending(state: &CellState, queue: &str) -> u64 {
-    let pending = state
-        .jobs()
-        .values()
-        .filter(|job| job.state == JobState::Active && !job.started && job.queue.name == queue);
-    pending.count() as u64
-}
-
-fn view_of(job: &Job) -> JobView {
-    match job.state {
-        JobState::Active if job.started => JobView::Running,
-        JobState::Active => JobView::Queued,
-        JobState::Completed => JobView::Completed,
-        JobState::Failed => JobView::Failed,
-        JobState::Cancelled => JobView::Cancelled,
-    }
-}
--- /dev/null
+++ b/crates/cell/src/leader/announcements.rs
@@ -0,0 +1,93 @@
+//! Requests of workers and operators: announcements, ends of workers, queue tables.
+
+use super::Leader;
+use crate::{CellState, Command, ControlReply, ControlRequest, Origin, WorkerRecord, io::Io};
+
+impl Leader {
+    pub fn control_request(
+        &mut self,
+        state: &CellState,
+        origin: Origin,
+        request: ControlRequest,
+        io: &mut Io<'_>,
+    ) {
+        if !io.leads {
+            return io.reply_control(origin, ControlReply::Unavailable);
+        }
+        match request {
+            ControlRequest::Announce {
+                worker,
+                clock_ms,
+                sequence,
+            } => self.announce(state, origin, worker, clock_ms, sequence, io),
+            ControlRequest::Deregister { worker_id } => {
+                if let Some(number) = state.worker_by_id(&worker_id)
+                    && let Some(view) = self.workers.get_mut(&number)
+                {
+                    view.deregistered_ms.get_or_insert(io.now_ms);
+                    io.log("worker_deregistered", vec![("worker", worker_id)]);
+                }
+                io.reply_control(origin, ControlReply::Done);
+            }
+            ControlRequest::PutQueues(table) => {
+                if table.version <= state.queues().version {
+                    return io.reply_control(origin, ControlReply::Done);
+                }
+                self.tables.push((table.version, origin));
+                io.commands.push(Command::Queues(table));
+            }
+            ControlRequest::GetQueues => {
+                let reply = if state.queues().version == 0 {
+                    ControlReply::Unavailable
+                } else {
+                    ControlReply::Queues(state.queues().source.clone())
+                };
+                io.reply_control(origin, reply);
+            }
+        }
+    }
+
+    fn announce(
+        &mut self,
+        state: &CellState,
+        origin: Origin,
+        worker: WorkerRecord,
+        clock_ms: Option<u64>,
+        sequence: u64,
+        io: &mut Io<'_>,
+    ) {
+        if self.is_superseded(&worker) {
+            return io.reply_control(origin, ControlReply::Done);
+        }
+        let known = state.worker_by_id(&worker.id);
+        let view = known.and_then(|number| self.workers.get_mut(&number));
+        if let Some(view) = view
+            && view.record.born_ms == worker.born_ms
+        {
+            if sequence < view.sequence {
+                return io.reply_control(origin, ControlReply::Done);
+            }
+            view.sequence = sequence;
+            view.heard_ms = io.now_ms;
+            if let Some(clock_ms) = clock_ms {
+                view.read_clock(clock_ms, io.now_ms);
+            }
+            if view.record == worker {
+                return io.reply_control(origin, ControlReply::Done);
+            }
+        }
+        let id = worker.id.clone();
+        if !self.announcements.iter().any(|(other, _)| *other == id) {
+            io.commands.push(Command::Worker(worker));
+        }
+        self.announcements.push((id, origin));
+    }
+
+    /// Returns whether a later life is known of the worker, or of another worker at its address.
+    fn is_superseded(&self, worker: &WorkerRecord) -> bool {
+        self.workers.values().any(|view| {
+            let same = view.record.id == worker.id || view.record.address == worker.address;
+            same && view.record.born_ms > worker.born_ms
+        })
+    }
+}
--- /dev/null
+++ b/crates/cell/src/leader/callers.rs
@@ -0,0 +1,199 @@
+//! Requests of callers: submission with admission, looks and cancellations.
+
+use acaciareel_types::Millis;
+
+use super::{Leader, not_leading};
+use crate::{
+    CallerReply, CallerRequest, CellState, Command, Job, JobId, JobSpec, JobState, JobView, Origin,
+    QueueRow, Refusal,
+    admission::{Load, Refused, admit},
+    io::Io,
+    message::Addressed,
+};
+
+/// Time after which a refused job may be accepted, where nothing better is known.
+const RETRY_AFTER_MS: u64 = 1_000;
+/// Share of a service's capacity that waiting work can use, in thousandths; the rest is lost to
+/// gaps that no waiting task fits and to the advice that rules workers out.
+const USABLE_CAPACITY_PERMILLE: u64 = 850;
+
+impl Leader {
+    pub fn caller_request(
+        &mut self,
+        state: &CellState,
+        origin: Origin,
+        request: Addressed,
+        io: &mut Io<'_>,
+    ) {
+        if !io.leads {
+            return not_leading(origin, io);
+        }
+        if state.queues().version == 0 {
+            let reply = CallerReply::Refused {
+                reason: Refusal::NotReady,
+                retry_after_ms: RETRY_AFTER_MS,
+            };
+            return io.reply_caller(origin, reply);
+        }
+        let Some((queue, rest)) = state.queues().find(&request.host, &request.path) else {
+            return io.reply_caller(origin, CallerReply::UnknownQueue);
+        };
+        let id = rest.parse::<JobId>();
+        match (request.request, id) {
+            (CallerRequest::Submit(spec), Ok(id)) => {
+                let queue = queue.clone();
+                self.submit(state, origin, id, queue, spec, io);
+            }
+            (CallerRequest::Submit(_), Err(_)) => io.reply_caller(origin, CallerReply::Invalid),
+            (CallerRequest::Look, _) if rest.is_empty() => {
+                let pending = count_pending(state, &queue.name);
+                io.reply_caller(origin, CallerReply::Pending(pending));
+            }
+            (CallerRequest::Look, Ok(id)) => {
+                let reply = match state.job(id) {
+                    Some(job) => CallerReply::Job(view_of(job)),
+                    None if self.submits.contains_key(&id) => CallerReply::Job(JobView::Queued),
+                    None => CallerReply::UnknownJob,
+                };
+                io.reply_caller(origin, reply);
+            }
+            (CallerRequest::Cancel, Ok(id)) => self.cancel(state, origin, id, io),
+            (CallerRequest::Look | CallerRequest::Cancel, Err(_)) => {
+                io.reply_caller(origin, CallerReply::UnknownJob);
+            }
+        }
+    }
+
+    fn submit(
+        &mut self,
+        state: &CellState,
+        origin: Origin,
+        id: JobId,
+        queue: QueueRow,
+        spec: JobSpec,
+        io: &mut Io<'_>,
+    ) {
+        if state.job(id).is_some() {
+            return io.reply_caller(origin, CallerReply::Accepted);
+        }
+        if let Some(waiting) = self.submits.get_mut(&id) {
+            waiting.push(origin);
+            return;
+        }
+        if let Err(refused) = self.admission(state, &queue, &spec, io.now_ms) {
+            let Refused {
+                reason,
+                retry_after_ms,
+                wait_ms,
+                wait_budget_ms,
+            } = refused;
+            io.log(
+                "job_refused",
+                vec![
+                    ("job", id.to_string()),
+                    ("queue", queue.name),
+                    ("reason", format!("{reason:?}")),
+                    ("wait_ms", wait_ms.to_string()),
+                    ("wait_budget_ms", wait_budget_ms.to_string()),
+                    ("retry_after_ms", retry_after_ms.to_string()),
+                    ("queues_version", state.queues().version.to_string()),
+                ],
+            );
+            let reply = CallerReply::Refused {
+                reason,
+                retry_after_ms,
+            };
+            return io.reply_caller(origin, reply);
+        }
+        self.submits.insert(id, vec![origin]);
+        self.ask_early(id, &queue, &spec, io);
+        let at_unix_ms = io.unix_ms;
+        io.commands.push(Command::Accept {
+            id,
+            queue,
+            spec,
+            at_unix_ms,
+        });
+    }
+
+    fn admission(
+        &self,
+        state: &CellState,
+        queue: &QueueRow,
+        spec: &JobSpec,
+        now_ms: Millis,
+    ) -> Result<(), Refused> {
+        let mut capacity_millicores = 0;
+        let mut fits = vec![false; spec.steps.len()];
+        for view in self.workers.values() {
+            if view.record.service != queue.service || !view.may_serve(now_ms) {
+                continue;
+            }
+            capacity_millicores += u64::from(view.record.capacity.cpu_millicores);
+            for (step, fits) in spec.steps.iter().zip(&mut fits) {
+                *fits |= step.demand.times_in(&view.record.capacity) > 0;
+            }
+        }
+        if capacity_millicores > 0 && fits.contains(&false) {
+            return Err(Refused::regardless_of_load(Refusal::NoWorkerFits));
+        }
+        let chain_ms = self.run_times.chain_ms(queue, spec.steps.len());
+        let slack_ms = chain_ms * queue.slack_permille.saturating_sub(1_000) / 1_000;
+        admit(&Load {
+            capacity_millicores: capacity_millicores * USABLE_CAPACITY_PERMILLE / 1_000,
+            ahead_millicore_ms: self.work_ahead(state, queue),
+            wait_budget_ms: slack_ms + queue.target_ms,
+        })
+    }
+
+    /// Returns the work that waits and goes before a new job of a queue.
+    fn work_ahead(&self, state: &CellState, queue: &QueueRow) -> u64 {
+        let steps = self.steps.iter().filter_map(|(key, step)| {
+            let job = state.job(key.job)?;
+            let spec = job.step_spec(*key)?;
+            let before = job.queue.priority <= queue.priority && job.queue.service == queue.service;
+            let run_ms = self.run_times.task_ms(&job.queue, spec.estimate_ms);
+            let tasks = step.waiting.len() as u64;
+            let millicores = u64::from(spec.demand.cpu_millicores);
+            before.then_some(tasks * millicores * run_ms)
+        });
+        steps.sum()
+    }
+
+    fn cancel(&mut self, state: &CellState, origin: Origin, id: JobId, io: &mut Io<'_>) {
+        match state.job(id) {
+            Some(job) if job.state != JobState::Active => {
+                io.reply_caller(origin, CallerReply::Cancelled);
+            }
+            None if !self.submits.contains_key(&id) => {
+                io.reply_caller(origin, CallerReply::UnknownJob);
+            }
+            _ => {
+                let waiting = self.cancels.get_or_insert_with(id, Vec::new);
+                waiting.push(origin);
+                if waiting.len() == 1 {
+                    let at_unix_ms = io.unix_ms;
+                    io.commands.push(Command::Cancel { id, at_unix_ms });
+                }
+            }
+        }
+    }
+}
+
+fn count_pending(state: &CellState, queue: &str) -> u64 {
+    let pending = state
+        .jobs()
+        .values()
+        .filter(|job| job.state == JobState::Active && !job.started && job.queue.name == queue);
+    pending.count() as u64
+}
+
+fn view_of(job: &Job) -> JobView {
+    match job.state {
+        JobState::Active if job.started => JobView::Running,
+        JobState::Active => JobView::Queued,
+        JobState::Completed => JobView::Completed,
+        JobState::Failed => JobView::Failed,
+        JobState::Cancelled => JobView::Cancelled,
+    }
+}
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -2,27 +2,13 @@
 
 use acaciareel_types::{Millis, SortedVec};
 
-use super::{
-    AdviceCall, Leader, Phase, RunView, StepAdvice,
-    advice::{ANSWER_GRACE_MS, RETRY_MS, Ticket},
-    worker::WorkerView,
-};
+use super::{Leader, Phase, RunView, questions::MAX_ASKED, worker::WorkerView};
 use crate::{
-    AdviceAnswer, AdviceQuestion, CellState, Command, Demand, Effect, Job, PeerMessage, QueueRow,
-    RunKey, StepKey, StepSpec, WorkerNumber,
+    CellState, Command, Demand, Job, QueueRow, RunKey, StepKey, StepSpec, WorkerNumber,
     io::Io,
     placement::{Candidate, place_gang, place_separately},
 };
 
-/// Workers that one call for advice names. A call takes longer for each.
-const ASKED: usize = 48;
-/// Most workers that one call names (bound of the platform).
-const MAX_ASKED: usize = 100;
-/// Workers that are asked about for each task of a gang: a third is allowed, and of these few have
-/// room for a task.
-const ASKED_FOR_GANG_TASK: usize = 5;
-/// Pause before a step asks about further workers; room is more likely to come on known ones.
-const WIDEN_PAUSE_MS: u64 = 1_500;
 /// Workers named beyond those chosen, and half as many again, when tickets are renewed, in case
 /// some fill up meanwhile.
 const SPARE_ASKED: usize = 2;
@@ -54,15 +40,15 @@
 
 /// Room on one worker while a pass goes through the steps.
 #[derive(Clone, Copy, Debug)]
-struct Gap {
+pub(super) struct Gap {
     /// What is free.
-    free: Demand,
+    pub free: Demand,
     /// What is free and not kept for a gang.
     open: Demand,
 }
 
 /// Room that is left while a pass goes through the steps.
-type Room = SortedVec<WorkerNumber, Gap>;
+pub(super) type Room = SortedVec<WorkerNumber, Gap>;
 
 impl WorkerView {
     /// Returns whether the worker can be expected to take new work soon.
@@ -82,7 +68,7 @@
     }
 
     /// Returns whether the worker can run tasks of a step, apart from room and advice.
-    fn suits(&self, spec: &StepSpec, queue: &QueueRow) -> bool {
+    pub(super) fn suits(&self, spec: &StepSpec, queue: &QueueRow) -> bool {
         let label = spec.required_label.as_deref();
         self.record.service == queue.service
             && label.is_none_or(|label| self.has_label(label))
@@ -94,14 +80,6 @@
     }
 }
 
-/// Returns a number that orders workers differently for each step (FNV-1a over both).
-fn scatter(key: StepKey, worker: WorkerNumber) -> u64 {
-    let bytes = [key.job.0, u64::from(key.step), u64::from(worker.0)];
-    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, part| {
-        (hash ^ part).wrapping_mul(0x0100_0000_01b3)
-    })
-}
-
 /// Order in which waiting steps are served: on-time work by priority and age, then late work, then
 /// work that is too late to be worth anything.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -145,7 +123,7 @@
     }
 
     /// Returns the room on all usable workers.
-    fn room(&self, now_ms: Millis) -> Room {
+    pub(super) fn room(&self, now_ms: Millis) -> Room {
         let usable = self
             .workers
             .iter()
@@ -158,12 +136,12 @@
     }
 
     fn urgency(&self, job: &Job, key: StepKey, io: &Io<'_>) -> Urgency {
-        let chain_ms = self.chain_ms(&job.queue, job.spec.steps.len());
+        let chain_ms = self.run_times.chain_ms(&job.queue, job.spec.steps.len());
         let objective_ms = chain_ms * job.queue.slack_permille / 1_000 + job.queue.target_ms;
         let due_ms = job.due_unix_ms(key.occurrence);
         let age_ms = io.unix_ms.saturating_sub(due_ms);
         let left = job.spec.steps.len().saturating_sub(key.step as usize);
-        let finish_ms = age_ms + self.chain_ms(&job.queue, left);
+        let finish_ms = age_ms + self.run_times.chain_ms(&job.queue, left);
         let standing = if finish_ms <= objective_ms {
             Standing::OnTime
         } else if age_ms <= objective_ms * WORTHLESS_FACTOR {
@@ -322,53 +300,6 @@
         allowed.filter_map(|(n, gap)| candidate(n, gap)).collect()
     }
 
-    /// Returns whether a step may ask about workers that it has not asked about.
-    fn may_ask(&self, key: StepKey, now_ms: Millis) -> bool {
-        self.advice.get(&key).is_none_or(|advice| {
-            let first = advice.asked.is_empty();
-            advice.call.is_none()
-                && now_ms >= advice.not_before_ms
-                && (first || now_ms >= advice.widen_ms)
-        })
-    }
-
-    /// Returns workers that a step has not asked about: those with room before the others, and
-    /// among them other ones for each step, so that steps do not all wait for the same workers.
-    fn unasked(
-        &mut self,
-        spec: &StepSpec,
-        key: StepKey,
-        queue: &QueueRow,
-        room: &Room,
-    ) -> Vec<WorkerNumber> {
-        let demand = counted_demand(spec);
-        let asked = self
-            .advice
-            .get(&key)
-            .map_or(&[][..], |advice| &advice.asked);
-        let mut unasked: Vec<(bool, u64, WorkerNumber)> = room
-            .iter()
-            .filter(|(number, _)| asked.binary_search(number).is_err())
-            .filter(|(number, _)| {
-                self.workers
-                    .get(number)
-                    .is_some_and(|view| view.suits(spec, queue))
-            })
-            .map(|(number, gap)| {
-                let full = demand.times_in(&gap.free) == 0;
-                (full, scatter(key, *number), *number)
-            })
-            .collect();
-        unasked.sort_unstable();
-        let most = if spec.gang {
-            (spec.tasks as usize * ASKED_FOR_GANG_TASK).clamp(ASKED, MAX_ASKED)
-        } else {
-            ASKED
-        };
-        let unasked = unasked.into_iter().map(|(_, _, number)| number);
-        unasked.take(most).collect()
-    }
-
     /// Keeps room for a gang: what already fits on its workers, and the workers that lack least for
     /// one more task.
     fn reserve(&mut self, demand: &Demand, tasks: u32, candidates: &[Candidate], room: &mut Room) {
@@ -468,177 +399,4 @@
             io.commands.push(Command::Place { runs, worker });
         }
     }
-
-    // ---- advice ----
-
-    /// Asks about the first steps of a job while its acceptance is being committed.
-    pub(super) fn ask_early(
-        &mut self,
-        id: crate::JobId,
-        queue: &QueueRow,
-        spec: &crate::JobSpec,
-        io: &mut Io<'_>,
-    ) {
-        let Some(cost) = queue.advice else {
-            return;
-        };
-        if spec.schedule.is_some() {
-            return;
-        }
-        let room = self.room(io.now_ms);
-        for (step, spec) in (0..).zip(&spec.steps) {
-            if !spec.after.is_empty() {
-                continue;
-            }
-            let key = StepKey {
-                job: id,
-                occurrence: 0,
-                step,
-            };
-            let workers = self.unasked(spec, key, queue, &room);
-            self.ask(key, queue, cost.valid_ms, workers, io);
-        }
-    }
-
-    /// Asks which of these workers may run a step, unless a question is under way.
-    fn ask(
-        &mut self,
-        key: StepKey,
-        queue: &QueueRow,
-        valid_ms: u64,
-        workers: Vec<WorkerNumber>,
-        io: &mut Io<'_>,
-    ) {
-        let Some(cost) = queue.advice else {
-            return;
-        };
-        let advice = self.advice.get_or_insert_with(key, StepAdvice::default);
-        if advice.call.is_some() || io.now_ms < advice.not_before_ms || workers.is_empty() {
-            return;
-        }
-        let Some((vm, expected_ms)) = self.callers.choose(&cost, workers.len(), io.now_ms) else {
-            return;
-        };
-        self.next_call += 1;
-        let call = self.next_call;
-        let advice = self.advice.get_or_insert_with(key, StepAdvice::default);
-        advice.call = Some(call);
-        let id_of = |worker: &WorkerNumber| self.workers.get(worker).map(|v| v.record.id.clone());
-        let question = AdviceQuestion {
-            step: key.to_string(),
-            worker_ids: workers.iter().filter_map(id_of).collect(),
-        };
-        let sent = AdviceCall {
-            step: key,
-            workers,
-            vm,
-            sent_ms: io.now_ms,
-            expected_ms,
-            valid_ms,
-        };
-        self.questions.insert(call, sent);
-        if vm == self.me {
-            return io.effect(Effect::Advise {
-                call,
-                for_vm: vm,
-                question,
-            });
-        }
-        let message = PeerMessage::Ask { call, question };
-        io.effect(Effect::Send { to: vm, message });
-    }
-
-    /// Handles the answer to a question.
-    pub fn advised(&mut self, call: u64, answer: AdviceAnswer, io: &mut Io<'_>) {
-        let Some(question) = self.questions.remove(&call) else {
-            return;
-        };
-        let calls_left = self.questions.values().any(|other| other.vm == question.vm);
-        self.callers.answered(&question, io.now_ms, calls_left);
-        let waited_ms = io.now_ms.saturating_sub(question.sent_ms).0;
-        io.effect(Effect::Measure {
-            name: "advice_ms",
-            label: String::new(),
-            value_ms: waited_ms,
-        });
-        self.pass_due = true;
-        let Some(advice) = self.advice.get_mut(&question.step) else {
-            return;
-        };
-        if advice.call == Some(call) {
-            advice.call = None;
-        }
-        advice.widen_ms = io.now_ms.saturating_add(Millis(WIDEN_PAUSE_MS));
-        let Some(rows) = answer else {
-            advice.not_before_ms = io.now_ms.saturating_add(Millis(RETRY_MS));
-            io.warn(
-                "advice_missing",
-                vec![
-                    ("step", question.step.to_string()),
-                    ("vm", question.vm.to_string()),
-                    ("waited_ms", waited_ms.to_string()),
-                ],
-            );
-            return;
-        };
-        let valid_until_ms = io.now_ms.saturating_add(Millis(question.valid_ms));
-        for worker in &question.workers {
-            if let Err(at) = advice.asked.binary_search(worker) {
-                advice.asked.insert(at, *worker);
-            }
-            let id = self.workers.get(worker).map(|view| &view.record.id);
-            let row = rows.iter().find(|(allowed, _)| Some(allowed) == id);
-            if let Some((_, text)) = row {
-                let ticket = Ticket {
-                    text: text.clone(),
-                    valid_until_ms,
-                };
-                advice.allowed.insert(*worker, ticket);
-            }
-        }
-    }
-
-    /// Gives up questions that were not answered in time.
-    pub(super) fn expire_questions(&mut self, io: &mut Io<'_>) {
-        let overdue: Vec<u64> = self
-            .questions
-            .iter()
-            .filter(|(_, question)| {
-                let give_up_ms = question.expected_ms.saturating_add(Millis(ANSWER_GRACE_MS));
-                give_up_ms < io.now_ms
-            })
-            .map(|(call, _)| *call)
-            .collect();
-        for call in overdue {
-            self.advised(call, None, io);
-        }
-    }
-
-    /// Notes a VM that can ask for advice.
-    pub fn caller_joined(&mut self, vm: acaciareel_types::VmId) {
-        self.callers.add(vm);
-    }
-
-    /// Forgets a VM that can no longer ask.
-    pub fn caller_left(&mut self, vm: acaciareel_types::VmId, io: &mut Io<'_>) {
-        self.callers.remove(vm);
-        let lost: Vec<u64> = self
-            .questions
-            .iter()
-            .filter(|(_, question)| question.vm == vm)
-            .map(|(call, _)| *call)
-            .collect();
-        for call in lost {
-            self.advised(call, None, io);
-        }
-    }
-
-    /// Adds a run time to the mean of its queue.
-    pub(super) fn note_run_time(&mut self, state_queue: &str, took_ms: u64) {
-        let weight = super::RUN_TIME_WEIGHT_PERMILLE;
-        let mean_ms = self
-            .run_times_ms
-            .get_or_insert_with(state_queue.to_owned(), || took_ms);
-        *mean_ms = (*mean_ms * (1_000 - weight) + took_ms * weight) / 1_000;
-    }
 }
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -30,8 +30,8 @@
 /// A run whose progress stands still this long is stopped and placed elsewhere. The slowest
 /// sound tasks of 85 s advance by one percent within it several times.
 const STALLED_MS: u64 = 4_000;
-/// Pause before a stop is sent again.
-const STOP_RETRY_MS: u64 = 500;
+/// Added to the longest time of a stop before it is sent again.
+const STOP_MARGIN_MS: u64 = 100;
 /// A worker that is silent this long, and has no runs, is forgotten.
 const FORGET_WORKER_MS: u64 = 60_000;
 
@@ -272,7 +272,7 @@
                 && let Some(took_ms) = *took_ms
                 && let Some(job) = state.job(end.run.task.step.job)
             {
-                self.note_run_time(&job.queue.name, took_ms);
+                self.run_times.note(&job.queue.name, took_ms);
             }
         }
         io.commands.push(Command::Ends {
@@ -439,7 +439,7 @@
 
     /// Sends the stops that are due on a worker.
     pub(super) fn stop_due(&mut self, number: WorkerNumber, io: &mut Io<'_>) {
-        let term = self.term;
+        let (term, retry_ms) = (self.term, self.bounds.stop_ms + STOP_MARGIN_MS);
         let Some(view) = self.workers.get_mut(&number) else {
             return;
         };
@@ -451,7 +451,7 @@
         for (key, run) in view.runs.iter_mut() {
             let again = run
                 .stop_ms
-                .is_none_or(|at_ms| io.now_ms.saturating_sub(at_ms).0 > STOP_RETRY_MS);
+                .is_none_or(|at_ms| io.now_ms.saturating_sub(at_ms).0 > retry_ms);
             let sent = !matches!(run.phase, Phase::Proposed | Phase::Committed);
             if run.stopping && sent && again {
                 run.stop_ms = Some(io.now_ms);
--- a/crates/cell/src/model.rs
+++ b/crates/cell/src/model.rs
@@ -212,12 +212,6 @@
             .max_by_key(|row| row.path_prefix.len())
             .map(|row| (row, &path[row.path_prefix.len()..]))
     }
-
-    /// Returns a queue by name.
-    #[must_use]
-    pub fn by_name(&self, name: &str) -> Option<&QueueRow> {
-        self.rows.iter().find(|row| row.name == name)
-    }
 }
 
 /// What a worker announces of itself.
--- a/crates/cell/tests/cell/faults.rs
+++ b/crates/cell/tests/cell/faults.rs
@@ -3,14 +3,7 @@
 
 use acaciareel_cell::{CallerReply, StepSpec};
 
-use crate::sim::{Sim, control, entry, job, queue, step};
-
-fn gang(tasks: u32, cpu_millicores: u32, estimate_ms: u64) -> StepSpec {
-    StepSpec {
-        gang: true,
-        ..step(tasks, cpu_millicores, estimate_ms)
-    }
-}
+use crate::sim::{Sim, control, entry, gang, job, queue, step};
 
 fn submit_many(sim: &mut Sim, ids: std::ops::Range<u64>, gap_ms: u64) -> Vec<(u64, u64)> {
     let mut sent = Vec::new();
--- a/crates/cell/tests/cell/load.rs
+++ b/crates/cell/tests/cell/load.rs
@@ -2,14 +2,7 @@
 
 use acaciareel_cell::{CallerReply, CallerRequest, JobId, JobView, StepSpec};
 
-use crate::sim::{Sim, entry, job, queue, step};
-
-fn gang(tasks: u32, cpu_millicores: u32, estimate_ms: u64) -> StepSpec {
-    StepSpec {
-        gang: true,
-        ..step(tasks, cpu_millicores, estimate_ms)
-    }
-}
+use crate::sim::{Sim, entry, gang, job, queue, step};
 
 /// Guards against work that is accepted and never completed, in the plain case of every kind.
 #[test]
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -105,6 +105,13 @@
     }
 }
 
+pub fn gang(tasks: u32, cpu_millicores: u32, estimate_ms: u64) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(tasks, cpu_millicores, estimate_ms)
+    }
+}
+
 pub fn job(steps: Vec<StepSpec>) -> JobSpec {
     JobSpec {
         payload: "payload".to_owned(),
