Start the occurrences of repeated jobs under a new leader too

Found by reading the change: jobs with a schedule were noted when their acceptance was committed, so a new leader forgot their later occurrences (repeated_job_goes_on_under_a_new_leader, seen to fail). They are now noted where a job becomes known as active, which every leader passes through. Also: a flag of sent starts that nothing read, a parameter that the queue gives already, and a second way to number calls are gone.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -172,7 +172,6 @@
                 let phase = Phase::Sent {
                     token: 0,
                     tries: u32::MAX,
-                    calling: false,
                 };
                 let run = RunKey {
                     task: key,
@@ -248,9 +247,6 @@
                             ("queues_version", state.queues().version.to_string()),
                         ],
                     );
-                    if job.spec.schedule.is_some() {
-                        self.scheduled.push(id);
-                    }
                 }
                 self.refresh_job(state, id, io);
             }
@@ -363,6 +359,9 @@
         }
         if let Err(at) = known {
             self.active.insert(at, id);
+            if job.spec.schedule.is_some() {
+                self.scheduled.push(id);
+            }
         }
         for (occurrence, steps) in (0u32..).zip(&job.occurrences) {
             let due = job.due_unix_ms(occurrence) <= io.unix_ms;
--- a/crates/cell/src/leader/orders.rs
+++ b/crates/cell/src/leader/orders.rs
@@ -131,11 +131,7 @@
             Phase::Sent { tries, .. } => tries + 1,
             _ => 1,
         };
-        run.phase = Phase::Sent {
-            token,
-            tries,
-            calling: true,
-        };
+        run.phase = Phase::Sent { token, tries };
         if tries == 1 {
             run.began_ms = io.now_ms;
             run.progress_ms = io.now_ms;
@@ -241,14 +237,9 @@
         let Some(run) = view.runs.get_mut(&key) else {
             return;
         };
-        let Phase::Sent { token, tries, .. } = run.phase else {
+        let Phase::Sent { token, tries } = run.phase else {
             return;
         };
-        run.phase = Phase::Sent {
-            token,
-            tries,
-            calling: false,
-        };
         match reply {
             WorkerReply::Started { clock_ms } => {
                 run.phase = Phase::Confirmed { at_call };
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -186,12 +186,9 @@
             Some(place_separately(&demand, tasks, candidates.clone()))
         };
         let placed = chosen.as_ref().map_or(0, Vec::len);
-        if let Some(cost) = queue.advice
-            && placed < free_tasks.len()
-            && self.may_ask(key, io.now_ms)
-        {
+        if queue.advice.is_some() && placed < free_tasks.len() && self.may_ask(key, io.now_ms) {
             let unasked = self.unasked(spec, key, queue, room);
-            self.ask(key, queue, cost.valid_ms, unasked, io);
+            self.ask(key, queue, unasked, io);
         }
         let Some(chosen) = chosen else {
             let on_time = urgency.standing == Standing::OnTime;
@@ -210,10 +207,10 @@
         if spec.gang {
             self.keep_for_gang(chosen.iter().copied());
         }
-        let Some(cost) = queue.advice else {
+        if queue.advice.is_none() {
             self.propose(job, key, &free_tasks, &chosen, io);
             return Some(());
-        };
+        }
         let advice = self.advice.get(&key)?;
         let valid = |worker: &WorkerNumber| advice.ticket(*worker, io.now_ms).is_some();
         let missing: Vec<WorkerNumber> = chosen.iter().filter(|w| !valid(w)).copied().collect();
@@ -236,7 +233,7 @@
                 asked.dedup();
             }
         }
-        self.ask(key, queue, cost.valid_ms, asked, io);
+        self.ask(key, queue, asked, io);
         Some(())
     }
 
--- a/crates/cell/src/leader/questions.rs
+++ b/crates/cell/src/leader/questions.rs
@@ -86,10 +86,7 @@
         spec: &JobSpec,
         io: &mut Io<'_>,
     ) {
-        let Some(cost) = queue.advice else {
-            return;
-        };
-        if spec.schedule.is_some() {
+        if queue.advice.is_none() || spec.schedule.is_some() {
             return;
         }
         let room = self.room(io.now_ms);
@@ -103,7 +100,7 @@
                 step,
             };
             let workers = self.unasked(spec, key, queue, &room);
-            self.ask(key, queue, cost.valid_ms, workers, io);
+            self.ask(key, queue, workers, io);
         }
     }
 
@@ -112,7 +109,6 @@
         &mut self,
         key: StepKey,
         queue: &QueueRow,
-        valid_ms: u64,
         workers: Vec<WorkerNumber>,
         io: &mut Io<'_>,
     ) {
@@ -126,8 +122,7 @@
         let Some((vm, expected_ms)) = self.callers.choose(&cost, workers.len(), io.now_ms) else {
             return;
         };
-        self.next_call += 1;
-        let call = self.next_call;
+        let call = self.take_call();
         let advice = self.advice.get_or_insert_with(key, StepAdvice::default);
         advice.call = Some(call);
         let id_of = |worker: &WorkerNumber| self.workers.get(worker).map(|v| v.record.id.clone());
@@ -141,7 +136,7 @@
             vm,
             sent_ms: io.now_ms,
             expected_ms,
-            valid_ms,
+            valid_ms: cost.valid_ms,
         };
         self.questions.insert(call, sent);
         if vm == self.me {
--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -29,8 +29,6 @@
         token: u64,
         /// Number of times it was sent.
         tries: u32,
-        /// Whether a call for it is under way.
-        calling: bool,
     },
     /// The worker has said that the run is there.
     Confirmed {
@@ -233,7 +231,6 @@
                 run.phase = Phase::Sent {
                     token: 0,
                     tries: u32::MAX,
-                    calling: false,
                 };
             }
         }
--- a/crates/cell/tests/cell/faults.rs
+++ b/crates/cell/tests/cell/faults.rs
@@ -370,3 +370,26 @@
     assert!(!sim.entry_is_ready(entry(1)));
     assert_eq!(sim.starts, 0);
 }
+
+/// Guards against occurrences of a repeated job that never start because the leader changed after
+/// the job was accepted.
+#[test]
+fn repeated_job_goes_on_under_a_new_leader() {
+    let mut sim = Sim::new(1, 3, 2);
+    sim.form(vec![queue("batch", 2, false)]);
+    let mut spec = job(vec![step(1, 1_000, 200)]);
+    spec.schedule = Some(acaciareel_cell::Schedule {
+        first_unix_ms: sim.unix_ms(),
+        interval_ms: 3_000,
+        occurrences: 3,
+    });
+    sim.submit("batch", 2, spec);
+    sim.run(1_000);
+    let leader = sim.leader().expect("leader");
+    sim.kill(leader);
+
+    sim.run(12_000);
+
+    assert_eq!(sim.unfinished(2..3), Vec::<u64>::new());
+    assert_eq!(sim.starts, 3);
+}
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -201,6 +201,11 @@
             .insert(id.to_owned(), self.now_ms + u64::from(number) * 7 % 300);
     }
 
+    /// Returns the time of day of the VMs.
+    pub fn unix_ms(&self) -> u64 {
+        UNIX_MS + self.now_ms
+    }
+
     pub fn random(&mut self, below: u64) -> u64 {
         self.random ^= self.random << 13;
         self.random ^= self.random >> 7;
@@ -309,7 +314,7 @@
 
     fn reduce(&mut self, vm: VmId, event: Event) {
         let now_ms = Millis(self.now_ms);
-        let unix_ms = UNIX_MS + self.now_ms;
+        let unix_ms = self.unix_ms();
         let Some(reducer) = self.vms.get_mut(&vm).and_then(|slot| slot.reducer.as_mut()) else {
             return;
         };
