Keep a step whose first question no VM could take

Ruled out: a lost end of the step before (all are logged and committed), a full pool (most room was free).

Change: the look returns early and the step stays.

--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -215,7 +215,10 @@
             self.propose(job, key, &free_tasks, &chosen, io);
             return Some(());
         }
-        let advice = self.advice.get(&key)?;
+        let Some(advice) = self.advice.get(&key) else {
+            // No VM could take the first question yet.
+            return Some(());
+        };
         let valid = |worker: &WorkerNumber| advice.ticket(*worker, io.now_ms).is_some();
         let missing: Vec<WorkerNumber> = chosen.iter().filter(|w| !valid(w)).copied().collect();
         if missing.is_empty() {
--- a/crates/cell/tests/cell/load.rs
+++ b/crates/cell/tests/cell/load.rs
@@ -139,6 +139,31 @@
     assert_eq!(sim.unfinished(0..40), Vec::<u64>::new());
 }
 
+/// Guards against a later step that is forgotten because no VM could take its first question (both
+/// grown deployments, scale-2).
+#[test]
+fn later_steps_wait_for_a_vm_that_can_ask() {
+    let mut sim = Sim::new(9, 3, 8);
+    sim.advice_ms = 400;
+    let mut row = queue("batch", 2, true);
+    row.advice = row.advice.map(|mut cost| {
+        cost.call_us = 400_000;
+        cost
+    });
+    sim.form(vec![row]);
+
+    for id in 0..20 {
+        let last = StepSpec {
+            after: vec![0],
+            ..step(1, 1_000, 200)
+        };
+        sim.submit("batch", id, job(vec![step(1, 1_000, 200), last]));
+    }
+    sim.run(40_000);
+
+    assert_eq!(sim.unfinished(0..20), Vec::<u64>::new());
+}
+
 /// Guards against answers that are thrown away because they come late: the policy service had a
 /// queue of a second at every VM after a change of leader, each call was given up before its turn
 /// and made again, and no answer was ever used (vdm-grown, workers-cut, seed 830320467314).
