Do not count late work as work ahead of a new job

Cause: admission summed all waiting steps of equal or higher priority. Steps that can no longer meet their objective go after those that can, so they delay a new job by nothing; in a long overload they were most of the sum, and a fifth of the gangs was refused although workers had room.

Change: only steps that are on time count. Test that fails without it: load::late_backlog_does_not_refuse_new_jobs.

--- a/crates/cell/src/leader/callers.rs
+++ b/crates/cell/src/leader/callers.rs
@@ -1,7 +1,5 @@
 //! Requests of callers: submission with admission, looks and cancellations.
 
-use acaciareel_types::Millis;
-
 use super::{Leader, not_leading};
 use crate::{
     CallerReply, CallerRequest, CellState, Command, Job, JobId, JobSpec, JobState, JobView, Origin,
@@ -80,7 +78,7 @@
             waiting.push(origin);
             return;
         }
-        if let Err(refused) = self.admission(state, &queue, &spec, io.now_ms) {
+        if let Err(refused) = self.admission(state, &queue, &spec, io) {
             let Refused {
                 reason,
                 retry_after_ms,
@@ -121,12 +119,12 @@
         state: &CellState,
         queue: &QueueRow,
         spec: &JobSpec,
-        now_ms: Millis,
+        io: &Io<'_>,
     ) -> Result<(), Refused> {
         let mut capacity_millicores = 0;
         let mut fits = vec![false; spec.steps.len()];
         for view in self.workers.values() {
-            if view.record.service != queue.service || !view.may_serve(now_ms) {
+            if view.record.service != queue.service || !view.may_serve(io.now_ms) {
                 continue;
             }
             capacity_millicores += u64::from(view.record.capacity.cpu_millicores);
@@ -141,17 +139,19 @@
         let slack_ms = chain_ms * queue.slack_permille.saturating_sub(1_000) / 1_000;
         admit(&Load {
             capacity_millicores: capacity_millicores * USABLE_CAPACITY_PERMILLE / 1_000,
-            ahead_millicore_ms: self.work_ahead(state, queue),
+            ahead_millicore_ms: self.work_ahead(state, queue, io),
             wait_budget_ms: slack_ms + queue.target_ms,
         })
     }
 
-    /// Returns the work that waits and goes before a new job of a queue.
-    fn work_ahead(&self, state: &CellState, queue: &QueueRow) -> u64 {
+    /// Returns the work that waits and goes before a new job of a queue. Late work does not.
+    fn work_ahead(&self, state: &CellState, queue: &QueueRow, io: &Io<'_>) -> u64 {
         let steps = self.steps.iter().filter_map(|(key, step)| {
             let job = state.job(key.job)?;
             let spec = job.step_spec(*key)?;
-            let before = job.queue.priority <= queue.priority && job.queue.service == queue.service;
+            let before = job.queue.priority <= queue.priority
+                && job.queue.service == queue.service
+                && self.is_on_time(job, *key, io);
             let run_ms = self.run_times.task_ms(&job.queue, spec.estimate_ms);
             let tasks = step.waiting.len() as u64;
             let millicores = u64::from(spec.demand.cpu_millicores);
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -136,6 +136,11 @@
         usable.map(|(number, view)| (*number, gap(view))).collect()
     }
 
+    /// Returns whether a waiting step can still be done within the objective of its job.
+    pub(super) fn is_on_time(&self, job: &Job, key: StepKey, io: &Io<'_>) -> bool {
+        self.urgency(job, key, io).standing == Standing::OnTime
+    }
+
     fn urgency(&self, job: &Job, key: StepKey, io: &Io<'_>) -> Urgency {
         let chain_ms = self.run_times.chain_ms(&job.queue, job.spec.steps.len());
         let objective_ms = chain_ms * job.queue.slack_permille / 1_000 + job.queue.target_ms;
--- a/crates/cell/tests/cell/load.rs
+++ b/crates/cell/tests/cell/load.rs
@@ -116,6 +116,31 @@
     assert_eq!(sim.unfinished(accepted.into_iter()), Vec::<u64>::new());
 }
 
+/// Guards against refusing jobs that would be served: work that is late already goes after them,
+/// and must not count as work ahead of them (both grown deployments: a fifth of the gangs were
+/// refused with room free).
+#[test]
+fn late_backlog_does_not_refuse_new_jobs() {
+    let mut sim = Sim::new(10, 3, 4);
+    sim.form(vec![queue("batch", 2, false)]);
+    for id in 0..10 {
+        sim.submit("batch", id, job(vec![step(8, 4_000, 4_000)]));
+        sim.run(10);
+    }
+    sim.run(1_000);
+    for id in ["worker-1", "worker-2", "worker-3"] {
+        sim.workers.get_mut(id).expect("known").alive = false;
+    }
+    sim.run(20_000);
+    assert!(sim.unfinished(0..10).len() > 3, "the backlog is gone");
+
+    let connection = sim.submit("batch", 100, job(vec![step(1, 4_000, 1_000)]));
+    sim.run(7_000);
+
+    assert_eq!(sim.replies.get(&connection), Some(&CallerReply::Accepted));
+    assert_eq!(sim.unfinished(100..101), Vec::<u64>::new());
+}
+
 /// Guards against questions to the policy service that pile up until their answers come too late,
 /// as after an outage: loftbook scale-2 seed 629445038718 never recovered from 1,064 of them.
 #[test]
