Let a gang ask about further workers without a pause

Cause: a gang needs room on many workers at the same moment. The first question names up to 100 workers, of which the policy allows a third and fewer have room; the step then paused 1.5 s before it asked about others, as steps of separate tasks do, although for a gang more workers are what it lacks.

Ruled out: the policy service being full (half of its time is used), gangs hidden behind late ones (they go first).

Change: no pause for gangs. Test that fails without it: load::gang_asks_on_until_it_fits.

--- a/crates/cell/src/leader/advice.rs
+++ b/crates/cell/src/leader/advice.rs
@@ -69,6 +69,8 @@
     /// Time at which the service should be done.
     pub expected_ms: Millis,
     pub valid_ms: u64,
+    /// Whether the step is a gang.
+    pub gang: bool,
     /// Whether the answer is so late that the step may ask elsewhere. The service still works on
     /// the call, and its answer is still used.
     pub overdue: bool,
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -197,7 +197,7 @@
             && self.may_ask(key, cost, io.now_ms)
         {
             let unasked = self.unasked(spec, key, queue, room);
-            self.ask(key, queue, unasked, io);
+            self.ask(key, queue, unasked, spec.gang, io);
         }
         let Some(chosen) = chosen else {
             let on_time = urgency.standing == Standing::OnTime;
@@ -245,7 +245,7 @@
                 asked.dedup();
             }
         }
-        self.ask(key, queue, asked, io);
+        self.ask(key, queue, asked, spec.gang, io);
         Some(())
     }
 
--- a/crates/cell/src/leader/questions.rs
+++ b/crates/cell/src/leader/questions.rs
@@ -107,7 +107,7 @@
                 step,
             };
             let workers = self.unasked(spec, key, queue, &room);
-            self.ask(key, queue, workers, io);
+            self.ask(key, queue, workers, spec.gang, io);
         }
     }
 
@@ -117,6 +117,7 @@
         key: StepKey,
         queue: &QueueRow,
         workers: Vec<WorkerNumber>,
+        gang: bool,
         io: &mut Io<'_>,
     ) {
         let Some(cost) = queue.advice else {
@@ -146,6 +147,7 @@
             cost_ms,
             expected_ms,
             valid_ms: cost.valid_ms,
+            gang,
             overdue: false,
         };
         self.questions.insert(call, sent);
@@ -179,7 +181,9 @@
         if advice.call == Some(call) {
             advice.call = None;
         }
-        advice.widen_ms = io.now_ms.saturating_add(Millis(WIDEN_PAUSE_MS));
+        if !question.gang {
+            advice.widen_ms = io.now_ms.saturating_add(Millis(WIDEN_PAUSE_MS));
+        }
         let Some(rows) = answer else {
             advice.not_before_ms = io.now_ms.saturating_add(Millis(RETRY_MS));
             return advice_missing(&question, io);
--- a/crates/cell/tests/cell/load.rs
+++ b/crates/cell/tests/cell/load.rs
@@ -206,6 +206,19 @@
     assert_eq!(sim.unfinished(0..8), Vec::<u64>::new());
 }
 
+/// Guards against a gang that pauses between its questions: the workers of the first one were too
+/// few, and half of the gangs of the grown deployments waited 3 s and more for a second answer.
+#[test]
+fn gang_asks_on_until_it_fits() {
+    let mut sim = Sim::new(13, 3, 120);
+    sim.form(vec![queue("gangs", 1, true)]);
+
+    sim.submit("gangs", 1, job(vec![gang(64, 20_000, 500)]));
+    sim.run(1_300);
+
+    assert_eq!(sim.unfinished(1..2), Vec::<u64>::new());
+}
+
 /// Guards against a gang that waits while small tasks with much time to spare fill every gap (vdm
 /// inc-7c2d: posture scans waited up to 40 s in a burst).
 #[test]
