--- a/crates/cell/tests/cell/load.rs
+++ b/crates/cell/tests/cell/load.rs
@@ -210,10 +210,10 @@
 /// few, and half of the gangs of the grown deployments waited 3 s and more for a second answer.
 #[test]
 fn gang_asks_on_until_it_fits() {
-    let mut sim = Sim::new(13, 3, 120);
+    let mut sim = Sim::new(13, 3, 140);
     sim.form(vec![queue("gangs", 1, true)]);
 
-    sim.submit("gangs", 1, job(vec![gang(64, 20_000, 500)]));
+    sim.submit("gangs", 1, job(vec![gang(76, 20_000, 500)]));
     sim.run(1_300);
 
     assert_eq!(sim.unfinished(1..2), Vec::<u64>::new());
