Pause the widening of a step that has asked about every worker

Cause: since gangs ask on without a pause, a gang that had asked about all workers chose from an empty rest in each pass: scale::burst_leaves_the_leader_its_processor failed with 7,194 choices against 6,622.

Change: a step without unasked workers looks for new ones after the usual pause. The test passes again.

--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -197,6 +197,9 @@
             && self.may_ask(key, cost, io.now_ms)
         {
             let unasked = self.unasked(spec, key, queue, room);
+            if unasked.is_empty() {
+                self.pause_widening(key, io.now_ms);
+            }
             self.ask(key, queue, unasked, spec.gang, io);
         }
         let Some(chosen) = chosen else {
--- a/crates/cell/src/leader/questions.rs
+++ b/crates/cell/src/leader/questions.rs
@@ -85,6 +85,13 @@
         unasked.into_iter().map(|(_, _, number)| number).collect()
     }
 
+    /// Lets a step that has asked about every worker wait before it looks for new ones.
+    pub(super) fn pause_widening(&mut self, key: StepKey, now_ms: Millis) {
+        if let Some(advice) = self.advice.get_mut(&key) {
+            advice.widen_ms = now_ms.saturating_add(Millis(WIDEN_PAUSE_MS));
+        }
+    }
+
     /// Asks about the first steps of a job while its acceptance is being committed.
     pub(super) fn ask_early(
         &mut self,
