--- a/crates/cell/tests/cell/recovery.rs
+++ b/crates/cell/tests/cell/recovery.rs
@@ -65,7 +65,7 @@
 /// Guards against a cell that stands still after its leader is killed.
 #[test]
 fn starts_go_on_after_the_leader_is_killed() {
-    let pause_ms = longest_pause_after(|sim, leader| sim.kill(leader), |_, _| {});
+    let pause_ms = longest_pause_after(Sim::kill, |_, _| {});
 
     assert_recovers("leader killed", pause_ms);
 }
@@ -73,10 +73,7 @@
 /// Guards against a leader with an empty disk that keeps its group from electing another.
 #[test]
 fn starts_go_on_after_the_leader_loses_its_disk() {
-    let pause_ms = longest_pause_after(
-        |sim, leader| sim.kill_and_erase(leader),
-        |sim, leader| sim.start(leader, false),
-    );
+    let pause_ms = longest_pause_after(Sim::kill_and_erase, |sim, leader| sim.start(leader, false));
 
     assert_recovers("leader's disk lost", pause_ms);
 }
