--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -45,8 +45,6 @@
     pub free: Demand,
     /// What is free and not kept for a gang.
     open: Demand,
-    /// Priority of the gang that keeps room here.
-    kept_priority: u32,
 }
 
 /// Room that is left while a pass goes through the steps.
@@ -134,7 +132,6 @@
         let gap = |view: &WorkerView| Gap {
             free: view.free,
             open: view.free,
-            kept_priority: u32::MAX,
         };
         usable.map(|(number, view)| (*number, gap(view))).collect()
     }
@@ -209,7 +206,7 @@
             let on_time = urgency.standing == Standing::OnTime;
             if on_time || *reserving < MAX_LATE_RESERVING_GANGS {
                 *reserving += usize::from(!on_time);
-                self.reserve(&demand, (tasks, urgency.priority), &candidates, room);
+                self.reserve(&demand, tasks, &candidates, room);
             }
             return Some(());
         };
@@ -287,7 +284,7 @@
                 spec.gang && advice.is_some_and(|advice| advice.ticket(number, now_ms).is_none());
             Some(Candidate {
                 worker: number,
-                free: if (urgency.patient || urgency.priority > gap.kept_priority) && !spec.gang {
+                free: if urgency.patient && !spec.gang {
                     gap.open
                 } else {
                     gap.free
@@ -317,20 +314,13 @@
 
     /// Keeps room for a gang: what already fits on its workers, and the workers that lack least for
     /// one more task.
-    fn reserve(
-        &mut self,
-        demand: &Demand,
-        (tasks, priority): (u32, u32),
-        candidates: &[Candidate],
-        room: &mut Room,
-    ) {
+    fn reserve(&mut self, demand: &Demand, tasks: u32, candidates: &[Candidate], room: &mut Room) {
         let mut left = tasks;
         for candidate in candidates {
             let slots = candidate.slots(demand).min(left);
             left -= slots;
             if let Some(gap) = room.get_mut(&candidate.worker) {
                 gap.open = gap.open.minus(demand, slots);
-                gap.kept_priority = gap.kept_priority.min(priority);
             }
             if slots > 0 {
                 self.keep_for_gang([candidate.worker]);
@@ -352,7 +342,6 @@
         for (_, worker) in next.into_iter().take(left as usize) {
             if let Some(gap) = room.get_mut(&worker) {
                 gap.open = Demand::default();
-                gap.kept_priority = gap.kept_priority.min(priority);
             }
             self.keep_for_gang([worker]);
         }
