Look workers up by id and address instead of searching all of them

Cause: each announcement compared the ids and addresses of all workers, so the cost grew with their square: 2,000 announcements a second at 3,000 workers.

No test can fail first: the answers are the same.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -86,6 +86,8 @@
     term: u64,
     bounds: Bounds,
     workers: SortedVec<WorkerNumber, WorkerView>,
+    /// Latest life known at each address.
+    addresses: SortedVec<String, WorkerNumber>,
     racks: Vec<Vec<String>>,
     steps: SortedVec<StepKey, WaitingStep>,
     advice: SortedVec<StepKey, StepAdvice>,
@@ -127,6 +129,7 @@
             term,
             bounds,
             workers: SortedVec::new(),
+            addresses: SortedVec::new(),
             racks: Vec::new(),
             steps: SortedVec::new(),
             advice: SortedVec::new(),
@@ -156,6 +159,7 @@
         for (number, record) in state.workers().iter() {
             let mut view = leader.make_view(*number, record.clone(), io.now_ms);
             view.inherited_until_ms = io.now_ms.saturating_add(inherited_ms);
+            leader.note_address(*number, &view.record);
             leader.workers.insert(*number, view);
         }
         for job in state.jobs().values() {
@@ -244,7 +248,11 @@
             }
             Change::Worker(number) => self.worker_changed(state, number, io),
             Change::WorkerForgotten(number) => {
-                self.workers.remove(&number);
+                if let Some(view) = self.workers.remove(&number)
+                    && self.addresses.get(&view.record.address) == Some(&number)
+                {
+                    self.addresses.remove(&view.record.address);
+                }
             }
             Change::Accepted(id) => {
                 for origin in self.submits.remove(&id).unwrap_or_default() {
@@ -332,12 +340,22 @@
             }
             view.recount();
         }
+        self.note_address(number, &view.record);
         self.workers.insert(number, view);
         self.end_predecessors(number, io);
         self.renew(number, io);
         self.pass_due = true;
     }
 
+    /// Notes which worker was born last at an address.
+    fn note_address(&mut self, number: WorkerNumber, record: &WorkerRecord) {
+        let known = self.addresses.get(&record.address);
+        let known = known.and_then(|number| self.workers.get(number));
+        if known.is_none_or(|view| view.record.born_ms <= record.born_ms) {
+            self.addresses.insert(record.address.clone(), number);
+        }
+    }
+
     /// Gives up the runs of workers whose address now belongs to a later one.
     fn end_predecessors(&mut self, number: WorkerNumber, io: &mut Io<'_>) {
         let Some(view) = self.workers.get(&number) else {
--- a/crates/cell/src/leader/announcements.rs
+++ b/crates/cell/src/leader/announcements.rs
@@ -56,7 +56,7 @@
         sequence: u64,
         io: &mut Io<'_>,
     ) {
-        if self.is_superseded(&worker) {
+        if self.is_superseded(state, &worker) {
             return io.reply_control(origin, ControlReply::Done);
         }
         let known = state.worker_by_id(&worker.id);
@@ -84,10 +84,16 @@
     }
 
     /// Returns whether a later life is known of the worker, or of another worker at its address.
-    fn is_superseded(&self, worker: &WorkerRecord) -> bool {
-        self.workers.values().any(|view| {
-            let same = view.record.id == worker.id || view.record.address == worker.address;
-            same && view.record.born_ms > worker.born_ms
+    fn is_superseded(&self, state: &CellState, worker: &WorkerRecord) -> bool {
+        let same_id = state.worker_by_id(&worker.id);
+        let same_address = self.addresses.get(&worker.address).copied();
+        let mut others = same_id.into_iter().chain(same_address);
+        others.any(|number| {
+            self.workers.get(&number).is_some_and(|view| {
+                let record = &view.record;
+                let same = record.id == worker.id || record.address == worker.address;
+                same && record.born_ms > worker.born_ms
+            })
         })
     }
 }
--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -48,6 +48,8 @@
 pub struct CellState {
     queues: QueueTable,
     workers: SortedVec<WorkerNumber, WorkerRecord>,
+    /// Number of the worker with each id. Thousands of announcements a second look workers up.
+    numbers: SortedVec<String, WorkerNumber>,
     next_worker: u32,
     jobs: SortedVec<JobId, Box<Job>>,
 }
@@ -89,8 +91,7 @@
     /// Returns the number of the worker with an id.
     #[must_use]
     pub fn worker_by_id(&self, id: &str) -> Option<WorkerNumber> {
-        let mut workers = self.workers.iter();
-        workers.find(|(_, record)| record.id == id).map(|(n, _)| *n)
+        self.numbers.get(id).copied()
     }
 
     /// Applies a committed command.
@@ -104,7 +105,9 @@
             }
             Command::Worker(record) => Change::Worker(self.put_worker(record)),
             Command::ForgetWorker(worker) => {
-                self.workers.remove(&worker);
+                if let Some(record) = self.workers.remove(&worker) {
+                    self.numbers.remove(&record.id);
+                }
                 Change::WorkerForgotten(worker)
             }
             Command::Accept {
@@ -165,7 +168,9 @@
     fn put_worker(&mut self, record: WorkerRecord) -> WorkerNumber {
         let number = self.worker_by_id(&record.id).unwrap_or_else(|| {
             self.next_worker += 1;
-            WorkerNumber(self.next_worker)
+            let number = WorkerNumber(self.next_worker);
+            self.numbers.insert(record.id.clone(), number);
+            number
         });
         let known = self.workers.get(&number);
         if known.is_none_or(|known| known.born_ms <= record.born_ms) {
@@ -211,8 +216,10 @@
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let stored: Stored = postcard::from_bytes(bytes)?;
         let jobs = stored.jobs.into_iter().map(|job| (job.id, Box::new(job)));
+        let numbers = stored.workers.iter().map(|(n, w)| (w.id.clone(), *n));
         Ok(Self {
             queues: stored.queues,
+            numbers: numbers.collect(),
             workers: stored.workers.into_iter().collect(),
             next_worker: stored.next_worker,
             jobs: jobs.collect(),
