--- a/crates/cell/src/control.rs
+++ b/crates/cell/src/control.rs
@@ -2,9 +2,7 @@
 
 use std::sync::Arc;
 
-use acaciareel_consensus::{
-    GroupSettings, Input, MemberChange, MemberId, Output, Replica, Restored, Role,
-};
+use acaciareel_consensus::{GroupSettings, Input, MemberId, Output, Replica, Restored, Role};
 use acaciareel_types::{LogIndex, Millis, SortedVec, VmId};
 
 use crate::{
@@ -13,6 +11,8 @@
     leader::{Bounds, Leader},
 };
 
+mod members;
+
 /// Time between heartbeats of the consensus group.
 const HEARTBEAT_MS: Millis = Millis(100);
 /// Shortest election timeout. Links of 5.4 ms and syncs of 4 ms, which a slow disk stretches to
@@ -31,11 +31,6 @@
 const STATUS_INTERVAL_MS: u64 = 250;
 /// Time between looks at the members of the group.
 const MEMBERS_INTERVAL_MS: u64 = 250;
-/// Silence after which a voter is replaced, if another VM waits to take its place. A VM that is
-/// restarted is back sooner or is promoted again later.
-const REPLACE_AFTER_MS: u64 = 1_500;
-/// How long a connection is kept to a VM that is no member but sends messages of the group.
-const CONTACT_KEPT_MS: u64 = 5_000;
 /// Silence after which an entry VM is not asked for advice any more.
 const ENTRY_SILENT_MS: u64 = 1_500;
 /// How long a stopping VM waits for its successor before it ends.
@@ -381,92 +376,6 @@
         }
     }
 
-    // ---- members ----
-
-    /// Lets the other control VMs that answer ask for advice and call workers too.
-    fn update_callers(&mut self, time: (Millis, u64), out: &mut Vec<Effect>) {
-        let progress = self.replica.progress(time.0);
-        let domains = self.domains.clone();
-        self.with_leader(time, out, |leader, state, io| {
-            for (vm, member) in progress.iter() {
-                if member.alive {
-                    leader.caller_joined(*vm);
-                    let domain = domains.get(vm).map_or("", String::as_str);
-                    leader.relay_joined(*vm, domain);
-                } else {
-                    leader.caller_left(*vm, io);
-                    leader.relay_left(*vm, state, io);
-                }
-            }
-        });
-    }
-
-    /// Takes one step towards an odd number of live voters.
-    fn manage_members(&mut self, time: (Millis, u64), out: &mut Vec<Effect>) {
-        if self.leader.is_none() || !self.replica.can_change_members() {
-            return;
-        }
-        let now_ms = time.0;
-        let progress = self.replica.progress(now_ms);
-        let commit_index = self.replica.commit_index();
-        let mut silent_voter = None;
-        let mut voters = 1;
-        for (vm, member) in progress.iter() {
-            if member.alive {
-                self.alive_ms.insert(*vm, now_ms);
-            }
-            let seen_ms = *self.alive_ms.get_or_insert_with(*vm, || now_ms);
-            let silent_ms = now_ms.saturating_sub(seen_ms).0;
-            voters += usize::from(member.voter);
-            if member.voter && silent_ms >= REPLACE_AFTER_MS {
-                silent_voter = Some(*vm);
-            }
-        }
-        self.alive_ms.retain(|vm, _| progress.contains_key(vm));
-        let learner = progress
-            .iter()
-            .find(|(_, m)| !m.voter && m.alive && m.match_index >= commit_index)
-            .map(|(vm, _)| *vm);
-        let learners = progress.values().filter(|m| !m.voter && m.alive).count();
-        let change = match (learner, silent_voter) {
-            (Some(_), Some(silent)) => MemberChange::Remove(silent),
-            (Some(learner), None) if voters % 2 == 0 || learners >= 2 => {
-                MemberChange::Promote(learner)
-            }
-            _ => return,
-        };
-        log(
-            out,
-            "members_change",
-            vec![("change", format!("{change:?}"))],
-        );
-        self.drive(Input::Change(change), time, out);
-    }
-
-    fn members(&self) -> Vec<VmId> {
-        let mut vms: Vec<VmId> = self.replica.members().keys().copied().collect();
-        vms.extend(self.seeds.iter().copied());
-        vms.sort_unstable();
-        vms.dedup();
-        vms
-    }
-
-    /// Keeps connections to the members, the seeds and every VM that sends messages of the group:
-    /// a VM with an empty disk knows no members, and the leader need not be a seed.
-    fn connect(&mut self, now_ms: Millis, out: &mut Vec<Effect>) {
-        self.heard_ms
-            .retain(|_, at_ms| now_ms.saturating_sub(*at_ms).0 < CONTACT_KEPT_MS);
-        let mut vms = self.members();
-        vms.extend(self.heard_ms.keys().copied());
-        vms.sort_unstable();
-        vms.dedup();
-        vms.retain(|vm| *vm != self.me.vm);
-        if vms != self.connected {
-            self.connected.clone_from(&vms);
-            out.push(Effect::Connect { vms });
-        }
-    }
-
     // ---- other VMs ----
 
     fn send_status(&mut self, out: &mut Vec<Effect>) {
