--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -18,9 +18,6 @@
 const MISSED_CALLS: u32 = 2;
 /// Late gangs that may keep room for themselves at the same time; they are worth a fifth.
 const MAX_LATE_RESERVING_GANGS: usize = 1;
-/// On-time gangs, the oldest first, that keep room from other gangs too. Otherwise smaller gangs
-/// take every gap, and large ones, which are worth most, wait until the load falls.
-const MAX_FIRM_RESERVING_GANGS: usize = 2;
 /// A step that can wait this share of its objective, in thousandths, and still be done in time
 /// leaves the room to gangs that wait. In a burst, small tasks with much time otherwise fill every
 /// gap, and no worker is ever free enough for a gang.
@@ -83,13 +80,6 @@
     }
 }
 
-/// Gangs that have kept room for themselves in a pass.
-#[derive(Clone, Copy, Debug, Default)]
-struct Reserving {
-    on_time: usize,
-    late: usize,
-}
-
 /// Order in which waiting steps are served: on-time work by priority and age, then late work, then
 /// work that is too late to be worth anything.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -120,7 +110,7 @@
         order.sort_unstable();
         self.steps_looked_at += order.len() as u64;
         let mut room = self.room(io.now_ms);
-        let mut reserving = Reserving::default();
+        let mut reserving = 0;
         let kept = std::mem::take(&mut self.kept_for_gangs);
         self.avoided = kept;
         for (urgency, key) in order {
@@ -180,7 +170,7 @@
         state: &CellState,
         (key, urgency): (StepKey, Urgency),
         room: &mut Room,
-        reserving: &mut Reserving,
+        reserving: &mut usize,
         io: &mut Io<'_>,
     ) -> Option<()> {
         let job = state.job(key.job)?;
@@ -214,11 +204,9 @@
         }
         let Some(chosen) = chosen else {
             let on_time = urgency.standing == Standing::OnTime;
-            if on_time || reserving.late < MAX_LATE_RESERVING_GANGS {
-                reserving.late += usize::from(!on_time);
-                reserving.on_time += usize::from(on_time);
-                let firm = on_time && reserving.on_time <= MAX_FIRM_RESERVING_GANGS;
-                self.reserve(&demand, (tasks, firm), &candidates, room);
+            if on_time || *reserving < MAX_LATE_RESERVING_GANGS {
+                *reserving += usize::from(!on_time);
+                self.reserve(&demand, tasks, &candidates, room);
             }
             return Some(());
         };
@@ -325,23 +313,14 @@
     }
 
     /// Keeps room for a gang: what already fits on its workers, and the workers that lack least for
-    /// one more task. A firm reservation holds against all that is placed later in the pass.
-    fn reserve(
-        &mut self,
-        demand: &Demand,
-        (tasks, firm): (u32, bool),
-        candidates: &[Candidate],
-        room: &mut Room,
-    ) {
+    /// one more task.
+    fn reserve(&mut self, demand: &Demand, tasks: u32, candidates: &[Candidate], room: &mut Room) {
         let mut left = tasks;
         for candidate in candidates {
             let slots = candidate.slots(demand).min(left);
             left -= slots;
             if let Some(gap) = room.get_mut(&candidate.worker) {
                 gap.open = gap.open.minus(demand, slots);
-                if firm {
-                    gap.free = gap.free.minus(demand, slots);
-                }
             }
             if slots > 0 {
                 self.keep_for_gang([candidate.worker]);
@@ -363,9 +342,6 @@
         for (_, worker) in next.into_iter().take(left as usize) {
             if let Some(gap) = room.get_mut(&worker) {
                 gap.open = Demand::default();
-                if firm {
-                    gap.free = Demand::default();
-                }
             }
             self.keep_for_gang([worker]);
         }
