Do not answer a look from a VM whose lease has ended

Found while reading the diff: a look that waits for a commit could outlast the lease, and was then answered from a state that another leader may have overtaken. It is now sent back as not leading, and the entry VM asks the new leader. An address also stays known to its latest worker when an earlier one there has moved. Test that fails without the change: load::look_is_not_answered_after_the_lease (Running after the lease).

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -351,7 +351,10 @@
     fn note_address(&mut self, number: WorkerNumber, record: &WorkerRecord) {
         let known = self.addresses.get(&record.address);
         let known = known.and_then(|number| self.workers.get(number));
-        if known.is_none_or(|view| view.record.born_ms <= record.born_ms) {
+        let is_earlier = |view: &WorkerView| {
+            view.record.address != record.address || view.record.born_ms <= record.born_ms
+        };
+        if known.is_none_or(is_earlier) {
             self.addresses.insert(record.address.clone(), number);
         }
     }
--- a/crates/cell/src/leader/looks.rs
+++ b/crates/cell/src/leader/looks.rs
@@ -7,7 +7,7 @@
 
 use acaciareel_types::{Millis, SortedVec};
 
-use super::Leader;
+use super::{Leader, not_leading};
 use crate::{CallerReply, CellState, Job, JobId, JobState, JobView, Origin, io::Io};
 
 /// Longest wait of a look. A commit takes some 30 ms, and up to 120 ms more with a slow disk.
@@ -66,7 +66,12 @@
         self.reply_look(state, origin, id, io);
     }
 
+    /// Replies from the committed state. A VM whose lease ended while the look waited may not:
+    /// its state can be older than what another leader has already told.
     fn reply_look(&self, state: &CellState, origin: Origin, id: JobId, io: &mut Io<'_>) {
+        if !io.leads {
+            return not_leading(origin, io);
+        }
         let reply = match state.job(id) {
             Some(job) => CallerReply::Job(view_of(job)),
             None if self.submits.contains_key(&id) => CallerReply::Job(JobView::Queued),
--- a/crates/cell/tests/cell/load.rs
+++ b/crates/cell/tests/cell/load.rs
@@ -2,7 +2,7 @@
 
 use acaciareel_cell::{CallerReply, CallerRequest, JobId, JobView, StepSpec};
 
-use crate::sim::{Sim, entry, gang, job, queue, step};
+use crate::sim::{Sim, control, entry, gang, job, queue, step};
 
 /// Guards against work that is accepted and never completed, in the plain case of every kind.
 #[test]
@@ -87,6 +87,31 @@
     assert_eq!(sim.replies.get(&look), Some(&expected));
 }
 
+/// Guards against a look that waits past the end of the leader's lease and is then answered from a
+/// state that may be out of date.
+#[test]
+fn look_is_not_answered_after_the_lease() {
+    let mut sim = Sim::new(14, 3, 2);
+    sim.form(vec![queue("batch", 2, false)]);
+    sim.submit("batch", 7, job(vec![step(1, 1_000, 400)]));
+    sim.run_until(2_000, |sim| {
+        sim.workers.values().any(|w| !w.running.is_empty())
+    });
+    sim.run(250);
+    let controls = || (1..=3).map(control);
+    for (a, b) in controls().flat_map(|a| controls().map(move |b| (a, b))) {
+        sim.cuts.insert((a, b));
+    }
+    sim.run(350);
+    assert!(sim.workers.values().all(|worker| worker.running.is_empty()));
+
+    let path = format!("/batch/{}", JobId(7));
+    let look = sim.call(entry(1), path, CallerRequest::Look);
+    sim.run(250);
+
+    assert_eq!(sim.replies.get(&look), None);
+}
+
 /// Guards against requests for queues and jobs that do not exist being taken for others.
 #[test]
 fn unknown_queues_and_jobs_are_told() {
