--- a/crates/cell/src/leader/questions.rs
+++ b/crates/cell/src/leader/questions.rs
@@ -19,8 +19,6 @@
 /// Workers that are asked about for each task of a gang: a third is allowed, and of these few have
 /// room for a task.
 const ASKED_FOR_GANG_TASK: usize = 5;
-/// Room for this many tasks of a gang puts a worker first in a question.
-const GANG_SLOTS: u32 = 3;
 /// Pause before a step asks about further workers; room is more likely to come on known ones.
 const WIDEN_PAUSE_MS: u64 = 1_500;
 
@@ -61,9 +59,7 @@
             .advice
             .get(&key)
             .map_or(&[][..], |advice| &advice.asked);
-        // A gang needs all its tasks placed at once, so workers with room for several come first.
-        let most_slots = if spec.gang { GANG_SLOTS } else { 1 };
-        let mut unasked: Vec<(u32, u64, WorkerNumber)> = room
+        let mut unasked: Vec<(bool, u64, WorkerNumber)> = room
             .iter()
             .filter(|(number, _)| asked.binary_search(number).is_err())
             .filter(|(number, _)| {
@@ -72,8 +68,8 @@
                     .is_some_and(|view| view.suits(spec, queue))
             })
             .map(|(number, gap)| {
-                let missing = most_slots - demand.times_in(&gap.free).min(most_slots);
-                (missing, scatter(key, *number), *number)
+                let full = demand.times_in(&gap.free) == 0;
+                (full, scatter(key, *number), *number)
             })
             .collect();
         let most = if spec.gang {
