--- a/crates/cell/tests/cell/faults.rs
+++ b/crates/cell/tests/cell/faults.rs
@@ -33,6 +33,12 @@
         .collect()
 }
 
+fn assert_accepted_complete(sim: &Sim, sent: &[(u64, u64)], seed: u64) {
+    let ids = accepted(sim, sent);
+    let unfinished = sim.unfinished(ids.into_iter());
+    assert_eq!(unfinished, Vec::<u64>::new(), "seed {seed}");
+}
+
 /// Guards against accepted jobs that are lost, or tasks that run twice, when the leader ends.
 #[test]
 fn leader_killed_under_load() {
@@ -70,13 +76,7 @@
         sim.cuts.clear();
         sim.run(25_000);
 
-        let ids = accepted(&sim, &sent);
-
-        assert_eq!(
-            sim.unfinished(ids.into_iter()),
-            Vec::<u64>::new(),
-            "seed {seed}"
-        );
+        assert_accepted_complete(&sim, &sent, seed);
     }
 }
 
@@ -113,13 +113,7 @@
         sim.cut_workers.clear();
         sim.run(15_000);
 
-        let ids = accepted(&sim, &sent);
-
-        assert_eq!(
-            sim.unfinished(ids.into_iter()),
-            Vec::<u64>::new(),
-            "seed {seed}"
-        );
+        assert_accepted_complete(&sim, &sent, seed);
     }
 }
 
@@ -153,13 +147,7 @@
         sim.lost_replies_percent = 0;
         sim.run(25_000);
 
-        let ids = accepted(&sim, &sent);
-
-        assert_eq!(
-            sim.unfinished(ids.into_iter()),
-            Vec::<u64>::new(),
-            "seed {seed}"
-        );
+        assert_accepted_complete(&sim, &sent, seed);
     }
 }
 
