Name histograms of cells by the unit that they report

They were recorded in seconds under names that end in _ms. They are acaciareel_cell_job_total_seconds, ..advice_seconds and ..leader_reply_seconds now.

--- a/crates/acaciareeld/src/cell/run.rs
+++ b/crates/acaciareeld/src/cell/run.rs
@@ -461,8 +461,11 @@
                 label,
                 value_ms,
             } => {
+                // Histograms of durations are in seconds.
+                let name = name.trim_end_matches("_ms");
+                let name = format!("acaciareel_cell_{name}_seconds");
                 let value = Duration::from_millis(value_ms);
-                histogram!(format!("acaciareel_cell_{name}"), "label" => label).record(value);
+                histogram!(name, "label" => label).record(value);
             }
             Effect::Gauge { name, value } => {
                 #[allow(clippy::cast_precision_loss, reason = "counts are small")]
