Use the existing list of the jobs of runs for looks

ends_proposed sorted and deduplicated the jobs itself; jobs_of of the replicated state does just that. One conversion of an iterator into itself is gone.

--- a/crates/cell/src/leader/advice.rs
+++ b/crates/cell/src/leader/advice.rs
@@ -152,8 +152,8 @@
     /// Returns whether a call about at least one worker would find a VM.
     pub fn can_take(&self, cost: &AdviceCost, now_ms: Millis) -> bool {
         let latest_ms = now_ms.saturating_add(Millis(MAX_BACKLOG_MS));
-        let usable = self.callers.values().take(self.usable(call_ms(cost, 1)));
-        usable.into_iter().any(|caller| caller.is_free(latest_ms))
+        let mut usable = self.callers.values().take(self.usable(call_ms(cost, 1)));
+        usable.any(|caller| caller.is_free(latest_ms))
     }
 
     /// Chooses the VM for a call; returns it with the time at which the service should be done.
--- a/crates/cell/src/leader/looks.rs
+++ b/crates/cell/src/leader/looks.rs
@@ -31,11 +31,8 @@
 }
 
 impl Looks {
-    /// Notes that an entry with ends of these jobs is proposed. The jobs may repeat.
-    pub fn ends_proposed(&mut self, jobs: impl IntoIterator<Item = JobId>) {
-        let mut jobs: Vec<JobId> = jobs.into_iter().collect();
-        jobs.sort_unstable();
-        jobs.dedup();
+    /// Notes that an entry with ends of these jobs is proposed.
+    pub fn ends_proposed(&mut self, jobs: Vec<JobId>) {
         for job in jobs {
             *self.uncommitted.get_or_insert_with(job, || 0) += 1;
         }
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -4,7 +4,8 @@
 
 use super::{Call, Leader, pass, worker::Phase, worker::RunView};
 use crate::{
-    CellState, Command, Effect, EndKind, RenewalReport, RunKey, WorkerNumber, WorkerRequest, io::Io,
+    CellState, Command, Effect, EndKind, RenewalReport, RunKey, WorkerNumber, WorkerRequest,
+    io::Io, state::jobs_of,
 };
 
 /// How long a renewal waits at the worker for the next end. Ends are not seen while a renewal that
@@ -275,8 +276,8 @@
                 self.run_times.note(&job.queue.name, took_ms);
             }
         }
-        let jobs = ends.iter().map(|(end, _)| end.run.task.step.job);
-        self.looks.ends_proposed(jobs);
+        self.looks
+            .ends_proposed(jobs_of(ends.iter().map(|(end, _)| end.run)));
         io.commands.push(Command::Ends {
             worker: number,
             through,
--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -227,7 +227,8 @@
     }
 }
 
-fn jobs_of(runs: impl Iterator<Item = RunKey>) -> Vec<JobId> {
+/// Returns the jobs of runs, sorted and each once.
+pub(crate) fn jobs_of(runs: impl Iterator<Item = RunKey>) -> Vec<JobId> {
     let mut jobs: Vec<JobId> = runs.map(|key| key.task.step.job).collect();
     jobs.sort_unstable();
     jobs.dedup();
