Give each start of a VM a process epoch that its settings don't decide

Cause: Entry::new of the node derived the process epoch from the seed in the settings, so a VM that started again with them repeated submission numbers and task ids; peers and workers took new requests for old ones. The same in cells: a leader numbered its calls to workers from 1 in each term, and an entry VM its requests from 1 in each process, so late replies to earlier ones matched new ones. A VM that stopped, had no tables or no route answered not_run to a repeated request without knowing of the earlier attempt.

Ruled out: election seeds; they may repeat, since no number is derived from them.

Change: ProcessEpoch is an input of the node and of a cell's entry VM. The daemon counts it in the data folder from a random number on, synced before use; without a folder it is random. A cell's leader numbers its calls by term.

--- a/crates/acaciareeld/src/cell/run.rs
+++ b/crates/acaciareeld/src/cell/run.rs
@@ -268,7 +268,8 @@
         .filter(|_| config.role == Role::Control)
     else {
         let incarnation = storage::new_incarnation();
-        let entry = Entry::new(config.seeds.clone());
+        let process_epoch = storage::random_process_epoch().change_context(DaemonError::Start)?;
+        let entry = Entry::new(config.seeds.clone(), process_epoch);
         return Ok((Reducer::Entry(entry), None, incarnation));
     };
     let opened = Storage::open(folder, own_vm).map_err(|report| {
--- a/crates/acaciareeld/src/config.rs
+++ b/crates/acaciareeld/src/config.rs
@@ -128,9 +128,7 @@
     pub vm: VmId,
     /// Failure domain of this VM.
     pub failure_domain: FailureDomain,
-    /// Seed of random election timeouts, jitter and the process epoch; the VM id if the file sets
-    /// none. It is the same at each start unless the file changes, so the process epoch repeats
-    /// (KNOWN-RED.txt, 5).
+    /// Seed of random election timeouts and jitter; the VM id if the file sets none.
     pub seed: u64,
     /// Folder of the durable state; without one the state lasts as long as the process.
     pub data_folder: Option<PathBuf>,
--- a/crates/acaciareeld/src/daemon.rs
+++ b/crates/acaciareeld/src/daemon.rs
@@ -7,7 +7,7 @@
 
 use acaciareel_consensus::RestoredState;
 use acaciareel_node::{Event, Node, NodeRestored, NodeSettings, PeerSettings, RestoredGroup};
-use acaciareel_types::Incarnation;
+use acaciareel_types::{Incarnation, ProcessEpoch};
 use error_stack::{Report, ResultExt};
 use log::{info, warn};
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -103,7 +103,12 @@
     let logger = logging::start(&config.logs)?;
     let metrics = metering::start()?;
     let tokens = Tokens::load(&config.tokens)?;
-    let (storage, restored, incarnation) = open_storage(config, rejoin_as_new)?;
+    let StartState {
+        storage,
+        restored,
+        incarnation,
+        process_epoch,
+    } = open_storage(config, rejoin_as_new)?;
     let clock = Clock::start();
     let (inputs, received) = mpsc::channel(MAX_QUEUED_INPUTS);
     let process_started_us = storage::new_incarnation().0;
@@ -125,7 +130,8 @@
         stopped,
         inputs: inputs.clone(),
     };
-    let node = Node::new(node_settings(config, incarnation), restored, clock.now());
+    let settings = node_settings(config, incarnation, process_epoch);
+    let node = Node::new(settings, restored, clock.now());
     let tables_in_force = Arc::new(AtomicBool::new(false));
     let observer = Observer::new(Arc::clone(&tables_in_force));
     let node = tokio::spawn(NodeTask::new(node, clock, targets, observer).run(received));
@@ -145,6 +151,7 @@
     let server = Server::start(config.http, Arc::clone(&app)).await?;
     info!(
         event = "started", vm:% = config.vm, incarnation:% = incarnation,
+        process_epoch:% = process_epoch,
         http:% = server.address, peers:% = config.peers_listen; ""
     );
     Ok(RunningDaemon {
@@ -192,33 +199,49 @@
     }
 }
 
-/// Opens the data folder, if the settings name one, and returns the restored groups and the
-/// incarnation. Without a data folder each start has a new incarnation.
-fn open_storage(
-    config: &Config,
-    rejoin_as_new: bool,
-) -> Result<(Option<Storage>, NodeRestored, Incarnation), Report<DaemonError>> {
+/// State that a VM starts with.
+struct StartState {
+    /// `None` without a data folder.
+    storage: Option<Storage>,
+    restored: NodeRestored,
+    incarnation: Incarnation,
+    process_epoch: ProcessEpoch,
+}
+
+/// Opens the data folder, if the settings name one. Without a data folder each start has a new
+/// incarnation and a random process epoch.
+fn open_storage(config: &Config, rejoin_as_new: bool) -> Result<StartState, Report<DaemonError>> {
     let Some(folder) = &config.data_folder else {
-        let incarnation = storage::new_incarnation();
-        return Ok((None, NodeRestored::default(), incarnation));
+        return Ok(StartState {
+            storage: None,
+            restored: NodeRestored::default(),
+            incarnation: storage::new_incarnation(),
+            process_epoch: storage::random_process_epoch().change_context(DaemonError::Start)?,
+        });
     };
     if rejoin_as_new {
         let aside = Storage::set_aside(folder).change_context(DaemonError::Start)?;
         warn!(event = "state_set_aside", folder:% = aside.display(); "");
     }
-    let opened = Storage::open(folder, config.vm).map_err(|report| {
+    let unusable = |report: Report<StorageError>| {
         let kind = match report.current_context() {
             StorageError::Damaged { .. } => DaemonError::Damaged,
             _ => DaemonError::Start,
         };
         report.change_context(kind)
-    })?;
+    };
     let OpenedStorage {
         storage,
         restored,
         incarnation,
-    } = opened;
-    Ok((Some(storage), node_restored(restored)?, incarnation))
+    } = Storage::open(folder, config.vm).map_err(unusable)?;
+    let process_epoch = storage.begin_process_epoch().map_err(unusable)?;
+    Ok(StartState {
+        storage: Some(storage),
+        restored: node_restored(restored)?,
+        incarnation,
+        process_epoch,
+    })
 }
 
 fn node_restored(
@@ -232,13 +255,18 @@
     Ok(NodeRestored { groups })
 }
 
-fn node_settings(config: &Config, incarnation: Incarnation) -> NodeSettings {
+fn node_settings(
+    config: &Config,
+    incarnation: Incarnation,
+    process_epoch: ProcessEpoch,
+) -> NodeSettings {
     let peer = |domain| PeerSettings {
         failure_domain: domain,
     };
     NodeSettings {
         vm: config.vm,
         incarnation,
+        process_epoch,
         failure_domain: config.failure_domain.clone(),
         vms: config
             .vms
--- a/crates/acaciareeld/src/storage.rs
+++ b/crates/acaciareeld/src/storage.rs
@@ -7,6 +7,7 @@
 //!
 //! - `lock`: locked while a daemon uses the folder
 //! - `incarnation`: VM and incarnation that the state belongs to, with a checksum
+//! - `process-epoch`: epoch of the last start, with a checksum
 //! - `wal`: records of all groups in the order in which they were written
 //! - `snapshot-GROUP`: latest snapshot of a group
 
@@ -19,23 +20,28 @@
 };
 
 use acaciareel_consensus::{Record, RestoredState, Snapshot};
-use acaciareel_types::{Incarnation, VmId};
+use acaciareel_types::{Incarnation, ProcessEpoch, VmId};
 use acaciareel_wire::GroupRecord;
 use error_stack::{Report, ResultExt};
 use log::{info, warn};
 
 mod error;
 mod frame;
+mod process_epoch;
 mod replay;
 
 pub use error::StorageError;
 use frame::Tail;
+pub use process_epoch::random_process_epoch;
 use replay::GroupState;
 
 /// Smallest log that is compacted. The target state of a group is at most 4 MiB, so at least half
 /// of a log of this size is records that are no longer needed.
 const MIN_COMPACT_BYTES: u64 = 8 << 20;
 
+/// Reason for which a file with one line is damaged.
+const WRONG_LINE: &str = "wrong checksum or content";
+
 /// Open data folder, locked for this process.
 #[derive(Debug)]
 pub struct Storage {
@@ -103,6 +109,16 @@
         })
     }
 
+    /// Returns the process epoch of this start, once it is stored. It differs from those of all
+    /// earlier starts with this folder.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the folder or the random source cannot be used, or if the stored epoch is damaged.
+    pub fn begin_process_epoch(&self) -> Result<ProcessEpoch, Report<StorageError>> {
+        process_epoch::begin(&self.folder)
+    }
+
     /// Moves the state in the data folder to a subfolder, so that the VM starts as a new member.
     /// Returns the subfolder.
     ///
@@ -114,7 +130,8 @@
         let aside = folder.join(format!("set-aside-{}", new_incarnation()));
         fs::create_dir_all(&aside).change_context_lazy(|| StorageError::io(&aside))?;
         for name in file_names(folder)? {
-            if name == "wal" || name == "incarnation" || name.starts_with("snapshot-") {
+            let is_state = ["wal", "incarnation", process_epoch::FILE].contains(&name.as_str());
+            if is_state || name.starts_with("snapshot-") {
                 let from = folder.join(&name);
                 fs::rename(&from, aside.join(&name))
                     .change_context_lazy(|| StorageError::io(&from))?;
@@ -252,9 +269,7 @@
     }
     replace_file(folder, "wal", frame::MAGIC)?;
     let incarnation = new_incarnation();
-    let text = format!("{vm} {incarnation}");
-    let line = format!("{text} {:08x}\n", crc32fast::hash(text.as_bytes()));
-    replace_file(folder, "incarnation", line.as_bytes())?;
+    write_line(folder, "incarnation", &format!("{vm} {incarnation}"))?;
     info!(event = "data_folder_created", incarnation:% = incarnation; "");
     Ok(incarnation)
 }
@@ -262,23 +277,10 @@
 /// Reads the incarnation; `None` if the file does not exist.
 fn read_incarnation(folder: &Path, vm: VmId) -> Result<Option<Incarnation>, Report<StorageError>> {
     let path = folder.join("incarnation");
-    let line = match fs::read_to_string(&path) {
-        Ok(line) => line,
-        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
-        Err(error) if error.kind() == io::ErrorKind::InvalidData => {
-            return Err(StorageError::damaged(
-                &path,
-                0,
-                "the content is not UTF-8 text",
-            ));
-        }
-        Err(error) => return Err(Report::new(error).change_context(StorageError::io(&path))),
+    let Some(text) = read_line(&path)? else {
+        return Ok(None);
     };
-    let checked = line.trim_end().rsplit_once(' ').filter(|(text, sum)| {
-        u32::from_str_radix(sum, 16).is_ok_and(|sum| sum == crc32fast::hash(text.as_bytes()))
-    });
-    let fields = checked.and_then(|(text, _)| text.split_once(' '));
-    let parsed = fields.and_then(|(owner, incarnation)| {
+    let parsed = text.split_once(' ').and_then(|(owner, incarnation)| {
         Some((owner.parse::<VmId>().ok()?, incarnation.parse().ok()?))
     });
     match parsed {
@@ -287,7 +289,33 @@
             folder: folder.to_owned(),
             owner,
         })),
-        None => Err(StorageError::damaged(&path, 0, "wrong checksum or content")),
+        None => Err(StorageError::damaged(&path, 0, WRONG_LINE)),
+    }
+}
+
+/// Replaces a file that holds one line of text with a checksum.
+fn write_line(folder: &Path, name: &str, text: &str) -> Result<(), Report<StorageError>> {
+    let line = format!("{text} {:08x}\n", crc32fast::hash(text.as_bytes()));
+    replace_file(folder, name, line.as_bytes())
+}
+
+/// Reads a file that holds one line of text with a checksum; `None` if it does not exist.
+fn read_line(path: &Path) -> Result<Option<String>, Report<StorageError>> {
+    let line = match fs::read_to_string(path) {
+        Ok(line) => line,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(error) if error.kind() == io::ErrorKind::InvalidData => {
+            let reason = "the content is not UTF-8 text";
+            return Err(StorageError::damaged(path, 0, reason));
+        }
+        Err(error) => return Err(Report::new(error).change_context(StorageError::io(path))),
+    };
+    let checked = line.trim_end().rsplit_once(' ').filter(|(text, sum)| {
+        u32::from_str_radix(sum, 16).is_ok_and(|sum| sum == crc32fast::hash(text.as_bytes()))
+    });
+    match checked {
+        Some((text, _)) => Ok(Some(text.to_owned())),
+        None => Err(StorageError::damaged(path, 0, WRONG_LINE)),
     }
 }
 
--- a/crates/acaciareeld/src/storage/error.rs
+++ b/crates/acaciareeld/src/storage/error.rs
@@ -22,6 +22,8 @@
         /// VM that the state belongs to.
         owner: VmId,
     },
+    /// The random source of the operating system cannot be read.
+    NoRandomSource,
     /// The content of a file differs from what was synced.
     Damaged {
         file: PathBuf,
@@ -59,6 +61,7 @@
             Self::OtherVm { folder, owner } => {
                 write!(f, "{} holds the state of {owner}", folder.display())
             }
+            Self::NoRandomSource => f.write_str("cannot read the system's random source"),
             Self::Damaged {
                 file,
                 offset,
--- a/crates/acaciareeld/src/storage/tests.rs
+++ b/crates/acaciareeld/src/storage/tests.rs
@@ -106,6 +106,40 @@
     assert!(tables(&again).voted_for.is_some());
 }
 
+/// Guards against a process epoch that repeats in a later start, also after a lost disk.
+#[test]
+fn each_start_has_another_process_epoch() {
+    let (folder, lost_disk) = (folder(), folder());
+    let begin = |folder: &TempDir| open(folder).storage.begin_process_epoch();
+
+    let mut epochs: Vec<_> = (0..5)
+        .map(|_| begin(&folder).expect("process epoch"))
+        .chain((0..5).map(|_| begin(&lost_disk).expect("process epoch")))
+        .collect();
+    epochs.sort();
+    epochs.dedup();
+
+    assert_eq!(epochs.len(), 10, "{epochs:?}");
+}
+
+/// Guards against a damaged process epoch that is taken for another number.
+#[test]
+fn a_damaged_process_epoch_is_refused() {
+    let folder = folder();
+    let file = folder.path().join("process-epoch");
+    let opened = open(&folder);
+    opened.storage.begin_process_epoch().expect("process epoch");
+    damage(&file, 0);
+
+    let error = opened.storage.begin_process_epoch();
+
+    let error = error.expect_err("damaged file").current_context().clone();
+    assert!(
+        matches!(&error, StorageError::Damaged { file: named, .. } if *named == file),
+        "{error:?}"
+    );
+}
+
 /// Guards against a start that fails, or restores a part of a record, after a crash during a write.
 #[test]
 fn a_torn_last_record_is_truncated_wherever_it_ends() {
--- a/crates/acaciareeld/tests/end_to_end.rs
+++ b/crates/acaciareeld/tests/end_to_end.rs
@@ -15,6 +15,8 @@
 mod links;
 #[path = "end_to_end/partitions.rs"]
 mod partitions;
+#[path = "end_to_end/restarts.rs"]
+mod restarts;
 #[path = "end_to_end/workers.rs"]
 mod workers;
 
--- a/crates/cell/src/entry.rs
+++ b/crates/cell/src/entry.rs
@@ -1,7 +1,7 @@
 //! Reducer of an entry VM: forwards callers' requests to the leader, and calls the policy service
 //! for the leader.
 
-use acaciareel_types::{Millis, SortedVec, VmId};
+use acaciareel_types::{Millis, ProcessEpoch, SortedVec, VmId};
 
 use crate::{
     AddressedRequest, CallerReply, CallerRequest, Effect, Event, LogLevel, PeerMessage,
@@ -30,6 +30,9 @@
 /// Longest time from the stop request to the end of the process.
 const MAX_STOP_MS: u64 = 5_300;
 
+/// Number of bits that count the requests of one process; its epoch is in the higher bits.
+const CALL_BITS: u32 = 32;
+
 /// A request without a reply.
 #[derive(Clone, Debug)]
 struct PendingRequest {
@@ -62,15 +65,17 @@
     control_vms: SortedVec<VmId, ControlVm>,
     leader: Option<VmId>,
     pending: SortedVec<u64, PendingRequest>,
+    /// Number of the last request.
     next_call: u64,
     next_ping_ms: Millis,
     stopping_ms: Option<Millis>,
 }
 
 impl Entry {
-    /// Creates an entry VM that connects to the seeds.
+    /// Creates an entry VM that connects to the seeds. The process epoch must differ from those of
+    /// its earlier starts: replies to their requests may still arrive.
     #[must_use]
-    pub fn new(seeds: Vec<VmId>) -> Self {
+    pub fn new(seeds: Vec<VmId>, process_epoch: ProcessEpoch) -> Self {
         Self {
             seeds,
             members: Vec::new(),
@@ -79,7 +84,7 @@
             control_vms: SortedVec::new(),
             leader: None,
             pending: SortedVec::new(),
-            next_call: 0,
+            next_call: process_epoch.number() << CALL_BITS,
             next_ping_ms: Millis(0),
             stopping_ms: None,
         }
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -52,6 +52,9 @@
 /// Added to the time for which the status of an ended job is kept, because clocks differ.
 const STATUS_RETENTION_MARGIN_MS: u64 = 60_000;
 
+/// Number of bits that count the calls of one term; the term is in the higher bits.
+const CALL_BITS: u32 = 32;
+
 /// A call to a worker whose reply has not arrived.
 #[derive(Clone, Debug)]
 enum WorkerCall {
@@ -102,6 +105,7 @@
     advice_vms: AdviceVms,
     worker_calls: SortedVec<u64, WorkerCall>,
     relays: relay::Relays,
+    /// Number of the last call to a worker or the policy service.
     next_call: u64,
     status_queries: status_queries::StatusQueries,
     pending_submits: SortedVec<JobId, Vec<Origin>>,
@@ -146,7 +150,9 @@
             advice_vms: AdviceVms::default(),
             worker_calls: SortedVec::new(),
             relays: relay::Relays::default(),
-            next_call: 0,
+            // Replies to calls of an earlier leadership may still arrive, so numbers of calls must
+            // not repeat.
+            next_call: term << CALL_BITS,
             status_queries: status_queries::StatusQueries::default(),
             pending_submits: SortedVec::new(),
             pending_cancels: SortedVec::new(),
--- a/crates/cell/tests/cell/faults.rs
+++ b/crates/cell/tests/cell/faults.rs
@@ -366,6 +366,31 @@
     assert_eq!(sim.starts, 0);
 }
 
+/// Guards against a caller who gets the reply to another caller's request, because an entry VM that
+/// starts again numbers its requests like the process before it.
+#[test]
+fn restarted_entry_vm_ignores_replies_to_its_earlier_process() {
+    let mut sim = Sim::new(1, 3, 2);
+    sim.set_up(vec![queue("batch", 2, false)]);
+    sim.run(5 - sim.now_ms % 5);
+    for vm in [entry(1), entry(2)] {
+        sim.kill(vm);
+        sim.start(vm, false);
+    }
+    sim.run_until(1_000, |sim| sim.entry_is_ready(entry(1)));
+
+    let submitted = sim.submit("batch", 8, job(vec![step(1, 1_000, 500)]));
+    sim.run(10);
+    sim.kill(entry(1));
+    sim.start(entry(1), false);
+    let path = format!("/batch/{}", acaciareel_cell::JobId(99));
+    let unknown = sim.call(entry(1), path, acaciareel_cell::CallerRequest::Status);
+    sim.run(2_000);
+
+    assert_eq!(sim.replies.get(&submitted), None);
+    assert_eq!(sim.replies.get(&unknown), Some(&CallerReply::UnknownJob));
+}
+
 /// Guards against occurrences of a repeated job that never start because the leader changed after
 /// the job was accepted.
 #[test]
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -8,7 +8,7 @@
     PeerMessage, QueueRow, QueueTable, StepSpec, TaskKey, WorkerRecord, WorkerReply, WorkerRequest,
 };
 use acaciareel_consensus::{MemberId, Record, RestoredState};
-use acaciareel_types::{Incarnation, Millis, VmId};
+use acaciareel_types::{Incarnation, Millis, ProcessEpoch, VmId};
 
 use crate::worker::{LEASE_MS, Running, Worker};
 
@@ -87,6 +87,10 @@
     next_heartbeat_ms: BTreeMap<String, u64>,
     pub starts: u64,
     commands_sent_by: BTreeMap<VmId, u64>,
+    /// Leader and number of each call to a worker so far.
+    worker_calls: BTreeSet<(VmId, u64)>,
+    /// Entry VM and number of each caller's request so far, with its path.
+    caller_calls: BTreeMap<(VmId, u64), String>,
     /// Tasks of which a run has completed successfully.
     done: BTreeSet<TaskKey>,
     /// Whether the log lines of the VMs are printed.
@@ -182,6 +186,8 @@
             next_heartbeat_ms: BTreeMap::new(),
             starts: 0,
             commands_sent_by: BTreeMap::new(),
+            worker_calls: BTreeSet::new(),
+            caller_calls: BTreeMap::new(),
             done: BTreeSet::new(),
             verbose: std::env::var_os("CELL_SIM_LOG").is_some(),
         };
@@ -243,7 +249,8 @@
         slot.connect_to.clear();
         if vm.0 > 100 {
             slot.incarnation += 1;
-            let entry = Entry::new(seeds);
+            let epoch = u32::try_from(slot.process_epoch).expect("few starts");
+            let entry = Entry::new(seeds, ProcessEpoch::from_random(epoch));
             slot.reducer = Some(Reducer::Entry(Box::new(entry)));
             return;
         }
@@ -356,6 +363,7 @@
                 }
             }
             Effect::Send { to, message } => {
+                self.check_caller_call(vm, &message);
                 if self.linked.contains(&(vm, to)) || self.linked.contains(&(to, vm)) {
                     if matches!(message, PeerMessage::AdviceRequest { .. }) {
                         self.open_advice_requests += 1;
@@ -463,6 +471,8 @@
         timeout_ms: u64,
     ) {
         *self.commands_sent_by.entry(vm).or_default() += 1;
+        let is_new = self.worker_calls.insert((call.1, call.0));
+        assert!(is_new, "{} reuses call {}", call.1, call.0);
         let reachable = !self.cut_workers.contains(&worker_id)
             && self.workers.get(&worker_id).is_some_and(|w| w.alive);
         let lost = self.random(100) < self.lost_replies_percent;
@@ -489,6 +499,16 @@
         }
     }
 
+    /// Checks that an entry VM does not give one number to two requests, which would take the reply
+    /// to the first for one to the second.
+    fn check_caller_call(&mut self, vm: VmId, message: &PeerMessage) {
+        if let PeerMessage::Call { call, request } = message {
+            let path = self.caller_calls.entry((vm, *call));
+            let path = path.or_insert_with(|| request.path.clone());
+            assert_eq!(*path, request.path, "{vm} reuses call {call}");
+        }
+    }
+
     fn execute_command(&mut self, command: &WorkerCommand) {
         let WorkerCommand {
             from: vm,
--- a/crates/node/examples/capacity/simulation.rs
+++ b/crates/node/examples/capacity/simulation.rs
@@ -12,8 +12,8 @@
     WorkerCall, WorkerReply,
 };
 use acaciareel_types::{
-    Answer, Attempt, Incarnation, Millis, RawTables, Request, Resources, TableVersion, TaskId,
-    Verdict, VmId, WorkerReport,
+    Answer, Attempt, Incarnation, Millis, ProcessEpoch, RawTables, Request, Resources,
+    TableVersion, TaskId, Verdict, VmId, WorkerReport,
 };
 use acaciareel_wire::{Field, GroupRecord, http, types};
 
@@ -146,6 +146,7 @@
         let settings = NodeSettings {
             vm: VmId(id),
             incarnation: Incarnation(1),
+            process_epoch: ProcessEpoch::from_random(id),
             failure_domain: domain(self.shape.domain_of(id)),
             vms,
             groups,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -1,8 +1,8 @@
 //! Entry role: serves the callers that are connected to this VM and the workers that report to it.
 
 use acaciareel_types::{
-    Class, Effect as RunEffect, FailureDomain, IdempotencyKey, Incarnation, Millis, Reason,
-    Request, SortedVec, TaskId, Term, Verdict, VmId, WorkerId,
+    Attempt, Class, Effect as RunEffect, FailureDomain, IdempotencyKey, Incarnation, Millis,
+    Reason, Request, SortedVec, TaskId, Term, Verdict, VmId, WorkerId,
 };
 
 use crate::{ConnectionId, NodeSettings, Observation, Reply, io::Io, node::Node};
@@ -57,14 +57,19 @@
     pub refused_by: Vec<FailureDomain>,
 }
 
+impl WaitingRequest {
+    /// Returns the verdict while the request is not forwarded.
+    fn unforwarded_verdict(&self, reason: Reason) -> Verdict {
+        unforwarded_verdict(Some(self.effect), self.request.attempt, reason)
+    }
+}
+
 /// State of the entry role.
 #[derive(Debug)]
 pub(crate) struct Entry {
     /// Number by which peers detect that this VM has restarted, since a restart with an intact disk
     /// keeps the incarnation. It is also the upper half of submission and operation numbers and a
-    /// part of the ids of idempotent tasks, so it must differ between the starts of a VM. It is
-    /// derived from `NodeSettings::seed` alone and repeats when the seed does (KNOWN-RED.txt, 5).
-    /// Epochs have no order: they are only compared for equality. The schema calls it `life`.
+    /// part of the ids of idempotent tasks. The schema calls it `life`.
     pub process_epoch: u64,
     next_number: u64,
     pub waiting: SortedVec<u64, WaitingRequest>,
@@ -92,11 +97,8 @@
             .collect();
         domains.sort();
         domains.dedup();
-        // The upper bits of a Fibonacci hash spread consecutive seeds; 31 bits keep the number
-        // positive.
-        let process_epoch = settings.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33;
         Self {
-            process_epoch,
+            process_epoch: settings.process_epoch.number(),
             next_number: 0,
             waiting: SortedVec::new(),
             by_submission: SortedVec::new(),
@@ -113,8 +115,7 @@
     }
 
     /// Returns the next number of a waiting request, submission or inquiry: the process epoch and a
-    /// counter that begins again at each start. No other start of this VM may use the number, but a
-    /// start with the same seed does (KNOWN-RED.txt, 5).
+    /// counter that begins again at each start. No other start of this VM uses the number.
     fn number(&mut self) -> u64 {
         self.next_number += 1;
         (self.process_epoch << 32) | self.next_number
@@ -165,7 +166,7 @@
     domains[chosen].clone()
 }
 
-pub(crate) fn not_run(reason: Reason) -> Verdict {
+fn not_run(reason: Reason) -> Verdict {
     Verdict::NotRun {
         reason,
         retry_after_ms: RETRY_AFTER_MS,
@@ -187,12 +188,12 @@
         } else {
             None
         };
-        if let Some(reason) = refusal {
-            io.reply(connection, Reply::Verdict(not_run(reason)));
-            return;
-        }
-        let Some(route) = self.tables.tables().routes().get(&request.kind) else {
-            io.reply(connection, Reply::Verdict(not_run(Reason::UnknownKind)));
+        let route = self.tables.tables().routes().get(&request.kind);
+        let refusal = refusal.or(route.is_none().then_some(Reason::UnknownKind));
+        let (Some(route), None) = (route, refusal) else {
+            let reason = refusal.unwrap_or(Reason::UnknownKind);
+            let verdict = unforwarded_verdict(route.map(|r| r.effect), request.attempt, reason);
+            io.reply(connection, Reply::Verdict(verdict));
             return;
         };
         if request.time_limit_ms == Millis(0) || request.time_limit_ms > route.time_limit_ms {
@@ -338,13 +339,13 @@
         let reason = Reason::TimeLimit;
         return Verdict::MayHaveRun { reason };
     }
-    unforwarded_verdict(waiting, Reason::TimeLimit)
+    waiting.unforwarded_verdict(Reason::TimeLimit)
 }
 
-/// Returns the verdict on a request that was not forwarded. An earlier attempt of the caller may
-/// have run.
-fn unforwarded_verdict(waiting: &WaitingRequest, reason: Reason) -> Verdict {
-    if waiting.effect != RunEffect::Idempotent && waiting.request.attempt.0 > 1 {
+/// Returns the verdict on an attempt that was not forwarded. An earlier attempt of the caller may
+/// have run. `effect` is `None` if this VM has no route for the request.
+fn unforwarded_verdict(effect: Option<RunEffect>, attempt: Attempt, reason: Reason) -> Verdict {
+    if effect != Some(RunEffect::Idempotent) && attempt.0 > 1 {
         Verdict::MayHaveRun { reason }
     } else {
         not_run(reason)
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -4,7 +4,7 @@
     Effect as RunEffect, FailureDomain, Millis, PoolName, Reason, Term, Verdict, VmId,
 };
 
-use super::{Forward, NO_LEADER_MS, not_run, unforwarded_verdict};
+use super::{Forward, NO_LEADER_MS};
 use crate::{PeerMessage, PoolRoom, io::Io, node::Node};
 
 /// First interval after which an unanswered submission is sent again; messages may be lost.
@@ -53,7 +53,7 @@
             None => io.now_ms.saturating_sub(waiting.received_ms) > NO_LEADER_MS,
         };
         if unreachable {
-            let verdict = unforwarded_verdict(waiting, Reason::HomeUnreachable);
+            let verdict = waiting.unforwarded_verdict(Reason::HomeUnreachable);
             self.answer_caller(id, verdict, io);
         }
     }
@@ -162,9 +162,7 @@
         }
     }
 
-    /// Returns whether the VM that a request was forwarded to has restarted or is suspected. A
-    /// restart with the same seed is not detected, since the process epoch is the same
-    /// (KNOWN-RED.txt, 5).
+    /// Returns whether the VM that a request was forwarded to has restarted or is suspected.
     pub(super) fn is_forward_lost(&self, now_ms: Millis, forward: &Forward) -> bool {
         let restarted = self.peer_process_epoch(forward.to) != forward.process_epoch;
         restarted || self.peers.suspected(now_ms, forward.to)
@@ -287,15 +285,15 @@
 
     /// Refuses every waiting request that is not forwarded and that no earlier placer may have run.
     pub(crate) fn refuse_unforwarded(&mut self, reason: Reason, io: &mut Io<'_>) {
-        let ids: Vec<u64> = self
+        let verdicts: Vec<(u64, Verdict)> = self
             .entry
             .waiting
             .iter()
             .filter(|(_, waiting)| waiting.forward.is_none() && !waiting.may_have_run)
-            .map(|(id, _)| *id)
+            .map(|(id, waiting)| (*id, waiting.unforwarded_verdict(reason)))
             .collect();
-        for id in ids {
-            self.answer_caller(id, not_run(reason), io);
+        for (id, verdict) in verdicts {
+            self.answer_caller(id, verdict, io);
         }
     }
 }
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -83,8 +83,7 @@
         /// its own messages are lost, which it cannot detect otherwise.
         suspects: Vec<VmId>,
         /// Process epoch of the sender. A restart with an intact disk keeps the incarnation but
-        /// loses the requests in memory. A restart with the same seed also keeps the process epoch
-        /// (KNOWN-RED.txt, 5).
+        /// loses the requests in memory.
         life: u64,
     },
     /// Message of a consensus group.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -37,8 +37,7 @@
     pub(crate) stop: crate::stop::StopState,
     pub(crate) next_heartbeat_ms: Millis,
     /// Number of placer roles that this VM has taken since its start. It is part of the ids of
-    /// idempotent tasks. It begins again at each start, so these ids differ from those of an
-    /// earlier start only if the process epoch does (KNOWN-RED.txt, 5).
+    /// idempotent tasks. It begins again at each start.
     pub(crate) placer_roles_taken: u64,
     pub(crate) next_job: u64,
     /// Since when a peer has reported a higher version of the tables, or when the tables were last
@@ -48,9 +47,6 @@
 
 impl Node {
     /// Creates a node from its settings and the state found in the data folder.
-    ///
-    /// The seed must differ in each start of a VM: the process epoch is derived from it alone, and
-    /// with the same seed submission numbers and task ids repeat (KNOWN-RED.txt, 5).
     #[must_use]
     pub fn new(settings: NodeSettings, restored: NodeRestored, now_ms: Millis) -> Self {
         let restored: SortedVec<_, _> = restored
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -7,8 +7,7 @@
 pub(crate) enum TaskOwner {
     /// The ledger of a failure domain.
     Ledger(FailureDomain),
-    /// A VM with its process epoch, for idempotent requests. The epoch must differ between the
-    /// starts of the VM, but repeats when the seed does (KNOWN-RED.txt, 5).
+    /// A VM with its process epoch, for idempotent requests.
     Vm(VmId, Incarnation),
 }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings and restored state of a node.
 
 use acaciareel_consensus::RestoredState;
-use acaciareel_types::{FailureDomain, Incarnation, SortedVec, VmId};
+use acaciareel_types::{FailureDomain, Incarnation, ProcessEpoch, SortedVec, VmId};
 
 use crate::GroupId;
 
@@ -19,15 +19,16 @@
     pub vm: VmId,
     /// Incarnation of this VM's state, which changes when the data folder is created anew.
     pub incarnation: Incarnation,
+    /// Epoch of this start of the VM; no other start of the VM may have the same one, whatever its
+    /// settings are.
+    pub process_epoch: ProcessEpoch,
     /// Failure domain of this VM.
     pub failure_domain: FailureDomain,
     /// Every entry VM of the deployment, this one included.
     pub vms: SortedVec<VmId, PeerSettings>,
     /// Initial voters of each group, sorted by VM.
     pub groups: SortedVec<GroupId, Vec<VmId>>,
-    /// Seed of election timeouts, jitter and the process epoch. It must differ between the starts
-    /// of a VM: the process epoch is derived from it alone, so submission numbers and task ids
-    /// repeat when the seed does (KNOWN-RED.txt, 5).
+    /// Seed of election timeouts and jitter. It may be the same in each start.
     pub seed: u64,
 }
 
--- a/crates/node/tests/cluster/main.rs
+++ b/crates/node/tests/cluster/main.rs
@@ -9,6 +9,7 @@
 mod operators;
 mod placement;
 mod requests;
+mod restarts;
 mod setup;
 mod sim;
 mod stop;
--- a/crates/node/tests/cluster/setup.rs
+++ b/crates/node/tests/cluster/setup.rs
@@ -37,6 +37,7 @@
             node: None,
             domain,
             incarnation: 1,
+            seed: 0,
             process_epoch: 0,
             disk: BTreeMap::new(),
             unsynced: Vec::new(),
--- a/crates/node/tests/cluster/sim.rs
+++ b/crates/node/tests/cluster/sim.rs
@@ -8,7 +8,9 @@
     CallId, Effect, Event, GroupId, Node, NodeRestored, NodeSettings, PeerSettings, Reply,
     RestoredGroup, WorkerCall,
 };
-use acaciareel_types::{FailureDomain, Incarnation, Millis, SortedVec, TaskId, VmId, WorkerId};
+use acaciareel_types::{
+    FailureDomain, Incarnation, Millis, ProcessEpoch, SortedVec, TaskId, VmId, WorkerId,
+};
 
 use crate::{
     checks::Checks,
@@ -24,6 +26,8 @@
     pub node: Option<Node>,
     pub domain: FailureDomain,
     pub incarnation: u64,
+    /// Seed in the settings of the VM.
+    pub seed: u64,
     /// Raised at each start and end of the process; syncs and calls of an earlier epoch are
     /// discarded.
     pub process_epoch: u64,
@@ -112,6 +116,8 @@
     pub pending_announcements: BTreeMap<Conn, (WorkerId, bool)>,
     pub checks: Checks,
     voters: SortedVec<GroupId, Vec<VmId>>,
+    /// Whether VMs keep their seed when they start again, as they do with unchanged settings.
+    pub keep_seeds: bool,
     /// Lines of the trace: log events of the nodes and notes of the tests.
     pub log: Vec<String>,
 }
@@ -122,6 +128,12 @@
         .expect("domain")
 }
 
+/// Returns the upper bits of a Fibonacci hash, which differ for consecutive numbers.
+fn spread(number: u64) -> u32 {
+    let hash = number.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33;
+    u32::try_from(hash).expect("31 bits")
+}
+
 impl Sim {
     /// Starts VMs 1 to `per_domain * 3` in three domains, with workers in each domain.
     pub fn new(seed: u64, per_domain: u32, workers: [u32; 3]) -> Self {
@@ -145,6 +157,7 @@
             pending_announcements: BTreeMap::new(),
             checks: Checks::default(),
             voters: voters(per_domain),
+            keep_seeds: false,
             log: Vec::new(),
         };
         for (index, count) in workers.into_iter().enumerate() {
@@ -187,18 +200,22 @@
             (VmId(*vm), PeerSettings { failure_domain })
         });
         let vms = peers.collect();
-        let seed = self.random(1 << 40);
+        let random = self.random(1 << 40);
         let groups = self.voters.clone();
         let vm = self.vms.get_mut(&id).expect("known VM");
         vm.process_epoch += 1;
+        if vm.process_epoch == 1 || !self.keep_seeds {
+            vm.seed = random;
+        }
         vm.stopped = false;
         let settings = NodeSettings {
             vm: VmId(id),
             incarnation: Incarnation(vm.incarnation),
+            process_epoch: ProcessEpoch::from_random(spread(random)),
             failure_domain: vm.domain.clone(),
             vms,
             groups,
-            seed,
+            seed: vm.seed,
         };
         let groups = vm.disk.iter().map(|(group, restored)| RestoredGroup {
             group: group.clone(),
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod ids;
 mod numbers;
+mod process_epoch;
 mod request;
 mod resources;
 mod sorted_vec;
@@ -20,6 +21,7 @@
         Accelerators, Attempt, Connections, CpuMillicores, FencingToken, Incarnation, LogIndex,
         MemoryBytes, Millis, NumberError, RatePerSecond, Slots, TableVersion, Term, VmId,
     },
+    process_epoch::{ProcessEpoch, ProcessEpochError},
     request::{Body, BodyDigest, Request},
     resources::Resources,
     sorted_vec::SortedVec,
--- a/crates/types/tests/round_trips.rs
+++ b/crates/types/tests/round_trips.rs
@@ -8,8 +8,8 @@
 use acaciareel_types::{
     Accelerators, Attempt, Class, Connections, CpuMillicores, Effect, FailureDomain, FencingToken,
     IdempotencyKey, Incarnation, KindName, LogIndex, MemoryBytes, Millis, OperationId, Policy,
-    PoolName, RackName, RatePerSecond, Reason, Slots, TableVersion, TaskId, TenantName, Term, VmId,
-    WorkerGroup, WorkerId,
+    PoolName, ProcessEpoch, RackName, RatePerSecond, Reason, Slots, TableVersion, TaskId,
+    TenantName, Term, VmId, WorkerGroup, WorkerId,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
 
@@ -89,6 +89,10 @@
             large, text,
             FencingToken Incarnation LogIndex MemoryBytes Millis TableVersion Term
         );
+        let epoch = ProcessEpoch::from_random(small);
+        check_round_trip(&epoch)?;
+        prop_assert_ne!(epoch, epoch.next());
+        prop_assert_eq!(u64::from(small) == epoch.number(), ProcessEpoch::try_from(small).is_ok());
     }
 
     /// Guards against a name that is printed but cannot be parsed, and against one that is accepted
