Forward requests to join to the leader

Cause: a new control VM asks its seeds only, and a replica that does not lead dropped the request. With five control VMs the leader need not be a seed.

Ruled out: the removal of the stopped voter; it follows once a learner is there (members_change Remove, then Promote, 2 s after the stop).

Change: Message::Join names the requester when a member forwards it; it is forwarded once. A leader reports losses_tolerated; a VM without membership logs not_a_member.

Before: vm_joins_through_any_member fails for the first choice of members without the leader; the new cell test finds losses_tolerated 1 in place of 2. After: all ten choices with four faults join within 2 s, and any two disks lost after the replacement lose no accepted job.

--- a/crates/cell/src/control.rs
+++ b/crates/cell/src/control.rs
@@ -80,6 +80,12 @@
     next_status_ms: Millis,
     next_members_ms: Millis,
     stop_at_ms: Option<Millis>,
+    /// Number of voters and of reachable voters in the last report of this leader.
+    reported_redundancy: Option<(usize, usize)>,
+    /// Last time at which this VM was a member of the group; initially the time of the start.
+    unjoined_since_ms: Millis,
+    /// Time without membership after which it is logged again.
+    next_unjoined_report_ms: u64,
 }
 
 impl Control {
@@ -126,6 +132,9 @@
             next_status_ms: Millis(0),
             next_members_ms: Millis(0),
             stop_at_ms: None,
+            reported_redundancy: None,
+            unjoined_since_ms: now_ms,
+            next_unjoined_report_ms: members::UNJOINED_REPORT_INTERVAL_MS,
         }
     }
 
@@ -348,6 +357,7 @@
             commands: &mut self.commands,
         };
         leader.step_down(&mut io);
+        self.reported_redundancy = None;
         self.send_status(out);
     }
 
@@ -510,6 +520,7 @@
             self.next_members_ms = now_ms.saturating_add(Millis(MEMBERS_INTERVAL_MS));
             self.update_available_vms(time, out);
             self.manage_members(time, out);
+            self.report_unjoined(now_ms, out);
         }
         self.with_leader(time, out, Leader::tick);
         if self.stop_at_ms.is_some_and(|at_ms| now_ms >= at_ms) {
--- a/crates/cell/src/control/members.rs
+++ b/crates/cell/src/control/members.rs
@@ -1,14 +1,16 @@
 //! Members of the consensus group, and the VMs to which a control VM keeps connections.
 
-use acaciareel_consensus::{Input, MemberChange};
+use acaciareel_consensus::{Input, MemberChange, Role};
 use acaciareel_types::{Millis, VmId};
 
 use super::{Control, log};
-use crate::Effect;
+use crate::{Effect, LogLevel};
 
 /// Time without contact after which a voter is replaced, if a learner is ready to take its place. A
 /// VM that restarts is back sooner, or is promoted again later.
 const REPLACE_AFTER_MS: u64 = 1_500;
+/// Time between two reports of a VM that waits to become a member; the first one is as late.
+pub(super) const UNJOINED_REPORT_INTERVAL_MS: u64 = 3_000;
 /// How long a connection is kept to a VM that is not a member but sends consensus messages.
 const CONTACT_RETENTION_MS: u64 = 5_000;
 
@@ -32,12 +34,68 @@
         });
     }
 
+    /// Reports how many further voters the group can lose before it has no majority, and logs each
+    /// change.
+    fn report_redundancy(&mut self, now_ms: Millis, out: &mut Vec<Effect>) {
+        let progress = self.replica.progress(now_ms);
+        // The leader is a voter too.
+        let voters = 1 + progress.values().filter(|member| member.voter).count();
+        let alive = 1 + progress.values().filter(|m| m.voter && m.alive).count();
+        let tolerated = alive.saturating_sub(voters / 2 + 1);
+        out.push(Effect::Gauge {
+            name: "losses_tolerated",
+            value: tolerated as u64,
+        });
+        let redundancy = (voters, alive);
+        if self.reported_redundancy != Some(redundancy) {
+            self.reported_redundancy = Some(redundancy);
+            let fields = vec![
+                ("voters", voters.to_string()),
+                ("alive", alive.to_string()),
+                ("losses_tolerated", tolerated.to_string()),
+            ];
+            log(out, "redundancy_changed", fields);
+        }
+    }
+
+    /// Logs that this VM still waits to become a member. Without a line an operator would count it
+    /// as a replica.
+    pub(super) fn report_unjoined(&mut self, now_ms: Millis, out: &mut Vec<Effect>) {
+        if self.replica.role() != Role::Unformed {
+            self.unjoined_since_ms = now_ms;
+            self.next_unjoined_report_ms = UNJOINED_REPORT_INTERVAL_MS;
+            return;
+        }
+        let waited_ms = now_ms.saturating_sub(self.unjoined_since_ms).0;
+        if waited_ms >= self.next_unjoined_report_ms {
+            self.next_unjoined_report_ms = waited_ms + UNJOINED_REPORT_INTERVAL_MS;
+            let seeds: Vec<String> = self.seeds.iter().map(VmId::to_string).collect();
+            let leader = self
+                .replica
+                .leader()
+                .map_or_else(String::new, |vm| vm.to_string());
+            out.push(Effect::Log {
+                level: LogLevel::Warn,
+                event: "not_a_member",
+                fields: vec![
+                    ("waited_ms", waited_ms.to_string()),
+                    ("seeds", seeds.join(",")),
+                    ("leader", leader),
+                ],
+            });
+        }
+    }
+
     /// Proposes at most one membership change towards an odd number of live voters.
     pub(super) fn manage_members(&mut self, time: (Millis, u64), out: &mut Vec<Effect>) {
-        if self.leader.is_none() || !self.replica.can_change_members() {
+        let now_ms = time.0;
+        if self.leader.is_none() {
+            return;
+        }
+        self.report_redundancy(now_ms, out);
+        if !self.replica.can_change_members() {
             return;
         }
-        let now_ms = time.0;
         let progress = self.replica.progress(now_ms);
         let commit_index = self.replica.commit_index();
         let mut unresponsive_voter = None;
--- a/crates/cell/tests/cell/faults.rs
+++ b/crates/cell/tests/cell/faults.rs
@@ -232,6 +232,61 @@
     assert_eq!(sim.unfinished(0..9), Vec::<u64>::new());
 }
 
+/// Starts a cell of five control VMs whose leader is not among the three seeds.
+fn cell_led_by_no_seed(seed: u64) -> Sim {
+    let mut sim = Sim::new(seed, 5, 4);
+    sim.set_up(vec![queue("batch", 2, false)]);
+    while let Some(leader) = sim.leader().filter(|leader| *leader <= control(3)) {
+        sim.isolate(leader);
+        sim.run(2_000);
+        sim.cut_links.clear();
+        sim.run(2_000);
+    }
+    sim
+}
+
+/// Guards against a replacement that never becomes a voter because the leader is not among its
+/// seeds, so that the loss of two more disks loses all that was acknowledged (loftbook-large
+/// trouble-2, seed 193287265236).
+#[test]
+fn replacement_joins_a_leader_that_is_no_seed_and_two_disks_are_lost() {
+    let pairs = (0..5).flat_map(|first| (first + 1..5).map(move |second| [first, second]));
+    for (seed, pair) in pairs.enumerate() {
+        let mut sim = cell_led_by_no_seed(seed as u64);
+        let leader = sim.leader().expect("leader");
+        let replaced = if leader == control(4) {
+            control(5)
+        } else {
+            control(4)
+        };
+        sim.start(control(6), false);
+        sim.run(2_000);
+        sim.kill(replaced);
+        sim.run(4_000);
+        let members: Vec<_> = (1..=6).map(control).filter(|vm| *vm != replaced).collect();
+        assert_eq!(
+            sim.gauges.get(&(leader, "losses_tolerated")),
+            Some(&2),
+            "{pair:?}"
+        );
+
+        let mut sent = submit_many(&mut sim, 0..20, 50);
+        for index in pair {
+            sim.kill_and_erase(members[index]);
+        }
+        sim.run(500);
+        for index in pair {
+            sim.start(members[index], false);
+        }
+        sim.run(4_000);
+        sent.extend(submit_many(&mut sim, 20..30, 50));
+        sim.run(15_000);
+
+        assert!(accepted(&sim, &sent).len() >= 25, "{pair:?}");
+        assert_accepted_complete(&sim, &sent, seed as u64);
+    }
+}
+
 /// Returns the seeds to run. `CELL_SIM_SEEDS=FIRST..LAST` sets another range, without LAST, for
 /// longer manual runs.
 fn seeds() -> std::ops::Range<u64> {
--- a/crates/consensus/src/bootstrap.rs
+++ b/crates/consensus/src/bootstrap.rs
@@ -205,7 +205,7 @@
         targets.sort_unstable();
         targets.dedup();
         for vm in targets {
-            self.send(vm, Message::Join, out);
+            self.send(vm, Message::Join { requester: None }, out);
         }
     }
 }
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -243,7 +243,7 @@
             .members()
             .is_some_and(|(_, m)| m.contains_key(&from.vm));
         if !listed {
-            self.on_join(now_ms, from);
+            self.on_join(now_ms, from, None, out);
         }
         let up_to_date = (last_term, last_index) >= (self.log.last_term(), self.log.last_index());
         if pre_vote {
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -2,7 +2,9 @@
 
 use acaciareel_types::{Incarnation, Millis, VmId};
 
-use crate::{Member, MemberChange, MemberId, MemberSet, Output, Payload, Replica, election::State};
+use crate::{
+    Member, MemberChange, MemberId, MemberSet, Message, Output, Payload, Replica, election::State,
+};
 
 /// Most entries that a learner may lack when it is promoted; it receives them with the next
 /// heartbeat.
@@ -93,8 +95,25 @@
         })
     }
 
-    /// Records a request to join; the next membership change adds the VM.
-    pub(crate) fn on_join(&mut self, now_ms: Millis, from: MemberId) {
+    /// Records a request to join; the next membership change adds the VM. A replica that does not
+    /// lead forwards the request to the leader, because a new VM need not know the leader.
+    pub(crate) fn on_join(
+        &mut self,
+        now_ms: Millis,
+        from: MemberId,
+        requester: Option<MemberId>,
+        out: &mut Vec<Output>,
+    ) {
+        if let (Some(leader), None) = (self.leader, requester)
+            && leader != self.settings.me.vm
+        {
+            let requester = Some(from);
+            return self.send(leader, Message::Join { requester }, out);
+        }
+        let from = requester.unwrap_or(from);
+        if from.vm == self.settings.me.vm {
+            return;
+        }
         // A reachable voter is not replaced: the request may be a delayed message of an earlier
         // incarnation. A learner that is replaced by such a message requests to join again.
         let reachable_voter = self
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -76,8 +76,12 @@
         /// query.
         asked_by: Option<Incarnation>,
     },
-    /// Requests that the leader adds the sender's incarnation to the group, first as a learner.
-    Join,
+    /// Requests that the leader adds an incarnation of a VM to the group, first as a learner.
+    Join {
+        /// Incarnation to add, in a request that a member has forwarded to the leader; `None` for
+        /// the sender itself.
+        requester: Option<MemberId>,
+    },
     /// Requests a vote or a pre-vote.
     RequestVote {
         /// Term of the election; for a pre-vote, the term that the election would have.
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -145,7 +145,7 @@
         }
         match message {
             Message::Unformed { asked_by } => self.on_unformed(now_ms, from, asked_by, out),
-            Message::Join => self.on_join(now_ms, from),
+            Message::Join { requester } => self.on_join(now_ms, from, requester, out),
             Message::RequestVote { .. } => self.on_request_vote(now_ms, from, &message, out),
             Message::Vote {
                 term,
--- a/crates/consensus/tests/replica/membership.rs
+++ b/crates/consensus/tests/replica/membership.rs
@@ -79,6 +79,84 @@
     }
 }
 
+/// Longest time from a live path to a member until a VM has joined: three requests to join.
+const JOIN_MS: u64 = 2_000;
+
+/// What happens to one of the members that a new VM knows.
+#[derive(Clone, Copy, Debug)]
+enum SeedFault {
+    None,
+    Isolated,
+    Killed,
+    Erased,
+}
+
+/// Guards against a new VM that is never added because none of the members that it knows leads
+/// (loftbook-large trouble-2, seed 193287265236), with every choice of three members and a fault of
+/// one of them.
+#[test]
+fn vm_joins_through_any_member() {
+    let triples =
+        (1..=5).flat_map(|a| (a + 1..=5).flat_map(move |b| (b + 1..=5).map(move |c| [a, b, c])));
+    for (seed, targets) in triples.enumerate() {
+        for fault in [
+            SeedFault::None,
+            SeedFault::Isolated,
+            SeedFault::Killed,
+            SeedFault::Erased,
+        ] {
+            let mut network = Network::bootstrapped(seed as u64, 5);
+            let leader = network.commit(0..10);
+            let faulty = *targets.iter().find(|vm| **vm != leader).unwrap();
+            match fault {
+                SeedFault::None => {}
+                SeedFault::Isolated => network.isolate(&[faulty]),
+                SeedFault::Killed => network.kill(faulty),
+                SeedFault::Erased => {
+                    network.kill_and_erase(faulty);
+                    network.start(faulty);
+                }
+            }
+
+            network.join_vm(6, &targets);
+            network.run(JOIN_MS);
+
+            let leader = network.await_leader(5_000);
+            assert!(
+                network.replica(leader).members().contains_key(&VmId(6)),
+                "{targets:?} {fault:?}, leader {leader}"
+            );
+            assert_eq!(
+                network.replica(6).role(),
+                Role::Learner,
+                "{targets:?} {fault:?}"
+            );
+        }
+    }
+}
+
+/// Guards against a request to join that members pass on for ever, or that removes a reachable
+/// voter.
+#[test]
+fn forwarded_request_to_join_is_not_forwarded_again() {
+    let mut network = Network::bootstrapped(1, 3);
+    let leader = network.commit(0..10);
+    let (follower, other) = (leader % 3 + 1, (leader + 1) % 3 + 1);
+    let mut requester = network.id(other);
+    requester.incarnation.0 += 1_000;
+    let before = network.vms[&leader].traffic.0;
+
+    let message = Message::Join {
+        requester: Some(requester),
+    };
+    let from = network.id(other);
+    network.input(follower, Input::Receive { from, message });
+    network.run(50);
+
+    assert!(network.is_voter(other));
+    assert!(network.vms[&leader].traffic.0 - before < 10);
+}
+
 /// Guards against a member that was removed while it was unreachable and requests votes forever: no
 /// member sends to it any more, so nothing reports the removal to it.
 #[test]
@@ -155,7 +233,7 @@
         let member = leader % 3 + 1;
         let mut from = network.id(member);
         from.incarnation.0 += 1_000;
-        let message = Message::Join;
+        let message = Message::Join { requester: None };
         network.input(leader, Input::Receive { from, message });
         network.run(1_000);
         assert!(network.is_voter(member));
--- a/crates/consensus/tests/replica/network.rs
+++ b/crates/consensus/tests/replica/network.rs
@@ -44,6 +44,9 @@
     pub incarnation: Incarnation,
     /// Commands applied since the start or contained in the restored state.
     pub applied: Vec<u64>,
+    /// VMs that receive its requests to join, for a VM that is no initial voter and does not know
+    /// them.
+    join_targets: Option<Vec<VmId>>,
     /// Synced state; `None` after the disk was erased.
     disk: Option<RestoredState>,
     /// Records by ticket, in order.
@@ -132,6 +135,15 @@
         self.start(vm);
     }
 
+    /// Starts a VM without state that knows only these VMs of the group.
+    pub fn join_vm(&mut self, vm: u32, targets: &[u32]) {
+        self.add_vm(vm);
+        self.kill(vm);
+        let targets = targets.iter().copied().map(VmId).collect();
+        self.vms.get_mut(&vm).unwrap().join_targets = Some(targets);
+        self.start(vm);
+    }
+
     pub fn random_between(&mut self, (low, high): (u64, u64)) -> u64 {
         // xorshift64* (Vigna 2016).
         self.rng_state ^= self.rng_state >> 12;
@@ -156,7 +168,14 @@
         let machine = self.vms.get_mut(&vm).unwrap();
         machine.process_epoch += 1;
         machine.applied.clear();
-        machine.replica = Some(Replica::new(settings, machine.disk.clone(), now_ms));
+        if machine.join_targets.is_some() {
+            settings.initial_voters.clear();
+        }
+        let mut replica = Replica::new(settings, machine.disk.clone(), now_ms);
+        if let Some(targets) = &machine.join_targets {
+            replica.set_join_targets(targets);
+        }
+        machine.replica = Some(replica);
         let process_epoch = machine.process_epoch;
         self.checks.applied_index.remove(&vm);
         let delay_ms = self.random_between((0, TICK_MS));
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -31,7 +31,7 @@
 
 message_enum!(Message => wire::Message, message = MessageChoice {
     Unformed { asked_by }
-    Join {}
+    Join { requester }
     RequestVote { term, pre_vote, last_index, last_term, transfer }
     Vote { term, pre_vote, granted }
     Append { term, previous_index, previous_term, entries, commit_index, sent_ms }
--- a/crates/wire/tests/support/strategies.rs
+++ b/crates/wire/tests/support/strategies.rs
@@ -215,7 +215,12 @@
             0 => Message::Unformed {
                 asked_by: granted.then_some(Incarnation(7)),
             },
-            1 => Message::Join,
+            1 => Message::Join {
+                requester: granted.then_some(MemberId {
+                    vm: VmId(3),
+                    incarnation: Incarnation(n.3),
+                }),
+            },
             2 => Message::RequestVote {
                 term,
                 pre_vote,
