Leave long-running tasks at work alone, and never count them as late

A waiting task of a job older than three times its objective was served after all others. Its run time, if it ended as done, entered the mean run time of its queue.

Ruled out: the workers; they report the tasks as running at 100 percent.

Change: no stall at 100 percent of a long-running task; its step is always on time; its run times are not measured.

--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -153,7 +153,8 @@
             .collect()
     }
 
-    /// Returns whether a waiting step can still finish within the objective of its job.
+    /// Returns whether a waiting step can still finish within the objective of its job, or is to
+    /// run for as long as the job exists.
     pub(super) fn is_on_time(&self, job: &Job, key: StepKey, io: &Io<'_>) -> bool {
         self.urgency(job, key, io).timeliness == Timeliness::OnTime
     }
@@ -165,7 +166,8 @@
         let age_ms = io.unix_ms.saturating_sub(due_ms);
         let left = job.spec.steps.len().saturating_sub(key.step as usize);
         let finish_ms = age_ms + self.run_times.chain_ms(&job.queue, left);
-        let timeliness = if finish_ms <= objective_ms {
+        let long_running = job.step_spec(key).is_some_and(|spec| spec.long_running);
+        let timeliness = if finish_ms <= objective_ms || long_running {
             Timeliness::OnTime
         } else if age_ms <= objective_ms * WORTHLESS_FACTOR {
             Timeliness::Late
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -285,9 +285,11 @@
         }
         view.recompute_free();
         for (completion, took_ms) in &completions {
+            let step = completion.run.task.step;
             if completion.outcome == RunOutcome::Done
                 && let Some(took_ms) = *took_ms
-                && let Some(job) = state.job(completion.run.task.step.job)
+                && let Some(job) = state.job(step.job)
+                && job.step_spec(step).is_some_and(|spec| !spec.long_running)
             {
                 self.run_times.add(&job.queue.name, took_ms);
             }
@@ -420,7 +422,7 @@
             };
             self.lose_runs(number, |_, _| true, reason, io);
         }
-        self.stop_stalled(number, io);
+        self.stop_stalled(state, number, io);
         self.send_committed(state, number, io);
         self.stop_due(number, io);
         let fence_due = self.workers.get(&number).is_some_and(|view| view.fence_due);
@@ -437,7 +439,9 @@
         }
     }
 
-    fn stop_stalled(&mut self, number: WorkerNumber, io: &mut Io<'_>) {
+    /// Stops runs without progress. A long-running task at 100 percent is at work and makes no
+    /// further progress.
+    fn stop_stalled(&mut self, state: &CellState, number: WorkerNumber, io: &mut Io<'_>) {
         let Some(view) = self.workers.get_mut(&number) else {
             return;
         };
@@ -448,7 +452,13 @@
         for (key, run) in view.runs.iter_mut() {
             let stalled_ms = io.now_ms.saturating_sub(run.last_progress_ms).0;
             let confirmed = matches!(run.phase, Phase::Confirmed { .. });
-            if confirmed && !run.stopping && stalled_ms > STALLED_MS {
+            if !confirmed || run.stopping || stalled_ms <= STALLED_MS {
+                continue;
+            }
+            let step = key.task.step;
+            let spec = state.job(step.job).and_then(|job| job.step_spec(step));
+            let at_work = run.percent == 100 && spec.is_some_and(|spec| spec.long_running);
+            if !at_work {
                 run.stopping = true;
                 stalled = true;
                 io.effects.push(Effect::Log {
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -9,5 +9,6 @@
 mod load;
 mod recovery;
 mod scale;
+mod services;
 mod sim;
 mod worker;
