--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -535,7 +535,7 @@
                     remaining_ms: spec.estimate_ms,
                     total_ms: spec.estimate_ms,
                     gang_size: if spec.gang { spec.tasks } else { 1 },
-                    long_running: spec.long_running,
+                    is_service: spec.long_running,
                 })
             }
             _ => None,
@@ -792,7 +792,7 @@
         let runs = self.workers.values().filter(|worker| worker.alive);
         let runs = runs.flat_map(|worker| &worker.running);
         let at_work = runs.filter(|(key, run)| {
-            let ready = !run.long_running || run.remaining_ms == 0;
+            let ready = !run.is_service || run.remaining_ms == 0;
             key.task.step.job == JobId(id) && ready
         });
         let mut tasks: Vec<u32> = at_work.map(|(key, _)| key.task.index).collect();
--- a/crates/cell/tests/cell/worker.rs
+++ b/crates/cell/tests/cell/worker.rs
@@ -20,7 +20,7 @@
     /// gang.
     pub gang_size: u32,
     /// Whether the run goes on at 100 percent after its work, the startup, is done.
-    pub long_running: bool,
+    pub is_service: bool,
 }
 
 /// State and faults of a worker.
@@ -111,7 +111,7 @@
             if !self.stalls && ready(key) {
                 run.remaining_ms = run.remaining_ms.saturating_sub(step_ms);
             }
-            if run.remaining_ms == 0 && !run.long_running {
+            if run.remaining_ms == 0 && !run.is_service {
                 finished.push(*key);
             }
         }
