Suspend a control VM that cannot write, and continue once it can

Ruled out: continuing with the open files; after a failed write it is unknown what is durable, so the state is read anew from disk.

Change: the reducer is dropped, requests are answered as unavailable, and the folder is opened again every 500 ms; a start waits likewise. Confirmations of an earlier opening are told apart by a generation. Connections are closed, so that the other VMs introduce themselves again.

Before: the process exits with code 1.

--- a/crates/acaciareeld/src/cell/links.rs
+++ b/crates/acaciareeld/src/cell/links.rs
@@ -124,6 +124,12 @@
         }
     }
 
+    /// Closes all connections; those that this VM opened are opened again.
+    pub fn close_all(&self) {
+        lock(&self.outgoing).clear();
+        lock(&self.incoming).clear();
+    }
+
     /// Opens the connection to a VM, and again each time it ends; runs until aborted.
     async fn keep_connected(self: Arc<Self>, vm: VmId) {
         let address = SocketAddr::from((address_of(vm), self.peers_port));
--- a/crates/acaciareeld/src/cell/run.rs
+++ b/crates/acaciareeld/src/cell/run.rs
@@ -15,7 +15,7 @@
     AddressedRequest, CallerReply, Control, ControlReply, ControlRequest, ControlSettings, Effect,
     Entry, Event, LogLevel, PeerMessage,
 };
-use acaciareel_consensus::{MemberId, Record, RestoredState};
+use acaciareel_consensus::{MemberId, Record};
 use acaciareel_types::{Incarnation, Millis, VmId};
 use error_stack::{Report, ResultExt};
 use log::{error, info, warn};
@@ -25,15 +25,13 @@
     net::TcpListener,
     select,
     signal::unix::{SignalKind, signal},
-    sync::{
-        mpsc::{self, Sender},
-        oneshot, watch,
-    },
+    sync::{mpsc, oneshot, watch},
     time::{self, MissedTickBehavior},
 };
 
 use super::{
     config::{CellConfig, Role, vm_id_of},
+    disk::{Disk, OpenedDisk},
     frames::Frame,
     inbound::{self, Interface, ServerState},
     links::Links,
@@ -43,7 +41,7 @@
     daemon::wait_until_set,
     error::DaemonError,
     logging, metering,
-    storage::{self, Storage, StorageError},
+    storage::{self, StorageError},
     storage_task::StorageTask,
 };
 
@@ -57,18 +55,29 @@
 const ENTRY_TICK_INTERVAL: Duration = Duration::from_millis(40);
 /// Interval at which the settings file is checked for a change.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two attempts to use a data folder that cannot be read or written.
+const REOPEN_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval of the maintenance of histograms, which bounds their memory.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+/// Signal that a write beyond the file size limit of the process raises (SIGXFSZ).
+const FILE_SIZE_SIGNAL: i32 = 25;
 /// Most log lines of the reducer in a second; further ones are counted and dropped.
 const MAX_LOG_LINES_PER_S: u32 = 2_000;
 /// Name of the consensus group in the data folder.
-const GROUP_NAME: &str = "cell";
+pub(super) const GROUP_NAME: &str = "cell";
 
 /// Input of the loop that runs the reducer.
 #[derive(Debug)]
 pub enum Input {
     /// Event without a waiting connection.
     Event(Event),
+    /// Records are synced to the data folder.
+    Synced {
+        /// Number of times that the folder had been opened when the records were written.
+        generation: u64,
+        /// Ticket of the latest synced records.
+        ticket: u64,
+    },
     /// Request of a caller.
     Caller {
         /// Id of the request, unique in this process.
@@ -109,6 +118,9 @@
 enum Reducer {
     Control(Box<Control>),
     Entry(Entry),
+    /// Control VM that cannot write its data folder. Its state on disk is intact, but it may
+    /// confirm nothing, so it takes no part in the cell until the folder can be opened again.
+    Suspended,
 }
 
 impl Reducer {
@@ -116,6 +128,14 @@
         match self {
             Self::Control(control) => control.reduce(now_ms(), unix_ms(), event, out),
             Self::Entry(entry) => entry.reduce(now_ms(), event, out),
+            Self::Suspended => match event {
+                Event::Control { connection, .. } => {
+                    let reply = ControlReply::Unavailable;
+                    out.push(Effect::ReplyControl { connection, reply });
+                }
+                Event::Stop => out.push(Effect::Stopped),
+                _ => {}
+            },
         }
     }
 }
@@ -127,6 +147,8 @@
     outbound: Outbound,
     shared: Arc<ServerState>,
     storage: Option<StorageTask>,
+    /// Data folder of a control VM.
+    disk: Option<Disk>,
     policy_service: Option<SocketAddr>,
     /// Receivers of the replies to callers, by id of the request.
     caller_replies: BTreeMap<u64, oneshot::Sender<CallerReply>>,
@@ -181,10 +203,24 @@
     let metrics = metering::start()?;
     let mut terminate = signal(SignalKind::terminate()).change_context(DaemonError::Start)?;
     let mut hangup = signal(SignalKind::hangup()).change_context(DaemonError::Start)?;
+    // A write beyond the file size limit must be an error of the write, not the end of the process.
+    let _file_size = signal(SignalKind::from_raw(FILE_SIZE_SIGNAL));
     let (inputs, mut received) = mpsc::channel(MAX_QUEUED_INPUTS);
     let (failed, mut storage_failed) = watch::channel(false);
     let own_vm = vm_id_of(config.address);
-    let (reducer, storage, incarnation) = create_reducer(&config, own_vm, &inputs, failed)?;
+    let mut disk = config
+        .data_folder
+        .as_ref()
+        .filter(|_| config.role == Role::Control)
+        .map(|folder| Disk::new(folder, own_vm, inputs.clone(), failed));
+    let StartedReducer {
+        reducer,
+        storage,
+        incarnation,
+    } = select! {
+        started = start_reducer(&config, own_vm, disk.as_mut()) => started?,
+        _ = terminate.recv() => return Ok(()),
+    };
     let hello = PeerMessage::Hello {
         vm: own_vm.0,
         incarnation: incarnation.0,
@@ -213,6 +249,7 @@
         outbound: Outbound::new(),
         shared,
         storage,
+        disk,
         policy_service: config.policy_service,
         caller_replies: BTreeMap::new(),
         control_replies: BTreeMap::new(),
@@ -227,6 +264,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut settings_checks = time::interval(SETTINGS_CHECK_INTERVAL);
     let mut upkeep = time::interval(UPKEEP_INTERVAL);
+    let mut reopening = time::interval(REOPEN_INTERVAL);
     let mut batch = Vec::with_capacity(MAX_INPUT_BATCH);
     while !runner.stopped {
         select! {
@@ -237,7 +275,13 @@
                 runner.handle_event(Event::Stop);
             }
             _ = hangup.recv() => settings.check(true, &mut runner),
-            () = wait_until_set(&mut storage_failed) => return Err(Report::new(DaemonError::Run)),
+            () = wait_until_set(&mut storage_failed), if !runner.is_suspended() => {
+                runner.suspend();
+                reopening.reset();
+            }
+            _ = reopening.tick(), if runner.is_suspended() => {
+                runner.resume(&settings.current, own_vm, incarnation)?;
+            }
             _ = ticks.tick() => runner.handle_event(Event::Tick),
             count = received.recv_many(&mut batch, MAX_INPUT_BATCH) => {
                 if count == 0 {
@@ -255,40 +299,70 @@
     Ok(())
 }
 
-/// Creates the reducer, and for a control VM opens the data folder and starts the storage thread.
-fn create_reducer(
+/// Reducer of a VM at its start.
+struct StartedReducer {
+    reducer: Reducer,
+    /// `None` on an entry VM.
+    storage: Option<StorageTask>,
+    incarnation: Incarnation,
+}
+
+/// Creates the reducer, for a control VM once its data folder can be used.
+async fn start_reducer(
     config: &CellConfig,
     own_vm: VmId,
-    inputs: &Sender<Input>,
-    failed: watch::Sender<bool>,
-) -> Result<(Reducer, Option<StorageTask>, Incarnation), Report<DaemonError>> {
-    let Some(folder) = config
-        .data_folder
-        .as_ref()
-        .filter(|_| config.role == Role::Control)
-    else {
-        let incarnation = storage::new_incarnation();
+    disk: Option<&mut Disk>,
+) -> Result<StartedReducer, Report<DaemonError>> {
+    let Some(disk) = disk else {
         let process_epoch = storage::random_process_epoch().change_context(DaemonError::Start)?;
-        let entry = Entry::new(config.seeds.clone(), process_epoch);
-        return Ok((Reducer::Entry(entry), None, incarnation));
+        return Ok(StartedReducer {
+            reducer: Reducer::Entry(Entry::new(config.seeds.clone(), process_epoch)),
+            storage: None,
+            incarnation: storage::new_incarnation(),
+        });
     };
-    let opened = Storage::open(folder, own_vm).map_err(|report| {
-        error!(event = "data_folder_unusable"; "{report:?}");
-        let kind = match report.current_context() {
-            StorageError::Damaged { .. } => DaemonError::Damaged,
-            _ => DaemonError::Start,
-        };
-        report.change_context(kind)
-    })?;
-    let restored = opened.restored.into_iter();
-    let restored = restored
-        .filter(|(group, _)| group == GROUP_NAME)
-        .map(|(_, r)| r);
-    let restored: Option<RestoredState> = restored.last();
+    let opened = open_when_usable(disk).await?;
+    let control = create_control(config, own_vm, &opened);
+    Ok(StartedReducer {
+        reducer: Reducer::Control(Box::new(control)),
+        storage: Some(opened.storage),
+        incarnation: opened.incarnation,
+    })
+}
+
+/// Opens the data folder, again and again while it cannot be read or written, for example because
+/// the disk is full.
+async fn open_when_usable(disk: &mut Disk) -> Result<OpenedDisk, Report<DaemonError>> {
+    loop {
+        match disk.open() {
+            Ok(opened) => return Ok(opened),
+            Err(report) if matches!(report.current_context(), StorageError::Io { .. }) => {
+                warn!(event = "data_folder_unusable"; "{report:?}");
+                time::sleep(REOPEN_INTERVAL).await;
+            }
+            Err(report) => {
+                error!(event = "data_folder_unusable"; "{report:?}");
+                return Err(unusable(report));
+            }
+        }
+    }
+}
+
+fn unusable(report: Report<StorageError>) -> Report<DaemonError> {
+    let kind = match report.current_context() {
+        StorageError::Damaged { .. } => DaemonError::Damaged,
+        _ => DaemonError::Start,
+    };
+    report.change_context(kind)
+}
+
+/// Creates the reducer of a control VM from the state in its data folder.
+fn create_control(config: &CellConfig, own_vm: VmId, opened: &OpenedDisk) -> Control {
+    let restored = opened.restored.as_ref();
     info!(
         event = "state_restored",
         found = restored.is_some(),
-        entries = restored.as_ref().map_or(0, |r| r.entries.len()); ""
+        entries = restored.map_or(0, |r| r.entries.len()); ""
     );
     let settings = ControlSettings {
         me: MemberId {
@@ -300,15 +374,7 @@
         bounds: config.bounds,
         election_seed: opened.incarnation.0,
     };
-    let control = Control::new(settings, restored, now_ms());
-    let inputs = inputs.clone();
-    let synced = move |ticket| {
-        let event = Input::Event(Event::Synced { ticket });
-        inputs.blocking_send(event).is_ok()
-    };
-    let storage = StorageTask::start(opened.storage, synced, failed);
-    let reducer = Reducer::Control(Box::new(control));
-    Ok((reducer, Some(storage), opened.incarnation))
+    Control::new(settings, opened.restored.clone(), now_ms())
 }
 
 /// Binds all listening sockets and starts to serve them.
@@ -345,9 +411,72 @@
 }
 
 impl Runner {
+    fn is_suspended(&self) -> bool {
+        matches!(self.reducer, Reducer::Suspended)
+    }
+
+    /// Stops acting after a failed write. What waits for a reply learns that this VM is
+    /// unavailable.
+    fn suspend(&mut self) {
+        warn!(event = "suspended", waiting = self.control_replies.len(); "");
+        gauge!("acaciareel_cell_suspended").set(1.0);
+        self.reducer = Reducer::Suspended;
+        self.storage = None;
+        for (_, waiting) in std::mem::take(&mut self.control_replies) {
+            // The connection may have closed since.
+            let _ = waiting.send(ControlReply::Unavailable);
+        }
+    }
+
+    /// Tries to continue from what is in the data folder, as after a restart.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the folder is damaged or holds another incarnation, which a process cannot change.
+    fn resume(
+        &mut self,
+        config: &CellConfig,
+        own_vm: VmId,
+        incarnation: Incarnation,
+    ) -> Result<(), Report<DaemonError>> {
+        let Some(disk) = &mut self.disk else {
+            return Ok(());
+        };
+        let opened = match disk.open() {
+            Ok(opened) => opened,
+            Err(report) if matches!(report.current_context(), StorageError::Io { .. }) => {
+                return Ok(());
+            }
+            Err(report) => return Err(unusable(report)),
+        };
+        if opened.incarnation != incarnation {
+            let text = format!(
+                "the data folder now holds incarnation {}",
+                opened.incarnation
+            );
+            return Err(Report::new(DaemonError::Run).attach(text));
+        }
+        self.reducer = Reducer::Control(Box::new(create_control(config, own_vm, &opened)));
+        self.storage = Some(opened.storage);
+        // The other VMs introduce themselves on new connections only.
+        self.links.close_all();
+        gauge!("acaciareel_cell_suspended").set(0.0);
+        info!(event = "resumed"; "");
+        Ok(())
+    }
+
     fn handle_input(&mut self, input: Input) {
         match input {
             Input::Event(event) => self.handle_event(event),
+            Input::Synced { generation, ticket } => {
+                if self
+                    .disk
+                    .as_ref()
+                    .is_some_and(|disk| disk.generation() == generation)
+                {
+                    self.handle_event(Event::Synced { ticket });
+                }
+            }
             Input::Caller {
                 connection,
                 request,
--- a/crates/acaciareeld/tests/cell/env.rs
+++ b/crates/acaciareeld/tests/cell/env.rs
@@ -6,6 +6,7 @@
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex},
+    thread,
     time::{Duration, Instant},
 };
 
@@ -16,7 +17,7 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use rustix::process::{Pid, Signal as SystemSignal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal as SystemSignal, kill_process, prlimit};
 use tempfile::TempDir;
 
 use crate::worker::{self, Checks};
@@ -26,6 +27,7 @@
 pub const ENTRY_VM: usize = CONTROL_VMS as usize;
 const CONTROL_PORT: u16 = 18_166;
 const ENTRY_PORT: u16 = 18_161;
+const METRICS_PORT: u16 = 17_721;
 const QUEUE_CONFIG: &str = r#"{"version":1,"routes":[{"name":"q","host":"jobs.example","path_prefix":"/q/","timeout_ms":3000,"target_duration_ms":1000,"priority":1,"service":"s","max_attempts":3,"slack_factor":8.0}],"services":[{"name":"s"}]}"#;
 const JOB: &str = r#"{"spec":"text","steps":[{"count":2,"cpu":1000,"mem_mb":10,"estimate_ms":200},{"count":3,"cpu":2000,"mem_mb":10,"estimate_ms":200,"gang":true,"depends_on":[0]}]}"#;
 
@@ -63,10 +65,10 @@
     /// Starts the processes and `workers` workers, puts a configuration in force, and waits until
     /// the entry VM serves callers. `test_number` must differ between the tests of one process.
     pub async fn start(test_number: u8, workers: u8) -> Self {
-        let pid = u8::try_from(std::process::id() % 60).expect("fits into a byte");
+        let pid = u8::try_from(std::process::id() % 50).expect("fits into a byte");
         let mut cell = Self {
             folder: tempfile::tempdir().expect("temporary folder"),
-            block: 4 * pid + test_number,
+            block: 5 * pid + test_number,
             processes: Vec::new(),
             client: Client::builder(TokioExecutor::new()).build_http(),
             checks: Arc::default(),
@@ -150,13 +152,13 @@
         } else {
             format!(
                 "role = control\ndata_folder = {}\nfirst_start = true\n[listen]\ncontrol = {}\n",
-                self.folder.path().join(format!("data-{vm}")).display(),
+                self.data_folder(vm).display(),
                 self.control_address(vm)
             )
         };
         let text = format!(
             "[vm]\nname = vm-{vm}\naddress = {address}\nfailure_domain = a\n{role}\
-             peers_port = 17720\nmetrics_port = 17721\n[cell]\nseeds = {}\n\
+             peers_port = 17720\nmetrics_port = {METRICS_PORT}\n[cell]\nseeds = {}\n\
              [bounds]\nlease_ms = 6000\n[logs]\n{logs}\n",
             seeds.join(",")
         );
@@ -168,22 +170,25 @@
         fs::write(self.settings_file(vm), "[vm]\nrole = queen\n").expect("settings");
     }
 
-    /// Starts the process of a VM. Its log is appended to the log file of the VM.
+    /// Starts the process of a VM. Its log is appended to the log file of the VM, by this process,
+    /// so that limits of the VM's own files do not apply to it.
     pub fn start_process(&mut self, vm: usize) {
         let log = File::options()
             .create(true)
             .append(true)
             .open(self.log_file(vm))
             .expect("log");
-        let errors = log.try_clone().expect("log");
+        let (mut output, end) = std::io::pipe().expect("pipe");
         let child = Command::new(env!("CARGO_BIN_EXE_acaciareeld"))
             .arg("--cell")
             .arg(self.settings_file(vm))
             .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors)
+            .stdout(end.try_clone().expect("pipe"))
+            .stderr(end)
             .spawn()
             .expect("started process");
+        // Ends when the process has ended.
+        thread::spawn(move || std::io::copy(&mut output, &mut { log }));
         self.processes[vm] = Some(child);
     }
 
@@ -217,8 +222,77 @@
         None
     }
 
+    /// Returns whether the process of a VM has not ended.
+    pub fn is_running(&mut self, vm: usize) -> bool {
+        let child = self.processes[vm].as_mut().expect("started process");
+        child.try_wait().expect("status").is_none()
+    }
+
+    // ---- data folder ----
+
+    /// Limits the size of the files that a running VM writes, as a full disk does; `None` lifts the
+    /// limit.
+    pub fn limit_file_size(&self, vm: usize, size_bytes: Option<u64>) {
+        let child = self.processes[vm].as_ref().expect("running process");
+        let limit = Rlimit {
+            current: size_bytes,
+            maximum: None,
+        };
+        prlimit(Some(Pid::from_child(child)), Resource::Fsize, limit).expect("limited process");
+    }
+
+    fn data_folder(&self, vm: usize) -> PathBuf {
+        self.folder.path().join(format!("data-{vm}"))
+    }
+
+    /// Puts a file in the place of the data folder of a VM that does not run.
+    pub fn block_data_folder(&self, vm: usize) {
+        let folder = self.data_folder(vm);
+        fs::rename(&folder, folder.with_extension("kept")).expect("renamed folder");
+        fs::write(&folder, "").expect("file");
+    }
+
+    /// Puts the data folder back.
+    pub fn unblock_data_folder(&self, vm: usize) {
+        let folder = self.data_folder(vm);
+        fs::remove_file(&folder).expect("removed file");
+        fs::rename(folder.with_extension("kept"), &folder).expect("renamed folder");
+    }
+
     // ---- calls ----
 
+    /// Waits until the log of a VM, since its last start, contains a text.
+    pub async fn wait_for_log(&self, vm: usize, text: &str) {
+        self.wait_for(vm, text, async || {
+            let log = self.log_of(vm);
+            let latest = log.rfind("event=data_folder_unusable").unwrap_or(0);
+            log[latest..].contains(text)
+        })
+        .await;
+    }
+
+    /// Waits until the metrics page of a VM has a line.
+    pub async fn wait_for_metric(&self, vm: usize, line: &str) {
+        let address = SocketAddr::from((self.ip_address(vm), METRICS_PORT));
+        self.wait_for(vm, line, async || {
+            let page = self.call("GET", address, "/", "").await;
+            page.is_some_and(|(_, page)| page.lines().any(|other| other == line))
+        })
+        .await;
+    }
+
+    async fn wait_for(&self, vm: usize, what: &str, mut condition: impl AsyncFnMut() -> bool) {
+        let started = Instant::now();
+        while !condition().await {
+            assert!(
+                started.elapsed() < Duration::from_secs(20),
+                "{what}: {}",
+                self.log_of(vm)
+            );
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
     /// Sends a request and returns status and body, or `None` without a complete response in 3 s.
     async fn call(
         &self,
--- a/crates/acaciareeld/tests/cell/main.rs
+++ b/crates/acaciareeld/tests/cell/main.rs
@@ -72,6 +72,55 @@
     assert_eq!(cell.violations(), Vec::<String>::new());
 }
 
+/// Guards against a control VM that ends because its disk is full, or that confirms what it cannot
+/// write, and against one that does not come back once there is space again.
+#[tokio::test]
+async fn control_vm_with_a_full_disk_comes_back_without_a_restart() {
+    let mut cell = Cell::start(0, 2).await;
+    let mut ids = submit(&cell, 0..5, Duration::from_millis(20)).await;
+    let full = cell.leader().await;
+
+    cell.limit_file_size(full, Some(0));
+    ids.extend(submit(&cell, 5..15, Duration::from_millis(50)).await);
+    let successor = cell.leader().await;
+    cell.wait_for_metric(full, "acaciareel_cell_suspended 1")
+        .await;
+    cell.limit_file_size(full, None);
+    cell.wait_for_metric(full, "acaciareel_cell_suspended 0")
+        .await;
+    let other = (0..3)
+        .find(|vm| ![full, successor].contains(vm))
+        .expect("third VM");
+    cell.signal(other, Signal::Kill);
+    ids.extend(submit(&cell, 15..25, Duration::from_millis(50)).await);
+
+    cell.wait_until_completed(&ids, Duration::from_secs(40))
+        .await;
+    assert_ne!(successor, full);
+    assert_eq!(ids.len(), 25);
+    assert!(cell.is_running(full), "{}", cell.log_of(full));
+    assert_eq!(cell.violations(), Vec::<String>::new());
+}
+
+/// Guards against a control VM that ends because its data folder cannot be used yet.
+#[tokio::test]
+async fn control_vm_waits_for_its_data_folder() {
+    let mut cell = Cell::start(4, 1).await;
+    let leader = cell.leader().await;
+    let waiting = (leader + 1) % 3;
+    cell.signal(waiting, Signal::Kill);
+    cell.block_data_folder(waiting);
+
+    cell.start_process(waiting);
+    cell.wait_for_log(waiting, "event=data_folder_unusable")
+        .await;
+    cell.unblock_data_folder(waiting);
+    cell.wait_for_log(waiting, "role=Follower").await;
+
+    assert!(cell.is_running(waiting), "{}", cell.log_of(waiting));
+    assert_eq!(cell.submit(1).await, Some(200));
+}
+
 /// Guards against a changed settings file that is not read, and against an invalid one that ends
 /// the process.
 #[tokio::test]
