Report sent requests as uncertain as soon as an entry VM is cut off

Ruled out: replying during an election; another control VM is reachable then, and the request is resent to the new leader.

Change: an entry VM that reaches no control VM replies 504 at once.

Before: the new test gets no reply in 1.4 s. After: Uncertain, and the resent request is accepted once.

--- a/crates/cell/src/entry.rs
+++ b/crates/cell/src/entry.rs
@@ -346,24 +346,34 @@
     /// retries after an election, or, if no control VM is reachable, after the platform has taken
     /// this VM out of rotation.
     fn retry_after_ms(&self, now_ms: Millis) -> u64 {
-        let any_reachable = self.control_vms.values().any(|control_vm| {
-            now_ms.saturating_sub(control_vm.last_contact_ms).0 < LEADER_TIMEOUT_MS
-        });
-        if any_reachable {
-            RETRY_AFTER_MS
-        } else {
+        if self.is_cut_off(now_ms) {
             CUT_OFF_RETRY_AFTER_MS
+        } else {
+            RETRY_AFTER_MS
         }
     }
 
-    /// Replies to requests that reached their deadline, and refuses those that could not be sent to
-    /// a leader. A request that was sent before may have taken effect, so its outcome is reported
-    /// as unknown.
+    /// Returns whether no control VM is reachable.
+    fn is_cut_off(&self, now_ms: Millis) -> bool {
+        !self.control_vms.values().any(|control_vm| {
+            now_ms.saturating_sub(control_vm.last_contact_ms).0 < LEADER_TIMEOUT_MS
+        })
+    }
+
+    /// Replies to requests that reached their deadline, and to those that cannot be sent to a
+    /// leader. A request that was sent before may have taken effect, so its outcome is reported as
+    /// unknown. That is done at once where this VM is cut off, so that the caller can still resend
+    /// through another VM; an election alone ends soon.
     fn expire_requests(&mut self, now_ms: Millis, out: &mut Vec<Effect>) {
+        let cut_off = self.is_cut_off(now_ms);
         let mut expired = Vec::new();
         for (call, pending) in self.pending.iter() {
             let waited_ms = now_ms.saturating_sub(pending.received_ms).0;
-            let unsendable = !pending.ever_sent && waited_ms >= LEADER_WAIT_MS;
+            let unsendable = if pending.ever_sent {
+                cut_off
+            } else {
+                waited_ms >= LEADER_WAIT_MS
+            };
             if now_ms >= pending.deadline_ms || unsendable {
                 expired.push(*call);
             }
--- a/crates/cell/tests/cell/faults.rs
+++ b/crates/cell/tests/cell/faults.rs
@@ -446,6 +446,31 @@
     assert_eq!(sim.replies.get(&unknown), Some(&CallerReply::UnknownJob));
 }
 
+/// Guards against a caller whose request was sent to a leader just before the cut of its entry VM,
+/// and who gets no reply before its deadline although other entry VMs could still serve it
+/// (brazos-tally trouble-1, replies 504 after 2.9 s in the cut failure domain).
+#[test]
+fn isolated_entry_vm_reports_sent_requests_as_uncertain_soon() {
+    let mut sim = Sim::new(1, 3, 2);
+    sim.set_up(vec![queue("batch", 2, false)]);
+    // The simulation closes links every 100 ms: the request arrives, its reply does not.
+    sim.run(190 - sim.now_ms % 100);
+    sim.isolate(entry(1));
+    let call = sim.submit("batch", 2, job(vec![step(1, 1_000, 500)]));
+
+    sim.run(1_400);
+    let reply = sim.replies.get(&call).cloned();
+    let path = format!("/batch/{}", acaciareel_cell::JobId(2));
+    let spec = sim.jobs[&acaciareel_cell::JobId(2)].clone();
+    let resent = sim.call(entry(2), path, acaciareel_cell::CallerRequest::Submit(spec));
+    sim.run(1_500);
+
+    assert_eq!(reply, Some(CallerReply::Uncertain));
+    assert_eq!(sim.replies.get(&resent), Some(&CallerReply::Accepted));
+    assert_eq!(sim.unfinished(2..3), Vec::<u64>::new());
+    assert_eq!(sim.starts, 1);
+}
+
 /// Guards against occurrences of a repeated job that never start because the leader changed after
 /// the job was accepted.
 #[test]
