--- a/crates/acaciareeld/src/cell/inbound.rs
+++ b/crates/acaciareeld/src/cell/inbound.rs
@@ -289,12 +289,7 @@
     }
     match reply {
         ControlReply::Done if is_announcement => acknowledge(shared.control),
-        ControlReply::Done => {
-            let mut response = empty(StatusCode::OK);
-            let close = HeaderValue::from_static("close");
-            response.headers_mut().insert(header::CONNECTION, close);
-            response
-        }
+        ControlReply::Done => empty(StatusCode::OK),
         ControlReply::Unavailable => empty(StatusCode::SERVICE_UNAVAILABLE),
         ControlReply::Queues(source) => json(StatusCode::OK, Bytes::from(source)),
         ControlReply::Redirect(vm) => {
