Keep a drain until the worker's incarnation ends, and bound sums over jobs

A server that had left was in use again: the sequence of announcements is known to the leader alone, so after a change of leader an announcement from before the drain, delayed in a cut, undid it. Change: the replicated state keeps a drain for the incarnation; no worker takes it back.

One message took a process down: sums of waiting work and objectives were computed with plain arithmetic, which wraps in release builds, so one job with an extreme estimate made the leader refuse or delay the others; and a job beyond the limits, forwarded by an entry VM, would have been allocated on every control VM. Change: saturating arithmetic, and the leader checks jobs as entry VMs do.

Before: late_announcement_does_not_undo_a_drain finds a run on the drained worker; extreme_numbers_in_a_job_harm_no_other aborts on an allocation, and with the check alone on an overflow. After: both pass.

--- a/crates/cell/src/leader/callers.rs
+++ b/crates/cell/src/leader/callers.rs
@@ -67,6 +67,11 @@
         if state.job(id).is_some() {
             return io.reply_caller(origin, CallerReply::Accepted);
         }
+        // Entry VMs check jobs too, but a job beyond the limits that one of them forwards would end
+        // every control VM.
+        if spec.check().is_err() {
+            return io.reply_caller(origin, CallerReply::Invalid);
+        }
         if let Some(waiting) = self.pending_submits.get_mut(&id) {
             waiting.push(origin);
             return;
@@ -131,11 +136,11 @@
             ));
         }
         let chain_ms = self.run_times.chain_ms(queue, spec.steps.len());
-        let slack_ms = chain_ms * queue.slack_permille.saturating_sub(1_000) / 1_000;
+        let slack_ms = chain_ms.saturating_mul(queue.slack_permille.saturating_sub(1_000)) / 1_000;
         admit(&Load {
             capacity_millicores: capacity_millicores * USABLE_CAPACITY_PERMILLE / 1_000,
             queued_ahead_millicore_ms: self.queued_work_ahead(state, queue, io),
-            wait_budget_ms: slack_ms + queue.target_ms,
+            wait_budget_ms: slack_ms.saturating_add(queue.target_ms),
         })
     }
 
@@ -151,9 +156,9 @@
             let run_ms = self.run_times.task_ms(&job.queue, spec.estimate_ms);
             let tasks = step.waiting.len() as u64;
             let millicores = u64::from(spec.demand.cpu_millicores);
-            goes_first.then_some(tasks * millicores * run_ms)
+            goes_first.then_some((tasks * millicores).saturating_mul(run_ms))
         });
-        steps.sum()
+        steps.fold(0, u64::saturating_add)
     }
 
     fn cancel(&mut self, state: &CellState, origin: Origin, id: JobId, io: &mut Io<'_>) {
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -161,15 +161,16 @@
 
     fn urgency(&self, job: &Job, key: StepKey, io: &Io<'_>) -> Urgency {
         let chain_ms = self.run_times.chain_ms(&job.queue, job.spec.steps.len());
-        let objective_ms = chain_ms * job.queue.slack_permille / 1_000 + job.queue.target_ms;
+        let objective_ms = (chain_ms.saturating_mul(job.queue.slack_permille) / 1_000)
+            .saturating_add(job.queue.target_ms);
         let due_ms = job.due_unix_ms(key.occurrence);
         let age_ms = io.unix_ms.saturating_sub(due_ms);
         let left = job.spec.steps.len().saturating_sub(key.step as usize);
-        let finish_ms = age_ms + self.run_times.chain_ms(&job.queue, left);
+        let finish_ms = age_ms.saturating_add(self.run_times.chain_ms(&job.queue, left));
         let long_running = job.step_spec(key).is_some_and(|spec| spec.long_running);
         let timeliness = if finish_ms <= objective_ms || long_running {
             Timeliness::OnTime
-        } else if age_ms <= objective_ms * WORTHLESS_FACTOR {
+        } else if age_ms <= objective_ms.saturating_mul(WORTHLESS_FACTOR) {
             Timeliness::Late
         } else {
             Timeliness::Worthless
@@ -179,7 +180,7 @@
             timeliness,
             priority: job.queue.priority,
             due_unix_ms: due_ms,
-            has_large_slack: laxity_ms > objective_ms * LARGE_SLACK_PERMILLE / 1_000,
+            has_large_slack: laxity_ms > objective_ms / 1_000 * LARGE_SLACK_PERMILLE,
         }
     }
 
--- a/crates/cell/src/leader/run_times.rs
+++ b/crates/cell/src/leader/run_times.rs
@@ -35,6 +35,6 @@
     /// measured, each step counts with the queue's `target_ms`.
     pub fn chain_ms(&self, queue: &QueueRow, steps: usize) -> u64 {
         let steps = u64::try_from(steps.max(1)).unwrap_or(1);
-        self.task_ms(queue, queue.target_ms) * steps
+        self.task_ms(queue, queue.target_ms).saturating_mul(steps)
     }
 }
--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -165,8 +165,9 @@
     }
 
     /// Adds a worker or replaces its record. A record of an earlier incarnation than the stored one
-    /// arrived late and changes nothing.
-    fn put_worker(&mut self, record: WorkerRecord) -> WorkerNumber {
+    /// arrived late and changes nothing. A drain ends only with the incarnation: a record without it
+    /// is from before the drain, and its sequence is known to an earlier leader alone.
+    fn put_worker(&mut self, mut record: WorkerRecord) -> WorkerNumber {
         let number = self.worker_by_id(&record.id).unwrap_or_else(|| {
             self.next_worker += 1;
             let number = WorkerNumber(self.next_worker);
@@ -174,6 +175,9 @@
             number
         });
         let known = self.workers.get(&number);
+        record.draining |= known.is_some_and(|known| {
+            known.draining && known.incarnation_started_ms == record.incarnation_started_ms
+        });
         if known.is_none_or(|known| known.incarnation_started_ms <= record.incarnation_started_ms) {
             self.workers.insert(number, record);
         }
--- a/crates/cell/tests/cell/faults.rs
+++ b/crates/cell/tests/cell/faults.rs
@@ -523,6 +523,84 @@
     assert_eq!(busy.count(), 6);
 }
 
+/// Guards against a draining worker that is in use again under a new leader, because an announcement
+/// from before the drain arrives late and the new leader does not know its sequence.
+#[test]
+fn late_announcement_does_not_undo_a_drain() {
+    let mut sim = Sim::new(6, 3, 2);
+    sim.set_up(vec![queue("batch", 2, false)]);
+    let stale = acaciareel_cell::ControlRequest::Announce {
+        worker: sim.workers["worker-0"].record.clone(),
+        clock_ms: None,
+        sequence: 1,
+    };
+    sim.workers
+        .get_mut("worker-0")
+        .expect("worker")
+        .record
+        .draining = true;
+    sim.run(3_000);
+    let leader = sim.leader().expect("leader");
+    sim.kill(leader);
+    sim.run_until(3_000, |sim| {
+        sim.leader().is_some_and(|other| other != leader)
+    });
+    let leader = sim.leader().expect("leader");
+
+    sim.control_request(leader, stale);
+    sim.run(100);
+    for id in 0..8 {
+        sim.submit("batch", id, job(vec![step(2, 2_000, 500)]));
+        sim.run(100);
+    }
+
+    assert!(sim.workers["worker-0"].running.is_empty());
+    sim.run(3_000);
+    assert_eq!(sim.unfinished(0..8), Vec::<u64>::new());
+}
+
+/// Guards against one job with extreme numbers that ends the leader, or that makes it refuse or
+/// delay all others.
+#[test]
+fn extreme_numbers_in_a_job_harm_no_other() {
+    let extreme = |estimate_ms, cpu_millicores| StepSpec {
+        long_running: true,
+        ..step(19_000, cpu_millicores, estimate_ms)
+    };
+    let schedule = |first_unix_ms, interval_ms, occurrences| acaciareel_cell::Schedule {
+        first_unix_ms,
+        interval_ms,
+        occurrences,
+    };
+    let mut sim = Sim::new(7, 3, 4);
+    sim.set_up(vec![queue("batch", 2, false), queue("urgent", 0, true)]);
+
+    for (id, estimate_ms) in [(1, u64::MAX), (2, u64::MAX / 1_000), (3, 1 << 40)] {
+        for (offset, cpu) in [(0, 1_000), (10, u32::MAX)] {
+            sim.submit("batch", id + offset, job(vec![extreme(estimate_ms, cpu)]));
+        }
+    }
+    for (id, schedule) in [
+        (21, schedule(u64::MAX, u64::MAX, 3)),
+        (22, schedule(0, u64::MAX, 10_000)),
+        (23, schedule(u64::MAX, 1, u32::MAX)),
+    ] {
+        let spec = acaciareel_cell::JobSpec {
+            schedule: Some(schedule),
+            ..job(vec![step(1, 1_000, u64::MAX)])
+        };
+        sim.submit("batch", id, spec);
+    }
+    sim.run(1_000);
+    let sent: Vec<_> = (100..110)
+        .map(|id| (id, sim.submit("urgent", id, job(vec![step(1, 500, 300)]))))
+        .collect();
+    sim.run(6_000);
+
+    assert_eq!(accepted(&sim, &sent).len(), 10);
+    assert_eq!(sim.unfinished(100..110), Vec::<u64>::new());
+}
+
 /// Guards against occurrences of a repeated job that never start because the leader changed after
 /// the job was accepted.
 #[test]
--- a/crates/cell/tests/cell/worker.rs
+++ b/crates/cell/tests/cell/worker.rs
@@ -236,8 +236,10 @@
         let running = self.running.iter().map(|(run, state)| ReportedRun {
             run: *run,
             checkpoint: String::new(),
-            percent: u32::try_from(100 - 100 * state.remaining_ms / state.total_ms.max(1))
-                .unwrap_or(100),
+            percent: u32::try_from(
+                100 - 100 * u128::from(state.remaining_ms) / u128::from(state.total_ms.max(1)),
+            )
+            .unwrap_or(100),
         });
         RenewalReport {
             clock_ms: self.clock_ms(now_ms),
