Start later steps although the clock was set back since the acceptance

Cause: a step is due from the acceptance of its job on, also without a schedule.

Ruled out: advice and free capacity; the job has no runs_placed and no advice_missing line for the step, and most capacity was free.

Change: a job without a schedule is always due.

Before: the new test finds 6 of 6 jobs unfinished.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -435,7 +435,9 @@
             }
         }
         for (occurrence, steps) in (0u32..).zip(&job.occurrences) {
-            let due = job.due_unix_ms(occurrence) <= io.unix_ms;
+            // Without a schedule a job is due from its acceptance on, also if the time of day has been
+            // set back since.
+            let due = job.spec.schedule.is_none() || job.due_unix_ms(occurrence) <= io.unix_ms;
             for (step, progress) in (0u32..).zip(steps) {
                 let key = StepKey {
                     job: id,
--- a/crates/cell/tests/cell/faults.rs
+++ b/crates/cell/tests/cell/faults.rs
@@ -601,6 +601,27 @@
     assert_eq!(sim.unfinished(100..110), Vec::<u64>::new());
 }
 
+/// Guards against later steps that never start because the time of day was set back to before the
+/// acceptance of their job, which has no schedule (brazos-tally mix seed 456826191183, LOST).
+#[test]
+fn later_steps_start_after_the_clock_is_set_back() {
+    let mut sim = Sim::new(8, 3, 4);
+    sim.set_up(vec![queue("batch", 2, false)]);
+    let last = || StepSpec {
+        depends_on: vec![0],
+        ..step(2, 2_000, 300)
+    };
+    for id in 0..6 {
+        sim.submit("batch", id, job(vec![step(2, 2_000, 700), last()]));
+        sim.run(50);
+    }
+
+    sim.clock_behind_ms = 60_000;
+    sim.run(4_000);
+
+    assert_eq!(sim.unfinished(0..6), Vec::<u64>::new());
+}
+
 /// Guards against occurrences of a repeated job that never start because the leader changed after
 /// the job was accepted.
 #[test]
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -93,6 +93,8 @@
     caller_calls: BTreeMap<(VmId, u64), String>,
     /// Tasks of which a run has completed successfully.
     done: BTreeSet<TaskKey>,
+    /// How far the time of day has been set back on all VMs.
+    pub clock_behind_ms: u64,
     /// Number of failure domains, over which control VMs and workers are spread in turn.
     domains: u32,
     /// Whether the log lines of the VMs are printed.
@@ -208,6 +210,7 @@
             worker_calls: BTreeSet::new(),
             caller_calls: BTreeMap::new(),
             done: BTreeSet::new(),
+            clock_behind_ms: 0,
             domains,
             verbose: std::env::var_os("CELL_SIM_LOG").is_some(),
         };
@@ -259,7 +262,7 @@
 
     /// Returns the time of day on the VMs.
     pub fn unix_ms(&self) -> u64 {
-        UNIX_MS + self.now_ms
+        UNIX_MS + self.now_ms - self.clock_behind_ms
     }
 
     pub fn random(&mut self, below: u64) -> u64 {
