Take an entry VM back when it is heard of again

A control VM removes an entry VM after 1.5 s without a ping. If the connection stays open meanwhile, no hello follows, so the entry VM never got a status message again and stayed without a leader until its connection broke.

Change: a ping of an entry VM that is not known counts as its hello.

--- a/crates/cell/src/control.rs
+++ b/crates/cell/src/control.rs
@@ -444,10 +444,11 @@
                     leader.worker_replied(state, call, &reply, io);
                 });
             }
-            PeerMessage::Hello { entry: true, .. } => {
-                self.entry_vms.insert(from, time.0);
-                self.with_leader(time, out, |leader, _, _| leader.advice_vm_joined(from));
-                self.send_status(out);
+            PeerMessage::Hello { entry: true, .. } => self.entry_vm_joined(from, time, out),
+            // Messages may have been lost on a connection that stayed open, so that the VM was
+            // removed and sends no further hello.
+            PeerMessage::Ping if !self.entry_vms.contains_key(&from) => {
+                self.entry_vm_joined(from, time, out);
             }
             PeerMessage::Call { call, request } => {
                 if self.leader.is_none() {
@@ -473,6 +474,12 @@
         }
     }
 
+    fn entry_vm_joined(&mut self, vm: VmId, time: (Millis, u64), out: &mut Vec<Effect>) {
+        self.entry_vms.insert(vm, time.0);
+        self.with_leader(time, out, |leader, _, _| leader.advice_vm_joined(vm));
+        self.send_status(out);
+    }
+
     fn entry_vm_left(&mut self, vm: VmId, time: (Millis, u64), out: &mut Vec<Effect>) {
         if self.entry_vms.remove(&vm).is_some() {
             self.with_leader(time, out, |leader, _, io| leader.advice_vm_left(vm, io));
