Let operators' requests wait for an election

Cause: a control VM without a leader answered 503 at once, also while an election was under way, and operators came back after a backoff, at another VM.

Change: such a request waits up to 700 ms; operators try another VM after 1 s.

Before: operators_requests_wait_for_an_election gets Unavailable at the start of a cell and after the loss of a leader. After: it is served or redirected, and refused within a second where no leader is found.

--- a/crates/cell/src/control.rs
+++ b/crates/cell/src/control.rs
@@ -28,6 +28,10 @@
 /// Largest number of proposed entries that are not committed yet. Commands that arrive meanwhile
 /// share the next entry.
 const MAX_OPEN_PROPOSALS: usize = 3;
+/// How long a request of an operator waits for an election. Operators try another VM after a second.
+const ELECTION_WAIT_MS: u64 = 700;
+/// Largest number of requests of operators that wait for an election.
+const MAX_HELD_REQUESTS: usize = 64;
 /// Time between status messages to the entry VMs.
 const STATUS_INTERVAL_MS: u64 = 250;
 /// Time between checks of the members of the consensus group.
@@ -53,6 +57,14 @@
     pub election_seed: u64,
 }
 
+/// Request of an operator that waits for an election.
+#[derive(Debug)]
+struct HeldRequest {
+    connection: u64,
+    request: ControlRequest,
+    until_ms: Millis,
+}
+
 /// Reducer of a control VM.
 #[derive(Debug)]
 pub struct Control {
@@ -80,6 +92,7 @@
     next_status_ms: Millis,
     next_members_ms: Millis,
     stop_at_ms: Option<Millis>,
+    held_requests: Vec<HeldRequest>,
     /// Number of voters and of reachable voters in the last report of this leader.
     reported_redundancy: Option<(usize, usize)>,
     /// Last time at which this VM was a member of the group; initially the time of the start.
@@ -132,6 +145,7 @@
             next_status_ms: Millis(0),
             next_members_ms: Millis(0),
             stop_at_ms: None,
+            held_requests: Vec::new(),
             reported_redundancy: None,
             unjoined_since_ms: now_ms,
             next_unjoined_report_ms: members::UNJOINED_REPORT_INTERVAL_MS,
@@ -150,6 +164,12 @@
         self.leader.is_some()
     }
 
+    /// Returns the leader of the consensus group, if this VM knows one.
+    #[must_use]
+    pub fn known_leader(&self) -> Option<VmId> {
+        self.replica.leader()
+    }
+
     /// Handles one event and appends the resulting effects to `out`.
     pub fn reduce(&mut self, now_ms: Millis, unix_ms: u64, event: Event, out: &mut Vec<Effect>) {
         let time = (now_ms, unix_ms);
@@ -500,10 +520,46 @@
             });
         }
         let other = self.replica.leader().filter(|vm| *vm != self.me.vm);
+        let of_operator = matches!(
+            request,
+            ControlRequest::PutQueues(_) | ControlRequest::GetQueues
+        );
+        if other.is_none() && of_operator && self.held_requests.len() < MAX_HELD_REQUESTS {
+            let until_ms = time.0.saturating_add(Millis(ELECTION_WAIT_MS));
+            return self.held_requests.push(HeldRequest {
+                connection,
+                request,
+                until_ms,
+            });
+        }
         let reply = other.map_or(ControlReply::Unavailable, ControlReply::Redirect);
         out.push(Effect::ReplyControl { connection, reply });
     }
 
+    /// Handles the held requests once a leader is known, and refuses those that have waited for too
+    /// long.
+    fn release_held_requests(&mut self, time: (Millis, u64), out: &mut Vec<Effect>) {
+        if self.held_requests.is_empty() {
+            return;
+        }
+        let other = self.replica.leader().filter(|vm| *vm != self.me.vm);
+        let leads = self.leader.is_some() && self.replica.holds_lease(time.0);
+        let known = leads || other.is_some();
+        let released = self
+            .held_requests
+            .extract_if(.., |held| known || time.0 >= held.until_ms);
+        for held in released.collect::<Vec<_>>() {
+            if known {
+                self.handle_control_request(held.connection, held.request, time, out);
+            } else {
+                out.push(Effect::ReplyControl {
+                    connection: held.connection,
+                    reply: ControlReply::Unavailable,
+                });
+            }
+        }
+    }
+
     fn tick(&mut self, time: (Millis, u64), out: &mut Vec<Effect>) {
         let now_ms = time.0;
         self.step_replica(Input::Tick, time, out);
@@ -531,6 +587,7 @@
             self.report_unjoined(now_ms, out);
         }
         self.with_leader(time, out, Leader::tick);
+        self.release_held_requests(time, out);
         if self.stop_at_ms.is_some_and(|at_ms| now_ms >= at_ms) {
             out.push(Effect::Stopped);
         }
--- a/crates/cell/tests/cell/recovery.rs
+++ b/crates/cell/tests/cell/recovery.rs
@@ -1,6 +1,6 @@
 //! Longest time without a start of a run after VMs fail, as seen by the workers.
 
-use acaciareel_cell::CallerReply;
+use acaciareel_cell::{CallerReply, ControlReply, ControlRequest, QueueTable};
 use acaciareel_types::VmId;
 
 use crate::sim::{Sim, control, job, queue, step};
@@ -8,6 +8,8 @@
 /// Longest time without a start after a failure: urgent work must start within 2.4 s (target of the
 /// users for two years from now).
 const TARGET_MS: u64 = 2_400;
+/// Time after which an operator tries another VM (rule of the users).
+const OPERATOR_WAIT_MS: u64 = 1_000;
 /// Time between two submitted jobs.
 const SUBMIT_INTERVAL_MS: u64 = 50;
 
@@ -100,6 +102,61 @@
     assert_recovers("all control VMs killed, back after 500 ms", pause_ms);
 }
 
+/// Guards against an operator whose request fails because it arrives during an election, at the
+/// start of a cell or later: it comes back only after a backoff, at a VM that may be down
+/// (brazos-tally trouble-1, no acknowledgement in 4 s).
+#[test]
+fn operators_requests_wait_for_an_election() {
+    for seed in 0..4 {
+        let mut sim = Sim::new(seed, 3, 2);
+        let table = |version| QueueTable {
+            version,
+            rows: vec![queue("urgent", 0, false)],
+            source: b"{}".to_vec(),
+        };
+        let first = sim.control_request(control(2), ControlRequest::PutQueues(table(1)));
+        sim.run(OPERATOR_WAIT_MS);
+        let leader = sim.leader().expect("leader");
+        let follower = control(leader.0 % 3 + 1);
+        sim.control_request(leader, ControlRequest::PutQueues(table(2)));
+        sim.run(2_000);
+        sim.kill(leader);
+        sim.run_until(2_000, |sim| {
+            let knows = sim.control_of(follower).expect("follower");
+            knows.known_leader().is_none()
+        });
+        let second = sim.control_request(follower, ControlRequest::GetQueues);
+        sim.run(OPERATOR_WAIT_MS);
+
+        let answered = |reply: Option<&ControlReply>| {
+            matches!(
+                reply,
+                Some(ControlReply::Done | ControlReply::Redirect(_) | ControlReply::Queues(_))
+            )
+        };
+        let replies = [first, second].map(|id| sim.control_replies.get(&id).cloned());
+        assert!(answered(replies[0].as_ref()), "seed {seed}: {replies:?}");
+        assert!(answered(replies[1].as_ref()), "seed {seed}: {replies:?}");
+    }
+}
+
+/// Guards against an operator's request that waits for ever at a VM that is cut off.
+#[test]
+fn operators_requests_are_refused_where_no_leader_is_found() {
+    let mut sim = Sim::new(1, 3, 2);
+    sim.set_up(vec![queue("urgent", 0, false)]);
+    let leader = sim.leader().expect("leader");
+    let follower = control(leader.0 % 3 + 1);
+    sim.isolate(follower);
+    sim.run(2_000);
+
+    let request = sim.control_request(follower, ControlRequest::GetQueues);
+    sim.run(OPERATOR_WAIT_MS);
+
+    let reply = sim.control_replies.get(&request);
+    assert_eq!(reply, Some(&ControlReply::Unavailable));
+}
+
 /// Guards against a job that misses its objective because one reply of a worker was lost: until the
 /// next renewal the leader does not learn that the task is done. Load: one task of 1 s on 48
 /// workers, with the objective of the kiosk deployments' urgent jobs, 1.5 times the work and 300 ms.
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -75,7 +75,7 @@
     pub lost_replies_percent: u64,
     pub jobs: BTreeMap<JobId, JobSpec>,
     pub replies: BTreeMap<u64, CallerReply>,
-    control_replies: BTreeMap<u64, ControlReply>,
+    pub control_replies: BTreeMap<u64, ControlReply>,
     pub open_advice_requests: usize,
     pub max_open_advice_requests: usize,
     pub advice_requests_sent: u64,
