Spread the heartbeats of workers over the control VMs

Cause: all workers send their heartbeats to the leader and keep a connection to it.

Ruled out: closing connections after each heartbeat, which costs 2,000 new connections a second.

Change: with 120 workers or more, a control VM that does not lead forwards an announcement or deregistration over its connection to the leader, acknowledges it once it is committed, and names itself for the next ones.

--- a/crates/acaciareeld/src/cell/run.rs
+++ b/crates/acaciareeld/src/cell/run.rs
@@ -322,7 +322,7 @@
         });
     };
     let opened = open_when_usable(disk).await?;
-    let control = create_control(config, own_vm, &opened);
+    let control = create_control(config, own_vm, &opened)?;
     Ok(StartedReducer {
         reducer: Reducer::Control(Box::new(control)),
         storage: Some(opened.storage),
@@ -357,7 +357,11 @@
 }
 
 /// Creates the reducer of a control VM from the state in its data folder.
-fn create_control(config: &CellConfig, own_vm: VmId, opened: &OpenedDisk) -> Control {
+fn create_control(
+    config: &CellConfig,
+    own_vm: VmId,
+    opened: &OpenedDisk,
+) -> Result<Control, Report<DaemonError>> {
     let restored = opened.restored.as_ref();
     info!(
         event = "state_restored",
@@ -373,8 +377,10 @@
         first_start: config.first_start,
         bounds: config.bounds,
         election_seed: opened.incarnation.0,
+        process_epoch: storage::random_process_epoch().change_context(DaemonError::Start)?,
     };
-    Control::new(settings, opened.restored.clone(), now_ms())
+    let control = Control::new(settings, opened.restored.clone(), now_ms());
+    Ok(control)
 }
 
 /// Binds all listening sockets and starts to serve them.
@@ -456,7 +462,8 @@
             );
             return Err(Report::new(DaemonError::Run).attach(text));
         }
-        self.reducer = Reducer::Control(Box::new(create_control(config, own_vm, &opened)));
+        let control = create_control(config, own_vm, &opened)?;
+        self.reducer = Reducer::Control(Box::new(control));
         self.storage = Some(opened.storage);
         // The other VMs introduce themselves on new connections only.
         self.links.close_all();
--- a/crates/cell/src/control.rs
+++ b/crates/cell/src/control.rs
@@ -3,16 +3,20 @@
 use std::sync::Arc;
 
 use acaciareel_consensus::{GroupSettings, Input, MemberId, Output, Replica, RestoredState, Role};
-use acaciareel_types::{LogIndex, Millis, SortedVec, VmId};
+use acaciareel_types::{LogIndex, Millis, ProcessEpoch, SortedVec, VmId};
 
 use crate::{
     CellState, Command, ControlReply, ControlRequest, Effect, Event, Origin, PeerMessage,
+    WorkerNotice,
     io::Io,
     leader::{Bounds, Leader},
 };
 
+mod forwarding;
 mod members;
 
+use forwarding::Forwarding;
+
 /// Time between heartbeats of the consensus group.
 const HEARTBEAT_MS: Millis = Millis(100);
 /// Shortest election timeout. It covers several heartbeats with links of 5.4 ms and syncs of 4 ms,
@@ -55,6 +59,8 @@
     pub bounds: Bounds,
     /// Seed of the random election timeouts.
     pub election_seed: u64,
+    /// Epoch of this start, which differs from those of earlier ones.
+    pub process_epoch: ProcessEpoch,
 }
 
 /// Request of an operator that waits for an election.
@@ -93,6 +99,7 @@
     next_members_ms: Millis,
     stop_at_ms: Option<Millis>,
     held_requests: Vec<HeldRequest>,
+    forwarding: Forwarding,
     /// Number of voters and of reachable voters in the last report of this leader.
     reported_redundancy: Option<(usize, usize)>,
     /// Last time at which this VM was a member of the group; initially the time of the start.
@@ -146,6 +153,7 @@
             next_members_ms: Millis(0),
             stop_at_ms: None,
             held_requests: Vec::new(),
+            forwarding: Forwarding::new(settings.process_epoch),
             reported_redundancy: None,
             unjoined_since_ms: now_ms,
             next_unjoined_report_ms: members::UNJOINED_REPORT_INTERVAL_MS,
@@ -490,6 +498,12 @@
                 for_vm: from,
                 request,
             }),
+            PeerMessage::WorkerCall { call, request } => {
+                self.handle_forwarded(from, call, request, time, out);
+            }
+            PeerMessage::WorkerCallReply { call, done } => {
+                self.forwarded_replied(call, done, out);
+            }
             PeerMessage::Ping | PeerMessage::Status { .. } | PeerMessage::CallReply { .. } => {}
         }
     }
@@ -532,7 +546,14 @@
                 until_ms,
             });
         }
-        let reply = other.map_or(ControlReply::Unavailable, ControlReply::Redirect);
+        let request = WorkerNotice::from_request(request);
+        let reply = match (other, request) {
+            (Some(leader), Some(notice)) if self.forwards_workers() => {
+                return self.forward(time.0, leader, connection, notice, out);
+            }
+            (Some(leader), _) => ControlReply::Redirect(leader),
+            (None, _) => ControlReply::Unavailable,
+        };
         out.push(Effect::ReplyControl { connection, reply });
     }
 
@@ -588,6 +609,7 @@
         }
         self.with_leader(time, out, Leader::tick);
         self.release_held_requests(time, out);
+        self.expire_forwarded(now_ms, out);
         if self.stop_at_ms.is_some_and(|at_ms| now_ms >= at_ms) {
             out.push(Effect::Stopped);
         }
--- a/crates/cell/src/entry.rs
+++ b/crates/cell/src/entry.rs
@@ -237,6 +237,8 @@
             | PeerMessage::Call { .. }
             | PeerMessage::Relay { .. }
             | PeerMessage::RelayReply { .. }
+            | PeerMessage::WorkerCall { .. }
+            | PeerMessage::WorkerCallReply { .. }
             | PeerMessage::AdviceResponse { .. } => {}
         }
     }
--- a/crates/cell/src/io.rs
+++ b/crates/cell/src/io.rs
@@ -166,6 +166,13 @@
         /// Number that the entry VM gave the request.
         call: u64,
     },
+    /// A request of a worker that another control VM forwarded.
+    Member {
+        /// Control VM that forwarded the request.
+        vm: VmId,
+        /// Number that the control VM gave the request.
+        call: u64,
+    },
     /// A connection on the interface for workers and operators.
     Control {
         /// Number of the connection on this VM.
@@ -393,8 +400,16 @@
     }
 
     pub fn reply_control(&mut self, origin: Origin, reply: ControlReply) {
-        if let Origin::Control { connection } = origin {
-            self.effect(Effect::ReplyControl { connection, reply });
+        match origin {
+            Origin::Control { connection } => {
+                self.effect(Effect::ReplyControl { connection, reply });
+            }
+            Origin::Member { vm, call } => {
+                let done = reply == ControlReply::Done;
+                let message = PeerMessage::WorkerCallReply { call, done };
+                self.effect(Effect::Send { to: vm, message });
+            }
+            Origin::Entry { .. } => {}
         }
     }
 }
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -23,6 +23,8 @@
 mod worker;
 mod worker_commands;
 
+pub(crate) use relay::MIN_WORKERS_FOR_RELAY;
+
 use advice::{AdviceCall, AdviceVms, StepAdvice};
 use run_times::RunTimes;
 use worker::{Phase, RunView, WorkerView};
--- a/crates/cell/src/leader/relay.rs
+++ b/crates/cell/src/leader/relay.rs
@@ -12,7 +12,7 @@
 use crate::{CellState, Effect, PeerMessage, WorkerNumber, WorkerReply, WorkerRequest, io::Io};
 
 /// Number of workers from which on calls are relayed.
-const MIN_WORKERS_FOR_RELAY: usize = 120;
+pub(crate) const MIN_WORKERS_FOR_RELAY: usize = 120;
 /// Added to the time limit of a call if it is relayed.
 const RELAY_GRACE_MS: u64 = 150;
 
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -32,7 +32,7 @@
     leader::Bounds,
     message::{
         AddressedRequest, AdviceRequest, AdviceResponse, CallerReply, CallerRequest, JobView,
-        PeerMessage, RefusalReason,
+        PeerMessage, RefusalReason, WorkerNotice,
     },
     model::{
         AdviceCost, Demand, JobSpec, JobSpecError, QueueRow, QueueTable, Schedule, StepSpec,
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -3,7 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{JobSpec, WorkerReply, WorkerRequest};
+use crate::{ControlRequest, JobSpec, WorkerRecord, WorkerReply, WorkerRequest};
 
 /// Request of a caller to an entry VM.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -171,4 +171,73 @@
         /// Response of the policy service, or its absence.
         response: AdviceResponse,
     },
+    /// A control VM forwards the request of a worker to the leader.
+    WorkerCall {
+        /// Number that the sender gave the request.
+        call: u64,
+        /// Request of the worker.
+        request: WorkerNotice,
+    },
+    /// Reply to `WorkerCall`.
+    WorkerCallReply {
+        /// Number from the `WorkerCall`.
+        call: u64,
+        /// Whether the request is handled and committed. Otherwise the receiver does not lead.
+        done: bool,
+    },
+}
+
+/// Request of a worker about itself.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum WorkerNotice {
+    /// A worker announces itself.
+    Announce {
+        /// Latest record of the worker.
+        worker: WorkerRecord,
+        /// Reading of the worker's clock, if the worker sent one.
+        clock_ms: Option<u64>,
+        /// Number of the announcement in this incarnation.
+        sequence: u64,
+    },
+    /// A worker ends and must get no further runs.
+    Deregister {
+        /// Id under which the worker announced itself.
+        worker_id: String,
+    },
+}
+
+impl WorkerNotice {
+    /// Returns the notice in a request; `None` if the request is an operator's.
+    pub(crate) fn from_request(request: ControlRequest) -> Option<Self> {
+        match request {
+            ControlRequest::Announce {
+                worker,
+                clock_ms,
+                sequence,
+            } => Some(Self::Announce {
+                worker,
+                clock_ms,
+                sequence,
+            }),
+            ControlRequest::Deregister { worker_id } => Some(Self::Deregister { worker_id }),
+            ControlRequest::PutQueues(_) | ControlRequest::GetQueues => None,
+        }
+    }
+}
+
+impl From<WorkerNotice> for ControlRequest {
+    fn from(notice: WorkerNotice) -> Self {
+        match notice {
+            WorkerNotice::Announce {
+                worker,
+                clock_ms,
+                sequence,
+            } => Self::Announce {
+                worker,
+                clock_ms,
+                sequence,
+            },
+            WorkerNotice::Deregister { worker_id } => Self::Deregister { worker_id },
+        }
+    }
 }
--- a/crates/cell/tests/cell/scale.rs
+++ b/crates/cell/tests/cell/scale.rs
@@ -1,8 +1,43 @@
 //! Load of a deployment of 350 workers: service to callers, and work of the leader.
 
-use acaciareel_cell::{JobId, JobSpec, JobState, QueueRow, StepSpec};
+use acaciareel_cell::{
+    ControlReply, ControlRequest, JobId, JobSpec, JobState, QueueRow, StepSpec, WorkerRecord,
+};
 
-use crate::sim::{Sim, gang, job, queue, step};
+use crate::sim::{Sim, control, gang, job, queue, step};
+
+/// Guards against a leader that takes the connections and requests of all workers: another control
+/// VM forwards an announcement, and acknowledges it once the leader has committed it.
+#[test]
+fn announcements_are_forwarded_to_the_leader() {
+    let mut sim = Sim::new(1, 3, 130);
+    sim.set_up(vec![queue("urgent", 0, false)]);
+    let leader = sim.leader().expect("leader");
+    let follower = control(leader.0 % 3 + 1);
+    let announce = |draining: bool, sim: &Sim| ControlRequest::Announce {
+        worker: WorkerRecord {
+            draining,
+            ..sim.workers["worker-7"].record.clone()
+        },
+        clock_ms: None,
+        sequence: sim.now_ms,
+    };
+
+    let draining = sim.control_request(follower, announce(true, &sim));
+    sim.run(100);
+    let acknowledged = sim.control_replies.get(&draining).cloned();
+    let state = sim.control_of(leader).expect("leader").state();
+    let number = state.worker_by_id("worker-7").expect("known worker");
+    let committed = state.workers().get(&number).is_some_and(|w| w.draining);
+    sim.kill(leader);
+    let unanswered = sim.control_request(follower, announce(true, &sim));
+    sim.run(1_000);
+
+    assert_eq!(acknowledged, Some(ControlReply::Done));
+    assert!(committed);
+    let reply = sim.control_replies.get(&unanswered);
+    assert_eq!(reply, Some(&ControlReply::Unavailable));
+}
 
 /// A kind of job with its arrival rate and size.
 struct Kind {
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -287,9 +287,9 @@
         });
         slot.process_epoch += 1;
         slot.connect_to.clear();
+        let epoch = u32::try_from(slot.process_epoch).expect("few starts");
         if vm.0 > 100 {
             slot.incarnation += 1;
-            let epoch = u32::try_from(slot.process_epoch).expect("few starts");
             let entry = Entry::new(seeds, ProcessEpoch::from_random(epoch));
             slot.reducer = Some(Reducer::Entry(Box::new(entry)));
             return;
@@ -310,6 +310,7 @@
                 status_retention_ms: 120_000,
             },
             election_seed: u64::from(vm.0),
+            process_epoch: ProcessEpoch::from_random(epoch),
         };
         let restored = (!slot.disk.is_empty()).then(|| replay(&slot.disk));
         let control = Control::new(settings, restored, now_ms);
