Close unused connections to workers after 5 s

Cause: a relay kept up to four unused connections to each worker for 20 s.

Ruled out: fewer connections per worker, which would delay the starts of a burst by a round trip each on small deployments, where connections are reused within the 5 s.

Change: the idle timeout.

--- a/crates/acaciareeld/src/cell/outbound.rs
+++ b/crates/acaciareeld/src/cell/outbound.rs
@@ -14,10 +14,14 @@
 use log::{debug, warn};
 use tokio::time;
 
+#[cfg(test)]
+mod tests;
+
 /// Largest response body; a renewal with 500 completions and 40 runs has about 100 KiB.
 const MAX_REPLY_BYTES: usize = 1 << 20;
-/// Time after which an unused connection is closed. A worker accepts 64 connections.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time after which an unused connection is closed. A busy worker gets starts more often; a relay of
+/// hundreds of workers would run out of file descriptors if each kept its connections for long.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Unused connections that stay open for each worker: one for the waiting renewal, the others for
 /// starts.
 const MAX_IDLE_PER_WORKER: usize = 4;
--- /dev/null
+++ b/crates/acaciareeld/src/cell/outbound/tests.rs
@@ -0,0 +1,84 @@
+//! Connections to workers.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use acaciareel_cell::{JobId, RunKey, StepKey, TaskKey, WorkerRequest};
+use http_body_util::Full;
+use hyper::{Response, body::Bytes, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpListener, time};
+
+use super::{IDLE_TIMEOUT, Outbound};
+
+/// Starts a worker that answers each call after 50 ms; returns its address and the number of its
+/// open connections.
+async fn start_worker() -> (String, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listener");
+    let address = listener.local_addr().expect("address").to_string();
+    let open = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&open);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let counter = Arc::clone(&counter);
+            counter.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(async move {
+                let answer = service_fn(|_| async {
+                    time::sleep(Duration::from_millis(50)).await;
+                    Ok::<_, std::convert::Infallible>(Response::new(Full::new(Bytes::from("{}"))))
+                });
+                // The connection ends when the client closes it.
+                let _ = http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), answer)
+                    .await;
+                counter.fetch_sub(1, Ordering::Relaxed);
+            });
+        }
+    });
+    (address, open)
+}
+
+fn stop_request(index: u32) -> WorkerRequest {
+    let step = StepKey {
+        job: JobId(1),
+        occurrence: 0,
+        step: 0,
+    };
+    WorkerRequest::Stop {
+        run: RunKey {
+            task: TaskKey { step, index },
+            run: 1,
+        },
+        token: 1,
+    }
+}
+
+/// Guards against a relay of hundreds of workers that runs out of file descriptors, because the
+/// connections of a burst of starts stay open (sweep of loftbook-large at 300 VMs, 4,143 of 4,096).
+#[tokio::test]
+async fn connections_of_a_burst_are_closed_when_unused() {
+    let (address, open) = start_worker().await;
+    let outbound = Outbound::new();
+
+    let calls = (0..6).map(|index| {
+        let (outbound, address) = (outbound.clone(), address.clone());
+        tokio::spawn(async move {
+            let request = stop_request(index);
+            let limit = Duration::from_secs(2);
+            outbound.call_worker(&address, "w", &request, limit).await
+        })
+    });
+    for call in calls.collect::<Vec<_>>() {
+        call.await.expect("finished call");
+    }
+    let after_burst = open.load(Ordering::Relaxed);
+    time::sleep(Duration::from_secs(11)).await;
+
+    assert!((1..=6).contains(&after_burst), "{after_burst}");
+    assert_eq!(open.load(Ordering::Relaxed), 0);
+}
