Report sent requests as uncertain also beside a leader without a majority

Ruled out: a reply at once, since an election takes up to 1.2 s.

Change: after 1.5 s without a leader the outcome is reported as uncertain.

Before: the new test gets no reply in 2.5 s. After: Uncertain.

--- a/crates/cell/src/entry.rs
+++ b/crates/cell/src/entry.rs
@@ -15,6 +15,9 @@
 /// How long a request waits for a known leader before it is refused. An election takes about 1.2 s;
 /// a caller that is refused earlier retries while the election is still under way.
 const LEADER_WAIT_MS: u64 = 400;
+/// Time without a leader after which no election is expected to end soon: the control VMs that are
+/// reachable have no majority.
+const NO_MAJORITY_MS: u64 = 1_500;
 /// Time between pings to the control VMs.
 const PING_INTERVAL_MS: u64 = 400;
 /// Largest number of open requests; each holds a job of up to 256 KiB.
@@ -66,6 +69,8 @@
     connected: Vec<VmId>,
     control_vms: SortedVec<VmId, ControlVm>,
     leader: Option<VmId>,
+    /// Last time at which a leader was known.
+    leader_known_ms: Millis,
     pending: SortedVec<u64, PendingRequest>,
     /// Number of the last request.
     next_call: u64,
@@ -85,6 +90,7 @@
             connected: Vec::new(),
             control_vms: SortedVec::new(),
             leader: None,
+            leader_known_ms: Millis(0),
             pending: SortedVec::new(),
             next_call: process_epoch.number() << CALL_BITS,
             next_ping_ms: Millis(0),
@@ -302,6 +308,7 @@
         let Some(leader) = leader else {
             return;
         };
+        self.leader_known_ms = now_ms;
         // Requests are idempotent by job id, so they may be sent again to a new leader.
         let due = self.pending.iter().filter(|(_, pending)| {
             pending.last_sent.is_none_or(|(to, at_ms)| {
@@ -366,10 +373,11 @@
 
     /// Replies to requests that reached their deadline, and to those that cannot be sent to a
     /// leader. A request that was sent before may have taken effect, so its outcome is reported as
-    /// unknown. That is done at once where this VM is cut off, so that the caller can still resend
-    /// through another VM; an election alone ends soon.
+    /// unknown. That is done early where this VM is cut off, alone or with a minority of the control
+    /// VMs, so that the caller can still resend through another VM; an election alone ends soon.
     fn expire_requests(&mut self, now_ms: Millis, out: &mut Vec<Effect>) {
-        let cut_off = self.is_cut_off(now_ms);
+        let leaderless_ms = now_ms.saturating_sub(self.leader_known_ms).0;
+        let cut_off = self.is_cut_off(now_ms) || leaderless_ms >= NO_MAJORITY_MS;
         let mut expired = Vec::new();
         for (call, pending) in self.pending.iter() {
             let waited_ms = now_ms.saturating_sub(pending.received_ms).0;
--- a/crates/cell/tests/cell/faults.rs
+++ b/crates/cell/tests/cell/faults.rs
@@ -492,6 +492,31 @@
     assert_eq!(sim.starts, 1);
 }
 
+/// Guards against a caller whose request was sent to a leader that is then cut off together with the
+/// entry VM, and who gets no reply before its deadline (brazos-tally inc-3871, 504 after 2.9 s in
+/// the leader's own failure domain). A caller waits 3 s and needs half a second to resend.
+#[test]
+fn entry_vm_cut_off_with_its_leader_reports_sent_requests_as_uncertain_soon() {
+    const REPORTED_MS: u64 = 2_500;
+    let mut sim = Sim::new(2, 3, 2);
+    sim.set_up(vec![queue("batch", 2, false)]);
+    let leader = sim.leader().expect("leader");
+    let inside = [leader, entry(1)];
+    let outside = (1..=3).map(control).chain([entry(2)]);
+    for other in outside.filter(|vm| !inside.contains(vm)) {
+        for vm in inside {
+            sim.cut_links.insert((vm, other));
+            sim.cut_links.insert((other, vm));
+        }
+    }
+    sim.run(100);
+
+    let call = sim.submit("batch", 2, job(vec![step(1, 1_000, 500)]));
+    sim.run(REPORTED_MS);
+
+    assert_eq!(sim.replies.get(&call), Some(&CallerReply::Uncertain));
+}
+
 /// Guards against starts that are lost in a failure domain that was cut off a moment before: the
 /// task cannot run elsewhere until the lease of its worker is over (brazos-tally trouble-1, jobs
 /// accepted 0.4 to 1.4 s after the cut at 33.5 s). Load: a small job every 20 ms on workers that
