--- a/crates/acaciareeld/src/cell/run.rs
+++ b/crates/acaciareeld/src/cell/run.rs
@@ -450,6 +450,7 @@
         };
         let opened = match disk.open() {
             Ok(opened) => opened,
+            // Still unusable; the failure that suspended this VM is logged already.
             Err(report) if matches!(report.current_context(), StorageError::Io { .. }) => {
                 return Ok(());
             }
