--- a/crates/cell/src/control/forwarding.rs
+++ b/crates/cell/src/control/forwarding.rs
@@ -4,18 +4,16 @@
 //! may use. Each control VM therefore serves the workers that call it, and forwards what they say
 //! over its connection to the leader.
 
-use acaciareel_types::{Millis, SortedVec, VmId};
+use acaciareel_types::{Millis, ProcessEpoch, SortedVec, VmId};
 
 use super::Control;
 use crate::{
-    ControlReply, ControlRequest, Effect, Origin, PeerMessage, WorkerNotice,
+    ControlReply, ControlRequest, Effect, Origin, PeerMessage, WorkerNotice, ids::calls_of_epoch,
     leader::MIN_WORKERS_FOR_RELAY,
 };
 
 /// How long a worker waits for the leader's reply. It tries another VM after a second.
 const FORWARD_TIMEOUT_MS: u64 = 800;
-/// Number of bits that count the requests of one process; its epoch is in the higher bits.
-const CALL_BITS: u32 = 32;
 
 /// Forwarded requests without a reply.
 #[derive(Debug)]
@@ -29,9 +27,9 @@
 impl Forwarding {
     /// Creates an empty list. Replies to an earlier process may still arrive, so the epoch must
     /// differ from those of earlier starts.
-    pub fn new(process_epoch: acaciareel_types::ProcessEpoch) -> Self {
+    pub fn new(process_epoch: ProcessEpoch) -> Self {
         Self {
-            next_call: process_epoch.number() << CALL_BITS,
+            next_call: calls_of_epoch(process_epoch.number()),
             calls: SortedVec::new(),
         }
     }
--- a/crates/cell/src/entry.rs
+++ b/crates/cell/src/entry.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     AddressedRequest, CallerReply, CallerRequest, Effect, Event, LogLevel, PeerMessage,
-    RefusalReason,
+    RefusalReason, ids::calls_of_epoch,
 };
 
 /// Time without a message after which a control VM does not count as the leader any more: three
@@ -35,9 +35,6 @@
 /// Longest time from the stop request to the end of the process.
 const MAX_STOP_MS: u64 = 5_300;
 
-/// Number of bits that count the requests of one process; its epoch is in the higher bits.
-const CALL_BITS: u32 = 32;
-
 /// A request without a reply.
 #[derive(Clone, Debug)]
 struct PendingRequest {
@@ -92,7 +89,7 @@
             leader: None,
             leader_known_ms: Millis(0),
             pending: SortedVec::new(),
-            next_call: process_epoch.number() << CALL_BITS,
+            next_call: calls_of_epoch(process_epoch.number()),
             next_ping_ms: Millis(0),
             stopping_ms: None,
         }
--- a/crates/cell/src/ids.rs
+++ b/crates/cell/src/ids.rs
@@ -154,3 +154,9 @@
         })
     }
 }
+
+/// Returns the number below the first call of an epoch: the term of a leader, or the process epoch
+/// of a VM. Replies to calls of an earlier epoch may still arrive, so numbers must not repeat.
+pub(crate) const fn calls_of_epoch(epoch: u64) -> u64 {
+    epoch << 32
+}
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -8,7 +8,8 @@
 
 use crate::{
     CallerReply, CellState, Change, Command, ControlReply, Effect, Job, JobId, JobState, Origin,
-    PeerMessage, RunKey, StepKey, TaskState, WorkerNumber, WorkerRecord, io::Io,
+    PeerMessage, RunKey, StepKey, TaskState, WorkerNumber, WorkerRecord, ids::calls_of_epoch,
+    io::Io,
 };
 
 mod advice;
@@ -57,9 +58,6 @@
 /// Added to the time for which the status of an ended job is kept, because clocks differ.
 const STATUS_RETENTION_MARGIN_MS: u64 = 60_000;
 
-/// Number of bits that count the calls of one term; the term is in the higher bits.
-const CALL_BITS: u32 = 32;
-
 /// A call to a worker whose reply has not arrived.
 #[derive(Clone, Debug)]
 enum WorkerCall {
@@ -157,9 +155,7 @@
             advice_vms: AdviceVms::default(),
             worker_calls: SortedVec::new(),
             relays: relay::Relays::default(),
-            // Replies to calls of an earlier leadership may still arrive, so numbers of calls must
-            // not repeat.
-            next_call: term << CALL_BITS,
+            next_call: calls_of_epoch(term),
             status_queries: status_queries::StatusQueries::default(),
             pending_submits: SortedVec::new(),
             pending_cancels: SortedVec::new(),
