Log each reply on waiting jobs, with the runs that no worker has confirmed

The logs had no line for the reply, and none that tells a run that is placed from one that a worker has begun, so the hypotheses could not be told apart.

queue_queried names the queue, the reply, the runs that were sent and not confirmed, and the version of the queue table.

--- a/crates/cell/src/leader/callers.rs
+++ b/crates/cell/src/leader/callers.rs
@@ -1,6 +1,6 @@
 //! Requests of callers: submissions with admission control, status queries and cancellations.
 
-use super::{Leader, reply_not_leader};
+use super::{Leader, reply_not_leader, worker::Phase};
 use crate::{
     CallerReply, CallerRequest, CellState, Command, JobId, JobSpec, JobState, Origin, QueueRow,
     RefusalReason,
@@ -45,6 +45,16 @@
             (CallerRequest::Submit(_), Err(_)) => io.reply_caller(origin, CallerReply::Invalid),
             (CallerRequest::Status, _) if rest.is_empty() => {
                 let pending = count_pending(state, &queue.name);
+                let unconfirmed = self.count_unconfirmed_runs(state, &queue.name);
+                io.log(
+                    "queue_queried",
+                    vec![
+                        ("queue", queue.name.clone()),
+                        ("pending", pending.to_string()),
+                        ("runs_unconfirmed", unconfirmed.to_string()),
+                        ("queues_version", state.queues().version.to_string()),
+                    ],
+                );
                 io.reply_caller(origin, CallerReply::Pending(pending));
             }
             (CallerRequest::Status, Ok(id)) => self.query_status(state, origin, id, io),
@@ -161,6 +171,17 @@
         steps.fold(0, u64::saturating_add)
     }
 
+    /// Returns the number of runs of a queue whose start was sent and not confirmed by the worker.
+    fn count_unconfirmed_runs(&self, state: &CellState, queue: &str) -> usize {
+        let runs = self.workers.values().flat_map(|view| view.runs.iter());
+        let unconfirmed = runs.filter(|(_, run)| matches!(run.phase, Phase::Sent { .. }));
+        let of_queue = unconfirmed.filter(|(key, _)| {
+            let job = state.job(key.task.step.job);
+            job.is_some_and(|job| job.queue.name == queue)
+        });
+        of_queue.count()
+    }
+
     fn cancel(&mut self, state: &CellState, origin: Origin, id: JobId, io: &mut Io<'_>) {
         match state.job(id) {
             Some(job) if job.state != JobState::Active => {
