Reproduce a count of waiting jobs that is too low

Callers ask how many jobs of a queue wait for their first start. With all workers cut off before the leader knows it, seven jobs are placed and none begins; after 5 s the reply is 0, under the same leader and under a new one (left 0, right 7).

--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -7,6 +7,7 @@
 
 mod faults;
 mod load;
+mod pending;
 mod recovery;
 mod scale;
 mod services;
