Count a job as started when a worker has begun it, not when it is placed

Cause: the job was marked as started when a placement was committed. On a worker that is cut off the placement stays until its lease is over or the worker is back, up to 10 s, while nothing runs. An intention of the leader was reported as an event of the worker.

A job now starts when a worker confirms a run, lists it as running, or reports its completion. The leader records the first of these in the log (Command::Started), so that a new leader and a lost worker do not undo it. job_started is logged once a job.

--- a/crates/cell/src/command.rs
+++ b/crates/cell/src/command.rs
@@ -84,4 +84,6 @@
     /// Removes ended jobs whose status need not be available any longer; a job with a run that may
     /// still be running stays. The ids are sorted.
     RemoveJobs(Vec<JobId>),
+    /// Records that a worker has begun a run of a job. Sent for the first run that is confirmed.
+    Started(JobId),
 }
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -100,7 +100,8 @@
     pub spec: JobSpec,
     /// Whether the job is active, or how it ended.
     pub state: JobState,
-    /// Whether a run was ever placed.
+    /// Whether a worker has confirmed or reported a run. A placement alone does not count, because
+    /// the worker may be unreachable.
     pub started: bool,
     /// Time of acceptance on the leader's clock, in Unix milliseconds.
     pub accepted_unix_ms: u64,
@@ -224,7 +225,6 @@
         }
         task.state = TaskState::Placed(worker);
         task.run = run;
-        self.started = true;
         true
     }
 
@@ -235,6 +235,7 @@
         worker: WorkerNumber,
         at_unix_ms: u64,
     ) {
+        self.started = true;
         let key = completion.run.task;
         let Some(spec) = self.step_spec(key.step) else {
             return;
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -113,6 +113,8 @@
     status_queries: status_queries::StatusQueries,
     pending_submits: SortedVec<JobId, Vec<Origin>>,
     pending_cancels: SortedVec<JobId, Vec<Origin>>,
+    /// Jobs whose first confirmed run is being committed, sorted.
+    pending_starts: Vec<JobId>,
     /// Id of each worker whose record is being committed, and where the reply goes.
     pending_announcements: Vec<(String, Origin)>,
     /// Version of each queue table that is being committed, and where the reply goes.
@@ -159,6 +161,7 @@
             status_queries: status_queries::StatusQueries::default(),
             pending_submits: SortedVec::new(),
             pending_cancels: SortedVec::new(),
+            pending_starts: Vec::new(),
             pending_announcements: Vec::new(),
             pending_tables: Vec::new(),
             active_jobs: Vec::new(),
@@ -320,6 +323,7 @@
                     self.refresh_job(state, id, io);
                 }
             }
+            Change::Started(id) => self.job_started(state, id, io),
         }
     }
 
@@ -463,6 +467,34 @@
         }
     }
 
+    /// Proposes to record that a job has started, if that is neither recorded nor proposed yet.
+    fn run_confirmed(&mut self, state: &CellState, id: JobId, io: &mut Io<'_>) {
+        if state.job(id).is_some_and(|job| !job.started)
+            && let Err(at) = self.pending_starts.binary_search(&id)
+        {
+            self.pending_starts.insert(at, id);
+            io.commands.push(Command::Started(id));
+        }
+    }
+
+    fn job_started(&mut self, state: &CellState, id: JobId, io: &mut Io<'_>) {
+        if let Ok(at) = self.pending_starts.binary_search(&id) {
+            self.pending_starts.remove(at);
+        }
+        let Some(job) = state.job(id) else {
+            return;
+        };
+        let after_ms = io.unix_ms.saturating_sub(job.accepted_unix_ms);
+        io.log(
+            "job_started",
+            vec![
+                ("job", id.to_string()),
+                ("queue", job.queue.name.clone()),
+                ("after_ms", after_ms.to_string()),
+            ],
+        );
+    }
+
     /// Removes the waiting steps of an ended job, and stops its runs unless it completed.
     fn job_ended(&mut self, job: &Job, io: &mut Io<'_>) {
         let id = job.id;
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -324,10 +324,12 @@
         let is_reported = |key: &RunKey| report.running.iter().any(|run| run.run == *key);
         view.runs
             .retain(|key, run| run.phase != Phase::Unexpected || is_reported(key));
+        let mut confirmed = Vec::new();
         for reported in &report.running {
             if let Some(run) = view.runs.get_mut(&reported.run) {
                 if matches!(run.phase, Phase::Sent { .. }) {
                     run.phase = Phase::Confirmed { at_call };
+                    confirmed.push(reported.run.task.step.job);
                 }
                 if run.percent != reported.percent {
                     run.percent = reported.percent;
@@ -337,6 +339,7 @@
                 continue;
             }
             let key = reported.run.task;
+            confirmed.push(key.step.job);
             let job = state.job(key.step.job);
             let demand = job.and_then(|job| job.step_spec(key.step));
             let demand = demand.map_or(view.record.capacity, pass::counted_demand);
@@ -353,6 +356,9 @@
             });
         }
         view.recompute_free();
+        for id in confirmed {
+            self.run_confirmed(state, id, io);
+        }
     }
 
     /// Removes the runs for which `has_ended` holds and proposes them as lost. Only runs that
--- a/crates/cell/src/leader/worker_commands.rs
+++ b/crates/cell/src/leader/worker_commands.rs
@@ -246,6 +246,7 @@
                 if let Some(clock_ms) = clock_ms {
                     view.update_clock(*clock_ms, io.now_ms);
                 }
+                self.run_confirmed(state, key.task.step.job, io);
             }
             WorkerReply::Refused(refusal) => {
                 self.start_refused(state, number, key, (*refusal, tries, token < current), io);
--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -42,6 +42,8 @@
         /// Jobs of the lost runs, sorted.
         jobs: Vec<JobId>,
     },
+    /// A worker has begun a run of a job, now or earlier.
+    Started(JobId),
 }
 
 /// Replicated state of a cell: the queue table, the workers and the jobs.
@@ -161,6 +163,12 @@
                     .retain(|id, job| ids.binary_search(id).is_err() || !ended(job));
                 Change::RunsLost { jobs: Vec::new() }
             }
+            Command::Started(id) => {
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.started = true;
+                }
+                Change::Started(id)
+            }
         }
     }
 
--- a/crates/cell/tests/cell/pending.rs
+++ b/crates/cell/tests/cell/pending.rs
@@ -29,7 +29,6 @@
 
 /// Guards against jobs that count as started although no worker has begun them.
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 5"]
 fn jobs_placed_on_unreachable_workers_count_as_pending() {
     for seed in 0..4 {
         let mut sim = cell(seed, 6);
@@ -47,7 +46,6 @@
 
 /// Guards against a new leader that takes placements of the earlier one for starts.
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 5"]
 fn new_leader_counts_jobs_without_a_start_as_pending() {
     let mut sim = cell(1, 6);
     submit_behind_a_cut(&mut sim, 7);
