Reproduce tasks that crash worker after worker in the simulation

Change: the simulation has tasks that crash each worker that starts them, workers that crash by themselves, and their return under the same or a new id at the same address; it counts starts and crashes of each task. A call that reaches a worker which went down on the way now ends without a reply; it stayed open for ever before.

--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -12,11 +12,17 @@
 
 use crate::worker::{LEASE_MS, Running, Worker};
 
+mod crash;
+
+pub use crash::{Comeback, Crashes};
+
 const STEP_MS: u64 = 5;
 const LINK_MS: u64 = 5;
 const SYNC_MS: u64 = 4;
 const UNIX_MS: u64 = 1_700_000_000_000;
 const HEARTBEAT_MS: u64 = 1_500;
+/// Time after which a call to a worker that went down meanwhile ends without a reply.
+const LOST_CALL_MS: u64 = 800;
 pub const HOST: &str = "jobs.example";
 
 #[derive(Debug)]
@@ -71,6 +77,7 @@
     pub silent_vms: BTreeSet<VmId>,
     /// Workers that no VM can reach.
     pub cut_workers: BTreeSet<String>,
+    pub crashes: Crashes,
     /// Percentage of commands that are executed late and without a reply.
     pub lost_replies_percent: u64,
     pub jobs: BTreeMap<JobId, JobSpec>,
@@ -195,6 +202,7 @@
             silent_vms: BTreeSet::new(),
             workers: BTreeMap::new(),
             cut_workers: BTreeSet::new(),
+            crashes: Crashes::default(),
             lost_replies_percent: 0,
             jobs: BTreeMap::new(),
             replies: BTreeMap::new(),
@@ -584,6 +592,9 @@
             _ => None,
         };
         let Some(worker) = self.workers.get_mut(worker_id).filter(|w| w.alive) else {
+            if let Some(call) = *call {
+                self.post(LOST_CALL_MS, vm, replied(call, WorkerReply::NoReply));
+            }
             return;
         };
         let before: BTreeSet<_> = worker.running.keys().copied().collect();
@@ -593,6 +604,7 @@
             && !before.contains(run)
         {
             self.starts += 1;
+            self.crashes.record_start(now_ms, worker_id, *run);
             self.check_start(worker_id, run.task, ticket.is_some());
         }
         let Some(call) = *call else {
@@ -654,6 +666,7 @@
     }
 
     fn advance_workers(&mut self) {
+        self.advance_crashes();
         let mut present: BTreeMap<(acaciareel_cell::StepKey, u32), u32> = BTreeMap::new();
         for worker in self.workers.values().filter(|worker| worker.alive) {
             for run in worker.running.keys() {
@@ -685,7 +698,7 @@
             if !alive || !worker.alive {
                 if alive {
                     let reply = WorkerReply::NoReply;
-                    self.post(800, vm, replied(call, reply));
+                    self.post(LOST_CALL_MS, vm, replied(call, reply));
                 }
             } else if worker.has_completions() || now_ms >= until_ms {
                 let reply = if self.cut_workers.contains(&worker_id) {
@@ -865,6 +878,7 @@
 /// Decides by name which workers the policy service allows: about three in five, and at least one
 /// of the first four.
 pub fn may_run(step: &str, worker_id: &str) -> bool {
+    let worker_id = crash::machine_of(worker_id);
     let hash = step.bytes().chain(worker_id.bytes());
     let hash = hash.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
