Count crashes of workers for each task, and give up what causes them

Cause: a run that ends with its worker was put back to waiting and counted nothing; only runs that a worker reports as failed spent attempts. Ruled out: a count lost with the leader, and a count kept for each worker.

Change: the replicated state counts a crash for each task placed on a worker when a later incarnation, or another worker at its address, joins before it has drained. Runs whose lease was over before are remembered until the worker is back: the same incarnation was only cut off. From the second crash on a task, or its gang, runs alone; up to a tenth of the workers are kept free for that. It is given up after three confirmed crashes, one of them alone, or after four with two confirmed; never from unconfirmed ones before the sixth, since a start can be sent to a worker that is down already. Workers get no probation for it, and long-running tasks have no limit.

--- a/crates/cell/src/command.rs
+++ b/crates/cell/src/command.rs
@@ -86,4 +86,21 @@
     RemoveJobs(Vec<JobId>),
     /// Records that a worker has begun a run of a job. Sent for the first run that is confirmed.
     Started(JobId),
+    /// Records that a worker has begun a run of a task that has a crash.
+    Confirmed(RunKey),
+    /// Records runs whose lease is over without contact to their worker, like `Lost`. If the worker
+    /// turns out to have crashed, the crash counts for them.
+    LeaseExpired {
+        /// Worker on which the runs were placed.
+        worker: WorkerNumber,
+        /// Runs, each with its last known checkpoint and whether the worker had confirmed it.
+        runs: Vec<(RunKey, String, bool)>,
+    },
+    /// Fails a job of which a task has crashed too many workers.
+    GiveUp {
+        /// Id of the job.
+        id: JobId,
+        /// Time on the leader's clock, in Unix milliseconds.
+        at_unix_ms: u64,
+    },
 }
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -13,7 +13,7 @@
     Active,
     /// All tasks are done.
     Completed,
-    /// A task or gang has failed as often as the queue allows.
+    /// A task or gang has failed as often as the queue allows, or has crashed too many workers.
     Failed,
     /// Cancelled by its caller.
     Cancelled,
@@ -328,6 +328,11 @@
         self.drop_spec_if_no_runs();
     }
 
+    pub(crate) fn give_up(&mut self, at_unix_ms: u64) {
+        self.finish(JobState::Failed, at_unix_ms);
+        self.drop_spec_if_no_runs();
+    }
+
     fn finish(&mut self, state: JobState, at_unix_ms: u64) {
         if self.state == JobState::Active {
             self.state = state;
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -16,6 +16,7 @@
 mod advice_requests;
 mod announcements;
 mod callers;
+mod isolation;
 mod pass;
 mod relay;
 mod renewal;
@@ -28,7 +29,7 @@
 
 use advice::{AdviceCall, AdviceVms, StepAdvice};
 use run_times::RunTimes;
-use worker::{Phase, RunView, WorkerView};
+use worker::{LossReason, Phase, RunView, WorkerView};
 
 /// Time limits set by the deployment.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -88,6 +89,8 @@
     waiting: Vec<u32>,
     /// Positions from `waiting` whose placement is proposed and not yet committed, sorted.
     proposed: Vec<u32>,
+    /// Time since which suspects of the step have waited for a worker of their own.
+    suspects_since_ms: Option<Millis>,
 }
 
 /// State of the leader; lost when it steps down.
@@ -126,6 +129,10 @@
     run_times: RunTimes,
     /// Workers reserved for gangs in the current pass, sorted.
     reserved_for_gangs: Vec<WorkerNumber>,
+    /// Workers that drain for suspects, which must run alone, and the suspects' steps.
+    draining_for: SortedVec<WorkerNumber, StepKey>,
+    /// Jobs whose failure after too many crashes is being committed, sorted.
+    given_up: Vec<JobId>,
     /// Workers reserved for gangs in the previous pass, sorted.
     previously_reserved: Vec<WorkerNumber>,
     /// Failure domains from which no control VM answers, with the time of the last answer.
@@ -168,6 +175,8 @@
             scheduled_jobs: Vec::new(),
             run_times: RunTimes::default(),
             reserved_for_gangs: Vec::new(),
+            draining_for: SortedVec::new(),
+            given_up: Vec::new(),
             previously_reserved: Vec::new(),
             silent_domains: SortedVec::new(),
             tick_count: 0,
@@ -185,7 +194,7 @@
             leader.workers.insert(*number, view);
         }
         for job in state.jobs().values() {
-            leader.inherit_runs(job, io.now_ms);
+            leader.inherit_runs(state, job, io.now_ms);
             leader.refresh_job(state, job.id, io);
         }
         io.log(
@@ -200,13 +209,13 @@
         leader
     }
 
-    fn inherit_runs(&mut self, job: &Job, now_ms: Millis) {
+    fn inherit_runs(&mut self, state: &CellState, job: &Job, now_ms: Millis) {
         for (key, task) in job.tasks() {
             let TaskState::Placed(number) = task.state else {
                 continue;
             };
-            let demand = job.step_spec(key.step).map(pass::counted_demand);
-            if let (Some(view), Some(demand)) = (self.workers.get_mut(&number), demand) {
+            let spec = job.step_spec(key.step);
+            if let (Some(view), Some(spec)) = (self.workers.get_mut(&number), spec) {
                 let phase = Phase::Sent {
                     token: 0,
                     tries: u32::MAX,
@@ -215,7 +224,11 @@
                     task: key,
                     run: task.run,
                 };
+                let demand = pass::counted_demand(spec);
                 let mut inherited = RunView::new(demand, phase, None, now_ms);
+                if state.must_run_alone(job, key) {
+                    inherited.alone_until_ms = Some(isolation::end(spec, now_ms));
+                }
                 inherited.stopping = matches!(job.state, JobState::Failed | JobState::Cancelled);
                 view.add_run(run, inherited);
             }
@@ -269,7 +282,10 @@
                 }
                 io.log("queues_in_force", vec![("version", version.to_string())]);
             }
-            Change::Worker(number) => self.worker_changed(state, number, io),
+            Change::Worker { worker, crashed } => {
+                self.worker_crashed(state, worker, &crashed, io);
+                self.worker_changed(state, worker, io);
+            }
             Change::WorkerRemoved(number) => {
                 if let Some(view) = self.workers.remove(&number)
                     && self.addresses.get(&view.record.address) == Some(&number)
@@ -411,7 +427,7 @@
             .map(|other| other.number)
             .collect();
         for older in older {
-            self.lose_runs(older, |_, _| true, "address_reused", io);
+            self.lose_runs(older, |_, _| true, LossReason::AddressReused, io);
             io.commands.push(Command::RemoveWorker(older));
         }
     }
@@ -436,6 +452,9 @@
                 self.scheduled_jobs.push(id);
             }
         }
+        if self.give_up_if_exhausted(state, job, io) {
+            return;
+        }
         for (occurrence, steps) in (0u32..).zip(&job.occurrences) {
             // Without a schedule a job is due from its acceptance on, also if the time of day has been
             // set back since.
@@ -467,8 +486,13 @@
         }
     }
 
-    /// Proposes to record that a job has started, if that is neither recorded nor proposed yet.
-    fn run_confirmed(&mut self, state: &CellState, id: JobId, io: &mut Io<'_>) {
+    /// Proposes to record that a job has started, if that is neither recorded nor proposed yet, and
+    /// that a task with a crash runs again.
+    fn run_confirmed(&mut self, state: &CellState, run: RunKey, io: &mut Io<'_>) {
+        let id = run.task.step.job;
+        if state.crash_count(run.task).crashes > 0 {
+            io.commands.push(Command::Confirmed(run));
+        }
         if state.job(id).is_some_and(|job| !job.started)
             && let Err(at) = self.pending_starts.binary_search(&id)
         {
@@ -509,6 +533,9 @@
             self.advice.retain(|key, _| key.job != id);
         }
         self.scheduled_jobs.retain(|scheduled| *scheduled != id);
+        if let Ok(at) = self.given_up.binary_search(&id) {
+            self.given_up.remove(at);
+        }
         if matches!(job.state, JobState::Failed | JobState::Cancelled) {
             self.stop_runs(|key| key.task.step.job == id, io);
         }
--- /dev/null
+++ b/crates/cell/src/leader/isolation.rs
@@ -0,0 +1,304 @@
+//! Tasks that may crash their workers: they run alone, and their jobs fail after too many crashes.
+//!
+//! A suspect waits for a worker without runs. If there is none, some workers take no new runs until
+//! they are empty. While more than half of a service's capacity is free, a task does not wait for
+//! long after its second crash: then only gaps on all workers keep it from running alone.
+
+use acaciareel_types::Millis;
+
+use super::{
+    Leader,
+    pass::{FreeCapacityByWorker, counted_demand},
+    worker::{Phase, WorkerView},
+};
+use crate::{
+    CellState, Command, Job, RunKey, StepKey, StepSpec, TaskKey, WorkerNumber, io::Io,
+    placement::Candidate,
+};
+
+/// Share of the workers that may drain for suspects at the same time, in thousandths; at least one.
+const MAX_DRAINING_PERMILLE: usize = 100;
+/// Longest wait of a suspect for a worker of its own while the service is less than half full.
+const MAX_WAIT_MS: u64 = 2_000;
+/// How long a long-running suspect is alone on its worker.
+const LONG_RUNNING_TRIAL_MS: u64 = 3_000;
+/// Time for which a worker that has joined is the last choice for a suspect. If the worker crashes
+/// by itself, the task would be blamed.
+const NEW_WORKER_MS: u64 = 10_000;
+
+/// Returns until when a suspect that starts now must be alone.
+pub(super) fn end(spec: &StepSpec, now_ms: Millis) -> Millis {
+    if spec.long_running {
+        now_ms.saturating_add(Millis(LONG_RUNNING_TRIAL_MS))
+    } else {
+        Millis(u64::MAX)
+    }
+}
+
+/// Waiting tasks of a step that are placed together.
+#[derive(Clone, Debug)]
+pub(super) struct TaskGroup {
+    /// Positions of the tasks, sorted.
+    pub tasks: Vec<u32>,
+    /// Whether each task, or the gang, needs workers without other runs.
+    pub alone: bool,
+}
+
+impl Leader {
+    /// Logs the runs under which a worker crashed, and proposes to record those that the worker had
+    /// confirmed to this leader.
+    pub(super) fn worker_crashed(
+        &mut self,
+        state: &CellState,
+        successor: WorkerNumber,
+        crashed: &[RunKey],
+        io: &mut Io<'_>,
+    ) {
+        let successor = state.workers().get(&successor);
+        let successor = successor.map_or_else(String::new, |record| record.id.clone());
+        let mut jobs = Vec::new();
+        for run in crashed {
+            let count = state.crash_count(run.task);
+            io.warn(
+                "worker_crashed",
+                vec![
+                    ("run", run.to_string()),
+                    ("followed_by", successor.clone()),
+                    ("crashes", count.crashes.to_string()),
+                    ("confirmed", count.confirmed.to_string()),
+                    ("alone", count.alone.to_string()),
+                ],
+            );
+            jobs.push(run.task.step.job);
+            let mut views = self.workers.values();
+            let confirmed = views.any(|view| {
+                let view = view.runs.get(run);
+                view.is_some_and(|view| matches!(view.phase, Phase::Confirmed { .. }))
+            });
+            if confirmed {
+                io.commands.push(Command::Confirmed(*run));
+            }
+        }
+        jobs.sort_unstable();
+        jobs.dedup();
+        for id in jobs {
+            self.refresh_job(state, id, io);
+        }
+    }
+
+    /// Proposes that a job fails if a task of it has crashed too many workers. Returns whether that
+    /// is so.
+    pub(super) fn give_up_if_exhausted(
+        &mut self,
+        state: &CellState,
+        job: &Job,
+        io: &mut Io<'_>,
+    ) -> bool {
+        let Some((task, count)) = state.exhausted_task(job) else {
+            return false;
+        };
+        if let Err(at) = self.given_up.binary_search(&job.id) {
+            self.given_up.insert(at, job.id);
+            self.steps.retain(|key, _| key.job != job.id);
+            io.warn(
+                "job_given_up",
+                vec![
+                    ("job", job.id.to_string()),
+                    ("queue", job.queue.name.clone()),
+                    ("task", task.to_string()),
+                    ("crashes", count.crashes.to_string()),
+                    ("confirmed", count.confirmed.to_string()),
+                    ("alone", count.alone.to_string()),
+                ],
+            );
+            let (id, at_unix_ms) = (job.id, io.unix_ms);
+            io.commands.push(Command::GiveUp { id, at_unix_ms });
+        }
+        true
+    }
+
+    /// Returns the waiting tasks of a step without a proposed placement: the suspects, and the
+    /// others. A gang stays together.
+    pub(super) fn task_groups(
+        &self,
+        state: &CellState,
+        key: StepKey,
+        spec: &StepSpec,
+    ) -> Vec<TaskGroup> {
+        let Some(step) = self.steps.get(&key) else {
+            return Vec::new();
+        };
+        let is_proposed = |index: &u32| step.proposed.binary_search(index).is_ok();
+        let waiting = step.waiting.iter().copied();
+        let waiting = waiting.filter(|index| !is_proposed(index));
+        let job = state.job(key.job);
+        let is_suspect = |index: u32| {
+            let task = TaskKey { step: key, index };
+            job.is_some_and(|job| state.must_run_alone(job, task))
+        };
+        let (suspects, others): (Vec<u32>, Vec<u32>) = if spec.gang {
+            let waiting: Vec<u32> = waiting.collect();
+            if is_suspect(0) {
+                (waiting, Vec::new())
+            } else {
+                (Vec::new(), waiting)
+            }
+        } else {
+            waiting.partition(|index| is_suspect(*index))
+        };
+        let groups = [(others, false), (suspects, true)];
+        let groups = groups.into_iter().filter(|(tasks, _)| !tasks.is_empty());
+        groups
+            .map(|(tasks, alone)| TaskGroup { tasks, alone })
+            .collect()
+    }
+
+    /// Ends the reservations of steps without waiting suspects, and of workers that cannot be used.
+    pub(super) fn release_drained(
+        &mut self,
+        state: &CellState,
+        free_capacity: &FreeCapacityByWorker,
+    ) {
+        let mut draining_for = std::mem::take(&mut self.draining_for);
+        draining_for.retain(|number, key| {
+            let spec = state.job(key.job).and_then(|job| job.step_spec(*key));
+            let groups = spec.map(|spec| self.task_groups(state, *key, spec));
+            let waits = groups.is_some_and(|groups| groups.iter().any(|group| group.alone));
+            waits && free_capacity.contains_key(number)
+        });
+        self.draining_for = draining_for;
+    }
+
+    /// Returns whether a worker drains for suspects other than those of the given step.
+    pub(super) fn drains_for_others(
+        &self,
+        number: WorkerNumber,
+        suspects_of: Option<StepKey>,
+    ) -> bool {
+        let owner = self.draining_for.get(&number);
+        owner.is_some_and(|owner| suspects_of != Some(*owner))
+    }
+
+    /// Returns the candidates without runs, for tasks that must be alone.
+    pub(super) fn empty_candidates(
+        &self,
+        candidates: &[Candidate],
+        gang: bool,
+        now_ms: Millis,
+    ) -> Vec<Candidate> {
+        let empty = candidates.iter().filter_map(|candidate| {
+            let view = self.workers.get(&candidate.worker)?;
+            let is_empty = view.runs.is_empty() && candidate.free == view.record.capacity;
+            let is_reserved = self.draining_for.contains_key(&candidate.worker);
+            is_empty.then_some(Candidate {
+                max_tasks: if gang { candidate.max_tasks } else { 1 },
+                risk: candidate.risk + u32::from(is_new(view, now_ms)) + u32::from(!is_reserved),
+                ..*candidate
+            })
+        });
+        empty.collect()
+    }
+
+    /// Lets workers drain for the suspects of a step until there are as many as they need. Those
+    /// with the least in use are chosen, and those with long-running tasks last.
+    pub(super) fn drain_for_suspects(
+        &mut self,
+        state: &CellState,
+        (key, spec): (StepKey, &StepSpec),
+        tasks: usize,
+        candidates: &[Candidate],
+        io: &mut Io<'_>,
+    ) {
+        let demand = counted_demand(spec);
+        let limit = (self.workers.len() * MAX_DRAINING_PERMILLE / 1_000).max(1);
+        let slots_if_empty = |view: &WorkerView| {
+            let most = spec.max_per_worker.unwrap_or(u32::MAX);
+            let slots = demand.times_in(&view.record.capacity).min(most);
+            if spec.gang { slots as usize } else { 1 }
+        };
+        let reserved = self.draining_for.iter().filter(|(_, owner)| **owner == key);
+        let reserved = reserved.filter_map(|(number, _)| self.workers.get(number));
+        let mut slots: usize = reserved.map(slots_if_empty).sum();
+        let mut by_preference: Vec<(bool, bool, u32, WorkerNumber)> = candidates
+            .iter()
+            .filter_map(|candidate| {
+                let view = self.workers.get(&candidate.worker)?;
+                let capacity = view.record.capacity.cpu_millicores;
+                let used_millicores = capacity.saturating_sub(view.free.cpu_millicores);
+                Some((
+                    has_long_running(state, view),
+                    is_new(view, io.now_ms),
+                    used_millicores,
+                    candidate.worker,
+                ))
+            })
+            .collect();
+        by_preference.sort_unstable();
+        for (_, _, _, worker) in by_preference {
+            if slots >= tasks || self.draining_for.len() >= limit {
+                return;
+            }
+            if !self.draining_for.contains_key(&worker)
+                && let Some(view) = self.workers.get(&worker)
+            {
+                slots += slots_if_empty(view);
+                io.log(
+                    "worker_kept_free",
+                    vec![
+                        ("worker", view.record.id.clone()),
+                        ("suspects_of", key.to_string()),
+                        ("runs", view.runs.len().to_string()),
+                    ],
+                );
+                self.draining_for.insert(worker, key);
+            }
+        }
+    }
+
+    /// Returns whether suspects of a step may share workers with others after a wait: long-running
+    /// tasks always, other tasks while more than half of the service's capacity is free.
+    pub(super) fn may_share(
+        &mut self,
+        (state, job): (&CellState, &Job),
+        (key, tasks): (StepKey, &[u32]),
+        now_ms: Millis,
+    ) -> bool {
+        let may_share = |index: &u32| {
+            let index = *index;
+            state.crash_count(TaskKey { step: key, index }).may_share()
+        };
+        if !tasks.iter().all(may_share) {
+            return false;
+        }
+        let Some(step) = self.steps.get_mut(&key) else {
+            return false;
+        };
+        let since_ms = *step.suspects_since_ms.get_or_insert(now_ms);
+        if now_ms.saturating_sub(since_ms).0 < MAX_WAIT_MS {
+            return false;
+        }
+        if job.step_spec(key).is_some_and(|spec| spec.long_running) {
+            return true;
+        }
+        let (mut free, mut capacity) = (0, 0);
+        for view in self.workers.values() {
+            if view.record.service == job.queue.service && view.accepts_work(now_ms) {
+                free += u64::from(view.free.cpu_millicores);
+                capacity += u64::from(view.record.capacity.cpu_millicores);
+            }
+        }
+        free * 2 > capacity
+    }
+}
+
+fn is_new(view: &WorkerView, now_ms: Millis) -> bool {
+    now_ms.saturating_sub(view.joined_ms).0 < NEW_WORKER_MS
+}
+
+fn has_long_running(state: &CellState, view: &WorkerView) -> bool {
+    view.runs.keys().any(|run| {
+        let step = run.task.step;
+        let spec = state.job(step.job).and_then(|job| job.step_spec(step));
+        spec.is_some_and(|spec| spec.long_running)
+    })
+}
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -3,7 +3,12 @@
 
 use acaciareel_types::{Millis, SortedVec};
 
-use super::{Leader, Phase, RunView, advice_requests::MAX_WORKERS_PER_REQUEST, worker::WorkerView};
+use super::{
+    Leader, Phase, RunView,
+    advice_requests::MAX_WORKERS_PER_REQUEST,
+    isolation::{self, TaskGroup},
+    worker::WorkerView,
+};
 use crate::{
     CellState, Command, Demand, Job, QueueRow, RunKey, StepKey, StepSpec, WorkerNumber,
     io::Io,
@@ -42,7 +47,7 @@
 }
 
 /// Free capacity of one worker during a scheduling pass.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub(super) struct FreeCapacity {
     /// Capacity that is not in use.
     pub free: Demand,
@@ -119,21 +124,23 @@
         order.sort_unstable();
         self.steps_examined += order.len() as u64;
         let mut free_capacity = self.free_capacity(io.now_ms);
+        self.release_drained(state, &free_capacity);
         let mut reserving = 0;
         let reserved = std::mem::take(&mut self.reserved_for_gangs);
         self.previously_reserved = reserved;
         for (urgency, key) in order {
-            if self
-                .place_step(
+            let Some(spec) = state.job(key.job).and_then(|job| job.step_spec(key)) else {
+                self.steps.remove(&key);
+                continue;
+            };
+            for group in self.task_groups(state, key, spec) {
+                self.place_group(
                     state,
-                    (key, urgency),
+                    (key, urgency, group),
                     &mut free_capacity,
                     &mut reserving,
                     io,
-                )
-                .is_none()
-            {
-                self.steps.remove(&key);
+                );
             }
         }
     }
@@ -143,7 +150,8 @@
         let usable = self
             .workers
             .iter()
-            .filter(|(_, view)| view.is_usable(now_ms) && !self.is_behind_silence(view));
+            .filter(|(_, view)| view.is_usable(now_ms) && !self.is_behind_silence(view))
+            .filter(|(_, view)| !view.is_isolated(now_ms));
         let available = |view: &WorkerView| FreeCapacity {
             free: view.free,
             unreserved: view.free,
@@ -184,12 +192,12 @@
         }
     }
 
-    /// Tries to place the tasks of one step, and requests advice where workers or tickets are
-    /// missing. Returns `None` if the step does not exist any more.
-    fn place_step(
+    /// Tries to place tasks of one step, and requests advice where workers or tickets are missing.
+    /// Returns `None` if the step does not exist any more.
+    fn place_group(
         &mut self,
         state: &CellState,
-        (key, urgency): (StepKey, Urgency),
+        (key, urgency, group): (StepKey, Urgency, TaskGroup),
         free_capacity: &mut FreeCapacityByWorker,
         reserving: &mut usize,
         io: &mut Io<'_>,
@@ -197,16 +205,24 @@
         let job = state.job(key.job)?;
         let spec = job.step_spec(key)?;
         let queue = &job.queue;
-        let step = self.steps.get(&key)?;
-        let free_tasks: Vec<u32> = step
-            .waiting
-            .iter()
-            .filter(|index| step.proposed.binary_search(index).is_err())
-            .copied()
-            .collect();
+        let free_tasks = group.tasks;
         let tasks = u32::try_from(free_tasks.len()).unwrap_or(u32::MAX);
         let demand = counted_demand(spec);
-        let candidates = self.candidates(job, spec, (key, urgency), free_capacity, io.now_ms);
+        let suspects_of = group.alone.then_some(key);
+        let all_candidates = self.candidates(
+            job,
+            spec,
+            (key, urgency),
+            (free_capacity, suspects_of),
+            io.now_ms,
+        );
+        let alone = group.alone && !self.may_share((state, job), (key, &free_tasks), io.now_ms);
+        let candidates = if alone {
+            self.drain_for_suspects(state, (key, spec), free_tasks.len(), &all_candidates, io);
+            self.empty_candidates(&all_candidates, spec.gang, io.now_ms)
+        } else {
+            all_candidates.clone()
+        };
         let chosen = if spec.gang {
             place_gang(&demand, tasks, &candidates, spec.rack_local)
         } else {
@@ -224,6 +240,9 @@
             self.request_advice(key, queue, unrequested, spec.gang, io);
         }
         let Some(chosen) = chosen else {
+            if alone {
+                return Some(());
+            }
             let on_time = urgency.timeliness == Timeliness::OnTime;
             if on_time || *reserving < MAX_LATE_RESERVING_GANGS {
                 *reserving += usize::from(!on_time);
@@ -235,13 +254,16 @@
             if let Some(available) = free_capacity.get_mut(worker) {
                 available.free = available.free.minus(&demand, 1);
                 available.unreserved = available.unreserved.minus(&demand, 1);
+                if alone {
+                    *available = FreeCapacity::default();
+                }
             }
         }
         if spec.gang {
             self.mark_reserved(chosen.iter().copied());
         }
         if queue.advice.is_none() {
-            self.propose(job, key, &free_tasks, &chosen, io);
+            self.propose(job, (key, alone), &free_tasks, &chosen, io);
             return Some(());
         }
         let Some(advice) = self.advice.get(&key) else {
@@ -251,12 +273,12 @@
         let valid = |worker: &WorkerNumber| advice.ticket(*worker, io.now_ms).is_some();
         let missing: Vec<WorkerNumber> = chosen.iter().filter(|w| !valid(w)).copied().collect();
         if missing.is_empty() {
-            self.propose(job, key, &free_tasks, &chosen, io);
+            self.propose(job, (key, alone), &free_tasks, &chosen, io);
             return Some(());
         }
         if !spec.gang {
             let ready: Vec<WorkerNumber> = chosen.iter().filter(|w| valid(w)).copied().collect();
-            self.propose(job, key, &free_tasks, &ready, io);
+            self.propose(job, (key, alone), &free_tasks, &ready, io);
         }
         let mut requested = if spec.gang { chosen } else { missing };
         requested.sort_unstable();
@@ -281,7 +303,7 @@
         job: &Job,
         spec: &StepSpec,
         (key, urgency): (StepKey, Urgency),
-        free_capacity: &FreeCapacityByWorker,
+        (free_capacity, suspects_of): (&FreeCapacityByWorker, Option<StepKey>),
         now_ms: Millis,
     ) -> Vec<Candidate> {
         let tasks = job.step(key).into_iter().flat_map(|step| &step.tasks);
@@ -291,7 +313,7 @@
         // arrive, it would never start.
         let candidate = |number: WorkerNumber, available: &FreeCapacity| {
             let view = self.workers.get(&number)?;
-            if !view.suits(spec, &job.queue) {
+            if !view.suits(spec, &job.queue) || self.drains_for_others(number, suspects_of) {
                 return None;
             }
             let mut max_tasks = spec.max_per_worker.map_or(u32::MAX, |max| {
@@ -393,7 +415,7 @@
     fn propose(
         &mut self,
         job: &Job,
-        key: StepKey,
+        (key, alone): (StepKey, bool),
         tasks: &[u32],
         chosen: &[WorkerNumber],
         io: &mut Io<'_>,
@@ -417,13 +439,17 @@
             };
             let ticket = self.advice.get(&key).and_then(|a| a.allowed.get(worker));
             let ticket = ticket.map(|ticket| ticket.text.clone());
-            let view = RunView::new(demand, Phase::Proposed, ticket, io.now_ms);
+            let mut view = RunView::new(demand, Phase::Proposed, ticket, io.now_ms);
+            view.alone_until_ms = alone.then(|| isolation::end(spec, io.now_ms));
             if let Some(worker) = self.workers.get_mut(worker) {
                 worker.add_run(run, view);
             }
             if let Some(step) = self.steps.get_mut(&key) {
                 let (Ok(at) | Err(at)) = step.proposed.binary_search(index);
                 step.proposed.insert(at, *index);
+                if alone {
+                    step.suspects_since_ms = None;
+                }
             }
             placements.get_or_insert_with(*worker, Vec::new).push(run);
         }
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -2,7 +2,10 @@
 
 use acaciareel_types::Millis;
 
-use super::{Leader, WorkerCall, pass, worker::Phase, worker::RunView};
+use super::{
+    Leader, WorkerCall, pass,
+    worker::{LossReason, Phase, RunView},
+};
 use crate::{
     CellState, Command, Effect, RenewalReport, RunKey, RunOutcome, WorkerNumber, WorkerRequest,
     io::Io, state::jobs_of,
@@ -226,7 +229,7 @@
         };
         let is_reported = |key: &RunKey| report.running.iter().any(|run| run.run == *key);
         let missing = |key: &RunKey, run: &RunView| decided(run) && !is_reported(key);
-        self.lose_runs(number, missing, "not_at_worker", io);
+        self.lose_runs(number, missing, LossReason::NotAtWorker, io);
         self.stop_due(number, io);
         self.renew(number, io);
         self.pass_due = true;
@@ -329,7 +332,7 @@
             if let Some(run) = view.runs.get_mut(&reported.run) {
                 if matches!(run.phase, Phase::Sent { .. }) {
                     run.phase = Phase::Confirmed { at_call };
-                    confirmed.push(reported.run.task.step.job);
+                    confirmed.push(reported.run);
                 }
                 if run.percent != reported.percent {
                     run.percent = reported.percent;
@@ -339,7 +342,7 @@
                 continue;
             }
             let key = reported.run.task;
-            confirmed.push(key.step.job);
+            confirmed.push(reported.run);
             let job = state.job(key.step.job);
             let demand = job.and_then(|job| job.step_spec(key.step));
             let demand = demand.map_or(view.record.capacity, pass::counted_demand);
@@ -356,8 +359,8 @@
             });
         }
         view.recompute_free();
-        for id in confirmed {
-            self.run_confirmed(state, id, io);
+        for run in confirmed {
+            self.run_confirmed(state, run, io);
         }
     }
 
@@ -368,7 +371,7 @@
         &mut self,
         number: WorkerNumber,
         has_ended: impl Fn(&RunKey, &RunView) -> bool,
-        reason: &'static str,
+        reason: LossReason,
         io: &mut Io<'_>,
     ) {
         let Some(view) = self.workers.get_mut(&number) else {
@@ -378,7 +381,8 @@
         view.runs.retain(|key, run| {
             let is_lost = run.phase != Phase::Proposed && has_ended(key, run);
             if is_lost && run.phase != Phase::Unexpected {
-                lost.push((*key, run.checkpoint.clone()));
+                let confirmed = matches!(run.phase, Phase::Confirmed { .. });
+                lost.push((*key, run.checkpoint.clone(), confirmed));
             }
             !is_lost
         });
@@ -387,21 +391,25 @@
             return;
         }
         let age_ms = io.now_ms.saturating_sub(view.last_contact_ms).0;
-        for (key, _) in &lost {
+        for (key, _, _) in &lost {
             io.effects.push(Effect::Log {
                 level: crate::LogLevel::Warn,
                 event: "run_lost",
                 fields: vec![
                     ("run", key.to_string()),
                     ("worker", view.record.id.clone()),
-                    ("reason", reason.to_owned()),
+                    ("reason", reason.as_str().to_owned()),
                     ("last_news_ms", age_ms.to_string()),
                 ],
             });
         }
-        io.commands.push(Command::Lost {
-            worker: number,
-            runs: lost,
+        let worker = number;
+        io.commands.push(if reason == LossReason::LeaseExpired {
+            Command::LeaseExpired { worker, runs: lost }
+        } else {
+            let runs = lost.into_iter();
+            let runs = runs.map(|(key, checkpoint, _)| (key, checkpoint)).collect();
+            Command::Lost { worker, runs }
         });
     }
 
@@ -422,9 +430,9 @@
         let lease_expired = view.missed_calls > 0 && view.leases_expired(io.now_ms);
         if deregistered || lease_expired {
             let reason = if deregistered {
-                "worker_ended"
+                LossReason::WorkerEnded
             } else {
-                "lease_over"
+                LossReason::LeaseExpired
             };
             self.lose_runs(number, |_, _| true, reason, io);
         }
--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -43,6 +43,37 @@
     Unexpected,
 }
 
+/// Evidence that a run does not continue on its worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum LossReason {
+    /// The start was never sent.
+    NotSent,
+    /// The worker refused the only start that was sent.
+    StartRefused,
+    /// The worker listed its runs, and this was not among them.
+    NotAtWorker,
+    /// A worker of a later incarnation replies at the same address.
+    AddressReused,
+    /// The worker deregistered and no longer replies.
+    WorkerEnded,
+    /// All leases of the worker are over, and there is no contact to it.
+    LeaseExpired,
+}
+
+impl LossReason {
+    /// Returns the value of the field `reason` in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotSent => "not_sent",
+            Self::StartRefused => "start_refused",
+            Self::NotAtWorker => "not_at_worker",
+            Self::AddressReused => "address_reused",
+            Self::WorkerEnded => "worker_ended",
+            Self::LeaseExpired => "lease_over",
+        }
+    }
+}
+
 /// A run on a worker.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) struct RunView {
@@ -57,6 +88,8 @@
     /// Time at which the latest stop was sent; `None` if none was sent or the latest one failed.
     pub stop_sent_ms: Option<Millis>,
     pub stopping: bool,
+    /// Time until which the worker takes no other runs, if this run must be alone.
+    pub alone_until_ms: Option<Millis>,
 }
 
 impl RunView {
@@ -71,6 +104,7 @@
             started_ms: now_ms,
             stop_sent_ms: None,
             stopping: false,
+            alone_until_ms: None,
         }
     }
 }
@@ -127,6 +161,8 @@
     pub inherited_lease_until_ms: Millis,
     /// Time of the last announcement or reply of the worker.
     pub last_contact_ms: Millis,
+    /// Time at which this leader learned of this incarnation.
+    pub joined_ms: Millis,
     /// Sequence number of the latest announcement.
     pub sequence: u64,
     /// Consecutive calls without a reply.
@@ -162,6 +198,7 @@
             lease_until_ms: 0,
             inherited_lease_until_ms: Millis(0),
             last_contact_ms: now_ms,
+            joined_ms: now_ms,
             sequence: 0,
             missed_calls: 0,
             runs_reported: false,
@@ -261,6 +298,12 @@
         self.free = free;
     }
 
+    /// Returns whether a run on the worker must be alone.
+    pub fn is_isolated(&self, now_ms: Millis) -> bool {
+        let mut ends = self.runs.values().filter_map(|run| run.alone_until_ms);
+        ends.any(|until_ms| now_ms < until_ms)
+    }
+
     /// Returns whether the worker has runs that this leader did not place.
     pub fn has_unexpected_runs(&self) -> bool {
         self.runs.values().any(|run| run.phase == Phase::Unexpected)
--- a/crates/cell/src/leader/worker_commands.rs
+++ b/crates/cell/src/leader/worker_commands.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Leader, WorkerCall,
-    worker::{Phase, RunView},
+    worker::{LossReason, Phase, RunView},
 };
 use crate::{
     CellState, Effect, JobState, RunKey, StartRefusal, StepKey, WorkerNumber, WorkerReply,
@@ -87,7 +87,7 @@
                 .is_some_and(|job| job.state == JobState::Active);
             let sendable = active && self.send_start(state, number, key, io);
             if !sendable {
-                self.lose_runs(number, |run, _| *run == key, "not_sent", io);
+                self.lose_runs(number, |run, _| *run == key, LossReason::NotSent, io);
             }
         }
         self.renew(number, io);
@@ -246,7 +246,7 @@
                 if let Some(clock_ms) = clock_ms {
                     view.update_clock(*clock_ms, io.now_ms);
                 }
-                self.run_confirmed(state, key.task.step.job, io);
+                self.run_confirmed(state, key, io);
             }
             WorkerReply::Refused(refusal) => {
                 self.start_refused(state, number, key, (*refusal, tries, token < current), io);
@@ -299,7 +299,7 @@
                 view.fence_due = true;
             }
         } else {
-            self.lose_runs(number, |run, _| *run == key, "start_refused", io);
+            self.lose_runs(number, |run, _| *run == key, LossReason::StartRefused, io);
         }
     }
 
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod command;
 mod control;
+mod crashes;
 mod entry;
 mod ids;
 mod io;
@@ -22,6 +23,7 @@
     admission::{AdmissionRefusal, Load, admit},
     command::{Command, RunCompletion, RunOutcome},
     control::{Control, ControlSettings},
+    crashes::CrashCount,
     entry::Entry,
     ids::{IdError, JobId, RunKey, StepKey, TaskKey, WorkerNumber},
     io::{
--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -3,7 +3,11 @@
 use acaciareel_types::SortedVec;
 use serde::{Deserialize, Serialize};
 
-use crate::{Command, Job, JobId, JobState, QueueTable, RunKey, WorkerNumber, WorkerRecord};
+use crate::{
+    Command, CrashCount, Job, JobId, JobState, QueueTable, RunKey, TaskKey, TaskState,
+    WorkerNumber, WorkerRecord,
+    crashes::{Crashes, StoredCrashes},
+};
 
 /// Result of a command, for the leader of this state.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -11,7 +15,12 @@
     /// A queue table was handled; the table in force has at least this version.
     Queues(u64),
     /// A worker joined, or its record was handled.
-    Worker(WorkerNumber),
+    Worker {
+        /// Number of the worker.
+        worker: WorkerNumber,
+        /// Runs under which an earlier incarnation, or another worker at the address, crashed.
+        crashed: Vec<RunKey>,
+    },
     /// A worker was removed.
     WorkerRemoved(WorkerNumber),
     /// A job is stored, now or by an earlier command.
@@ -55,6 +64,7 @@
     numbers_by_id: SortedVec<String, WorkerNumber>,
     next_worker: u32,
     jobs: SortedVec<JobId, Box<Job>>,
+    crashes: Crashes,
 }
 
 /// Serialised form of the state in a snapshot. Its fields are encoded by position.
@@ -97,6 +107,36 @@
         self.numbers_by_id.get(id).copied()
     }
 
+    /// Returns the crashes of workers under a task.
+    #[must_use]
+    pub fn crash_count(&self, key: TaskKey) -> CrashCount {
+        self.crashes.count(key)
+    }
+
+    /// Returns whether a task must run alone: a suspect, or a task of a gang with a suspect.
+    #[must_use]
+    pub fn must_run_alone(&self, job: &Job, key: TaskKey) -> bool {
+        if !self.crashes.has_any(job.id) {
+            return false;
+        }
+        if job.step_spec(key.step).is_some_and(|spec| spec.gang) {
+            let tasks = job.step(key.step).map_or(0, |step| step.tasks.len());
+            let mut indexes = (0u32..).take(tasks);
+            return indexes.any(|index| {
+                let member = TaskKey { index, ..key };
+                self.crash_count(member).is_suspect()
+            });
+        }
+        self.crash_count(key).is_suspect()
+    }
+
+    /// Returns a task that has crashed so many workers that its job must fail.
+    #[must_use]
+    pub fn exhausted_task(&self, job: &Job) -> Option<(TaskKey, CrashCount)> {
+        self.crashes
+            .exhausted_task(job.id, |key| has_limit(job, key))
+    }
+
     /// Applies a committed command. Every replica must get the same result for the same commands.
     pub fn apply(&mut self, command: Command) -> Change {
         match command {
@@ -106,11 +146,12 @@
                 }
                 Change::Queues(self.queues.version)
             }
-            Command::Worker(record) => Change::Worker(self.put_worker(record)),
+            Command::Worker(record) => self.put_worker(record),
             Command::RemoveWorker(worker) => {
                 if let Some(record) = self.workers.remove(&worker) {
                     self.numbers_by_id.remove(&record.id);
                 }
+                self.crashes.forget_expired(worker);
                 Change::WorkerRemoved(worker)
             }
             Command::Accept {
@@ -147,20 +188,20 @@
                     jobs: jobs_of(completions.iter().map(|completion| completion.run)),
                 }
             }
-            Command::Lost { worker, runs } => {
-                for (key, checkpoint) in &runs {
-                    if let Some(job) = self.jobs.get_mut(&key.task.step.job) {
-                        job.lose_run(key.task, key.run, worker, checkpoint);
-                    }
-                }
-                Change::RunsLost {
-                    jobs: jobs_of(runs.iter().map(|(key, _)| *key)),
-                }
+            Command::Lost { worker, runs } => self.lose_runs(worker, &runs),
+            Command::LeaseExpired { worker, runs } => {
+                let runs = runs.into_iter().map(|(key, checkpoint, confirmed)| {
+                    self.crashes.lease_expired(worker, key, confirmed);
+                    (key, checkpoint)
+                });
+                let runs: Vec<_> = runs.collect();
+                self.lose_runs(worker, &runs)
             }
             Command::RemoveJobs(ids) => {
                 let ended = |job: &Job| job.state != JobState::Active && job.occurrences.is_empty();
                 self.jobs
                     .retain(|id, job| ids.binary_search(id).is_err() || !ended(job));
+                self.crashes.remove_jobs(&ids);
                 Change::RunsLost { jobs: Vec::new() }
             }
             Command::Started(id) => {
@@ -169,13 +210,24 @@
                 }
                 Change::Started(id)
             }
+            Command::Confirmed(run) => {
+                self.crashes.confirm(run);
+                Change::RunsLost { jobs: Vec::new() }
+            }
+            Command::GiveUp { id, at_unix_ms } => {
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.give_up(at_unix_ms);
+                }
+                Change::RunsLost { jobs: vec![id] }
+            }
         }
     }
 
     /// Adds a worker or replaces its record. A record of an earlier incarnation than the stored one
     /// arrived late and changes nothing. A drain ends only with the incarnation: a record without it
     /// is from before the drain, and its sequence is known to an earlier leader alone.
-    fn put_worker(&mut self, mut record: WorkerRecord) -> WorkerNumber {
+    fn put_worker(&mut self, mut record: WorkerRecord) -> Change {
+        let crashed = self.count_crashes(&record);
         let number = self.worker_by_id(&record.id).unwrap_or_else(|| {
             self.next_worker += 1;
             let number = WorkerNumber(self.next_worker);
@@ -189,14 +241,69 @@
         if known.is_none_or(|known| known.incarnation_started_ms <= record.incarnation_started_ms) {
             self.workers.insert(number, record);
         }
-        number
+        Change::Worker {
+            worker: number,
+            crashed,
+        }
+    }
+
+    /// Counts the crash of the incarnations that this one follows, under the same id or at the same
+    /// address. A worker that was draining has ended as planned. Returns the runs concerned.
+    fn count_crashes(&mut self, record: &WorkerRecord) -> Vec<RunKey> {
+        let is_predecessor = |known: &WorkerRecord| {
+            (known.id == record.id || known.address == record.address)
+                && known.incarnation_started_ms < record.incarnation_started_ms
+                && !known.draining
+        };
+        let crashed = self.workers.iter();
+        let crashed = crashed.filter(|(_, known)| is_predecessor(known));
+        let crashed: Vec<WorkerNumber> = crashed.map(|(number, _)| *number).collect();
+        let mut runs = Vec::new();
+        for worker in crashed {
+            let placed = self.runs_on(worker);
+            let jobs = &self.jobs;
+            let is_gang = |run: &RunKey| {
+                let job = jobs.get(&run.task.step.job);
+                let spec = job.and_then(|job| job.step_spec(run.task.step));
+                spec.is_some_and(|spec| spec.gang)
+            };
+            runs.extend(self.crashes.worker_crashed(worker, placed, is_gang));
+        }
+        runs
+    }
+
+    /// Returns the runs that are placed on a worker.
+    fn runs_on(&self, worker: WorkerNumber) -> Vec<RunKey> {
+        let tasks = self.jobs.values().flat_map(|job| job.tasks());
+        let placed = tasks.filter(|(_, task)| task.state == TaskState::Placed(worker));
+        let runs = placed.map(|(key, task)| RunKey {
+            task: key,
+            run: task.run,
+        });
+        runs.collect()
+    }
+
+    fn lose_runs(&mut self, worker: WorkerNumber, runs: &[(RunKey, String)]) -> Change {
+        for (key, checkpoint) in runs {
+            if let Some(job) = self.jobs.get_mut(&key.task.step.job) {
+                job.lose_run(key.task, key.run, worker, checkpoint);
+            }
+        }
+        Change::RunsLost {
+            jobs: jobs_of(runs.iter().map(|(key, _)| *key)),
+        }
     }
 
     fn place(&mut self, runs: Vec<RunKey>, worker: WorkerNumber) -> Change {
         let known = self.workers.contains_key(&worker);
+        self.crashes.forget_expired(worker);
         let (runs, refused) = runs.into_iter().partition(|key| {
+            let exhausted = self.crash_count(key.task).is_exhausted();
             let job = self.jobs.get_mut(&key.task.step.job);
-            known && job.is_some_and(|job| job.place(key.task, key.run, worker))
+            known
+                && job.is_some_and(|job| {
+                    !(exhausted && has_limit(job, key.task)) && job.place(key.task, key.run, worker)
+                })
         });
         Change::Placed {
             runs,
@@ -218,16 +325,22 @@
             next_worker: self.next_worker,
             jobs: self.jobs.values().map(|job| Job::clone(job)).collect(),
         };
-        postcard::to_allocvec(&stored).expect("plain data can be encoded")
+        let encoded = postcard::to_allocvec(&(stored, self.crashes.to_stored()));
+        encoded.expect("plain data can be encoded")
     }
 
-    /// Decodes a snapshot.
+    /// Decodes a snapshot. One of a version without crash counts ends before them.
     ///
     /// # Errors
     ///
     /// Fails if the bytes are not a valid snapshot.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        let stored: Stored = postcard::from_bytes(bytes)?;
+        let (stored, rest): (Stored, _) = postcard::take_from_bytes(bytes)?;
+        let crashes = if rest.is_empty() {
+            StoredCrashes::default()
+        } else {
+            postcard::from_bytes(rest)?
+        };
         let jobs = stored.jobs.into_iter().map(|job| (job.id, Box::new(job)));
         let numbers_by_id = stored.workers.iter().map(|(n, w)| (w.id.clone(), *n));
         Ok(Self {
@@ -236,10 +349,17 @@
             workers: stored.workers.into_iter().collect(),
             next_worker: stored.next_worker,
             jobs: jobs.collect(),
+            crashes: crashes.into(),
         })
     }
 }
 
+/// Returns whether a task may be given up. A long-running task is restarted however it ends.
+fn has_limit(job: &Job, key: TaskKey) -> bool {
+    let spec = job.step_spec(key.step);
+    spec.is_some_and(|spec| !spec.long_running)
+}
+
 /// Returns the jobs of runs, sorted and without duplicates.
 pub(crate) fn jobs_of(runs: impl Iterator<Item = RunKey>) -> Vec<JobId> {
     let mut jobs: Vec<JobId> = runs.map(|key| key.task.step.job).collect();
--- a/crates/cell/tests/cell/crashes.rs
+++ b/crates/cell/tests/cell/crashes.rs
@@ -173,7 +173,6 @@
 
 /// Guards against a task that crashes worker after worker for ever (loftbook-nam seed 2).
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 5"]
 fn task_that_crashes_its_workers_is_given_up() {
     let mut faults = Vec::new();
     for (seed, comeback) in (0..12).flat_map(|seed| BOTH.map(|comeback| (seed, comeback))) {
@@ -193,7 +192,6 @@
 
 /// Guards against several such tasks of one job, each of which takes its own attempts.
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 5"]
 fn job_of_several_tasks_that_crash_their_workers_is_given_up() {
     let mut faults = Vec::new();
     for (seed, comeback) in (0..6).flat_map(|seed| BOTH.map(|comeback| (seed, comeback))) {
@@ -215,7 +213,6 @@
 
 /// Guards against jobs that are given up because their tasks were on the crashed workers.
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 5"]
 fn neighbours_of_a_task_that_crashes_its_workers_complete() {
     let mut faults = Vec::new();
     for (seed, comeback) in (0..8).flat_map(|seed| BOTH.map(|comeback| (seed, comeback))) {
@@ -246,7 +243,6 @@
 
 /// Guards against jobs that are given up after several other tasks crashed their workers in turn.
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 5"]
 fn neighbours_of_task_after_task_that_crashes_workers_complete() {
     let mut faults = Vec::new();
     for (seed, comeback) in (0..6).flat_map(|seed| BOTH.map(|comeback| (seed, comeback))) {
@@ -284,7 +280,6 @@
 
 /// Guards against a gang that is started for ever, and gangs beside it that are given up with it.
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 5"]
 fn gang_with_a_task_that_crashes_its_workers_is_given_up() {
     let mut faults = Vec::new();
     for (seed, comeback) in (0..8).flat_map(|seed| BOTH.map(|comeback| (seed, comeback))) {
@@ -317,7 +312,6 @@
 
 /// Guards against a count of crashes that is lost with the leader that kept it.
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 5"]
 fn count_of_crashes_survives_a_change_of_leader() {
     let mut faults = Vec::new();
     for (seed, comeback) in (0..8).flat_map(|seed| BOTH.map(|comeback| (seed, comeback))) {
@@ -352,7 +346,6 @@
 
 /// Guards against a crash that is not counted because the lease lapsed before the worker was back.
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 5"]
 fn crash_counts_if_the_worker_is_back_after_its_lease() {
     let mut faults = Vec::new();
     for (seed, comeback) in (0..8).flat_map(|seed| BOTH.map(|comeback| (seed, comeback))) {
@@ -452,7 +445,6 @@
 
 /// Guards against a long-running task that is given up, or takes other tasks with it for ever.
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 5"]
 fn service_that_crashes_its_workers_restarts_alone() {
     let mut faults = Vec::new();
     for (seed, comeback) in (0..8).flat_map(|seed| BOTH.map(|comeback| (seed, comeback))) {
@@ -555,7 +547,6 @@
 
 /// Guards against accepted jobs that stay unfinished after crashes and changes of leader.
 #[test]
-#[ignore = "KNOWN-RED.txt, entry 5"]
 fn all_other_jobs_complete_after_the_crashes() {
     let mut faults = Vec::new();
     for (seed, comeback) in (0..10).flat_map(|seed| BOTH.map(|comeback| (seed, comeback))) {
