Test workers whose capacity changes while they run tasks

Cause: a worker's `capacity` may now shrink and grow while it runs tasks, and no test changed it.

Change: simulated workers change their capacity, and the check of each start allows the earlier, larger one for a heartbeat and `contact_ms`; for workers that have not shrunk it is as strict as before.

--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -5,6 +5,7 @@
 //! user's deployment (`loftbook`, or `vdm` for Vandermeulen; the `grown` ones are enlarged), a day
 //! of faults or an incident in docs/incidents, and the seed.
 
+mod capacity;
 mod crashes;
 mod faults;
 mod load;
--- a/crates/cell/tests/cell/worker.rs
+++ b/crates/cell/tests/cell/worker.rs
@@ -41,8 +41,14 @@
     next_completion: u64,
     /// Tasks whose completion with [`RunOutcome::Done`] was acknowledged to this worker.
     pub acknowledged_done: BTreeSet<TaskKey>,
+    /// Earlier capacities, each with the time until which starts may still use it.
+    earlier_capacities: Vec<(u64, Demand)>,
 }
 
+/// Time after a change of the capacity from which every start must keep to the new one: a heartbeat
+/// and `contact_ms` (rule LIMIT of the users).
+const CAPACITY_GRACE_MS: u64 = 1_500 + 3_000;
+
 impl Worker {
     pub fn new(record: WorkerRecord) -> Self {
         Self {
@@ -58,9 +64,29 @@
             completions: Vec::new(),
             next_completion: 1,
             acknowledged_done: BTreeSet::new(),
+            earlier_capacities: Vec::new(),
         }
     }
 
+    /// Changes the capacity, which the next heartbeat announces.
+    pub fn set_capacity(&mut self, now_ms: u64, capacity: Demand) {
+        let until_ms = now_ms + CAPACITY_GRACE_MS;
+        self.earlier_capacities
+            .push((until_ms, self.record.capacity));
+        self.record.capacity = capacity;
+    }
+
+    /// Returns the most of each resource that starts may use now.
+    pub fn usable_capacity(&self, now_ms: u64) -> Demand {
+        let earlier = self.earlier_capacities.iter();
+        let usable = earlier.filter(|(until_ms, _)| now_ms < *until_ms);
+        usable.fold(self.record.capacity, |most, (_, earlier)| Demand {
+            cpu_millicores: most.cpu_millicores.max(earlier.cpu_millicores),
+            memory_mib: most.memory_mib.max(earlier.memory_mib),
+            accelerators: most.accelerators.max(earlier.accelerators),
+        })
+    }
+
     pub fn clock_ms(&self, now_ms: u64) -> u64 {
         now_ms + self.clock_offset_ms
     }
