Commit each announcement that differs from the one before

Cause: an announcement that arrived while another one of the same worker was being committed was dropped, and was answered as done once the other one was committed. One with the stored record was answered at once, even if another record was being committed. The leader went on with a capacity that the worker had replaced until the next heartbeat, and an acknowledged drain could be missing.

Change: each record that differs from the last pending one of its worker is committed, and its request is answered when the committed record contains it or a later one.

Measured: both new tests failed before, with a committed capacity of 24,000 millicores in place of the acknowledged 16,000, directly at the leader and forwarded by a follower; they pass now, like the other 65 tests of the cell.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -118,8 +118,8 @@
     pending_cancels: SortedVec<JobId, Vec<Origin>>,
     /// Jobs whose first confirmed run is being committed, sorted.
     pending_starts: Vec<JobId>,
-    /// Id of each worker whose record is being committed, and where the reply goes.
-    pending_announcements: Vec<(String, Origin)>,
+    /// Each worker's record that is being committed, and where the reply goes.
+    pending_announcements: Vec<(WorkerRecord, Origin)>,
     /// Version of each queue table that is being committed, and where the reply goes.
     pending_tables: Vec<(u64, Origin)>,
     /// Jobs that have not ended, sorted. A job that leaves the list is logged as ended once.
@@ -348,12 +348,7 @@
             return;
         };
         let id = record.id.clone();
-        for (_, origin) in self
-            .pending_announcements
-            .extract_if(.., |(other, _)| *other == id)
-        {
-            io.reply_control(origin, ControlReply::Done);
-        }
+        self.announcements_committed(&record, io);
         let known = self.workers.get(&number).map(|view| view.record.clone());
         let event = match &known {
             Some(known) if *known == record => return,
--- a/crates/cell/src/leader/announcements.rs
+++ b/crates/cell/src/leader/announcements.rs
@@ -72,19 +72,47 @@
             if let Some(clock_ms) = clock_ms {
                 view.update_clock(clock_ms, io.now_ms);
             }
-            if view.record == worker {
-                return io.reply_control(origin, ControlReply::Done);
-            }
         }
-        let id = worker.id.clone();
-        if !self
-            .pending_announcements
-            .iter()
-            .any(|(other, _)| *other == id)
-        {
-            io.commands.push(Command::Worker(worker));
+        let mut pending = self.pending_announcements.iter().map(|(record, _)| record);
+        let latest = pending.rfind(|record| record.id == worker.id);
+        let stored = known.and_then(|number| self.workers.get(&number));
+        let stored = stored.map(|view| &view.record);
+        if latest.is_none() && stored == Some(&worker) {
+            return io.reply_control(origin, ControlReply::Done);
+        }
+        if latest != Some(&worker) {
+            io.commands.push(Command::Worker(worker.clone()));
+        }
+        self.pending_announcements.push((worker, origin));
+    }
+
+    /// Replies to the announcements of a worker that a committed record contains or replaces.
+    pub(super) fn announcements_committed(&mut self, record: &WorkerRecord, io: &mut Io<'_>) {
+        let is_settled = |pending: &WorkerRecord| {
+            let replaced = pending.incarnation_started_ms < record.incarnation_started_ms;
+            // A drain stays in the record although a late announcement does not contain it.
+            let draining = pending.draining || record.draining;
+            let contained = *record
+                == WorkerRecord {
+                    draining,
+                    ..pending.clone()
+                };
+            replaced || contained
+        };
+        let of_worker = self.pending_announcements.iter();
+        let mut of_worker = of_worker.filter(|(pending, _)| pending.id == record.id);
+        let Some(settled) = of_worker.position(|(pending, _)| is_settled(pending)) else {
+            return;
+        };
+        let mut left = settled + 1;
+        let settled = self.pending_announcements.extract_if(.., |(pending, _)| {
+            let is_due = pending.id == record.id && left > 0;
+            left -= usize::from(is_due);
+            is_due
+        });
+        for (_, origin) in settled {
+            io.reply_control(origin, ControlReply::Done);
         }
-        self.pending_announcements.push((id, origin));
     }
 
     /// Returns whether a later incarnation is known of the worker, or of another worker at its
--- a/crates/cell/tests/cell/capacity.rs
+++ b/crates/cell/tests/cell/capacity.rs
@@ -1,12 +1,12 @@
 //! Workers whose capacity changes while they run tasks.
 
 use acaciareel_cell::{
-    CallerReply, CallerRequest, CellState, ControlRequest, Demand, JobId, JobState, RefusalReason,
-    WorkerRecord,
+    CallerReply, CallerRequest, CellState, ControlReply, ControlRequest, Demand, JobId, JobState,
+    RefusalReason, WorkerRecord,
 };
 use acaciareel_types::VmId;
 
-use crate::sim::{Sim, entry, gang, job, queue, step};
+use crate::sim::{Sim, control, entry, gang, job, queue, step};
 
 /// Largest capacity of a worker.
 const WHOLE: u32 = 32_000;
@@ -142,6 +142,43 @@
     }
 }
 
+/// Guards against an announcement that is acknowledged and not committed because another one of the
+/// worker was being committed when it arrived.
+#[test]
+fn announcement_during_the_commit_of_another_is_committed() {
+    for (first, second) in [(LARGE, HALF), (HALF, WHOLE)] {
+        let mut sim = cell(1, 2);
+        let leader = sim.leader().expect("leader");
+        sim.unheard_workers.insert(WORKER.to_owned());
+        let now_ms = sim.now_ms;
+
+        announce(&mut sim, leader, WORKER, first, now_ms);
+        let request = announce(&mut sim, leader, WORKER, second, now_ms + 1);
+        sim.run_until(1_000, |sim| sim.control_replies.contains_key(&request));
+
+        assert_eq!(sim.control_replies[&request], ControlReply::Done);
+        assert_eq!(committed(&sim, WORKER), second, "{first}");
+    }
+}
+
+/// Guards against announcements that other control VMs forward and that are acknowledged before
+/// their capacity is committed.
+#[test]
+fn forwarded_announcement_during_the_commit_of_another_is_committed() {
+    let mut sim = cell(1, 128);
+    let leader = sim.leader().expect("leader");
+    let follower = control(leader.0 % 3 + 1);
+    sim.unheard_workers.insert(WORKER.to_owned());
+    let now_ms = sim.now_ms;
+
+    announce(&mut sim, follower, WORKER, LARGE, now_ms);
+    let request = announce(&mut sim, follower, WORKER, HALF, now_ms + 1);
+    sim.run_until(1_000, |sim| sim.control_replies.contains_key(&request));
+
+    assert_eq!(sim.control_replies[&request], ControlReply::Done);
+    assert_eq!(committed(&sim, WORKER), HALF);
+}
+
 /// Guards against a worker that keeps the sequence numbers of its earlier incarnation, so that
 /// the announcements of the new one, which counts from the start, are dropped.
 #[test]
