Ignore announcements of before a change under a new leader too

Cause: only the leader that received an announcement knew its sequence number. A new leader took one from before the shrinking of a worker that arrived late, and used the earlier, larger capacity until the next heartbeat. Since each differing announcement is committed, an older one of a new worker that arrived during the commit of a newer one replaced it.

Change: the record keeps the sequence number of the announcement that brought it, so that it is replicated; an announcement with a lower one in the same incarnation changes nothing. A new incarnation counts from the start. This changes the stored form of records.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -351,7 +351,7 @@
         self.announcements_committed(&record, io);
         let known = self.workers.get(&number).map(|view| view.record.clone());
         let event = match &known {
-            Some(known) if *known == record => return,
+            Some(known) if known.says_same(&record) => return,
             Some(known) if known.incarnation_started_ms != record.incarnation_started_ms => {
                 "worker_reborn"
             }
--- a/crates/cell/src/leader/announcements.rs
+++ b/crates/cell/src/leader/announcements.rs
@@ -51,11 +51,12 @@
         &mut self,
         state: &CellState,
         origin: Origin,
-        worker: WorkerRecord,
+        mut worker: WorkerRecord,
         clock_ms: Option<u64>,
         sequence: u64,
         io: &mut Io<'_>,
     ) {
+        worker.sequence = sequence;
         if self.is_superseded(state, &worker) {
             return io.reply_control(origin, ControlReply::Done);
         }
@@ -77,10 +78,10 @@
         let latest = pending.rfind(|record| record.id == worker.id);
         let stored = known.and_then(|number| self.workers.get(&number));
         let stored = stored.map(|view| &view.record);
-        if latest.is_none() && stored == Some(&worker) {
+        if latest.is_none() && stored.is_some_and(|stored| stored.says_same(&worker)) {
             return io.reply_control(origin, ControlReply::Done);
         }
-        if latest != Some(&worker) {
+        if !latest.is_some_and(|latest| latest.says_same(&worker)) {
             io.commands.push(Command::Worker(worker.clone()));
         }
         self.pending_announcements.push((worker, origin));
@@ -89,15 +90,14 @@
     /// Replies to the announcements of a worker that a committed record contains or replaces.
     pub(super) fn announcements_committed(&mut self, record: &WorkerRecord, io: &mut Io<'_>) {
         let is_settled = |pending: &WorkerRecord| {
-            let replaced = pending.incarnation_started_ms < record.incarnation_started_ms;
+            let age = |record: &WorkerRecord| (record.incarnation_started_ms, record.sequence);
             // A drain stays in the record although a late announcement does not contain it.
             let draining = pending.draining || record.draining;
-            let contained = *record
-                == WorkerRecord {
-                    draining,
-                    ..pending.clone()
-                };
-            replaced || contained
+            let contained = record.says_same(&WorkerRecord {
+                draining,
+                ..pending.clone()
+            });
+            age(pending) < age(record) || contained
         };
         let of_worker = self.pending_announcements.iter();
         let mut of_worker = of_worker.filter(|(pending, _)| pending.id == record.id);
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -195,6 +195,7 @@
             if reported_ms > incarnation_started_ms {
                 let mut record = view.record.clone();
                 record.incarnation_started_ms = reported_ms;
+                record.sequence = 0;
                 io.commands.push(Command::Worker(record));
             }
             view.next_renewal_ms = io.now_ms.saturating_add(Millis(RETRY_MS));
--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -189,7 +189,7 @@
 
 impl WorkerView {
     pub fn new(number: WorkerNumber, record: WorkerRecord, rack: u32, now_ms: Millis) -> Self {
-        let free = record.capacity;
+        let (free, sequence) = (record.capacity, record.sequence);
         Self {
             number,
             record,
@@ -199,7 +199,7 @@
             inherited_lease_until_ms: Millis(0),
             last_contact_ms: now_ms,
             joined_ms: now_ms,
-            sequence: 0,
+            sequence,
             missed_calls: 0,
             runs_reported: false,
             epoch: 0,
--- a/crates/cell/src/model.rs
+++ b/crates/cell/src/model.rs
@@ -241,4 +241,18 @@
     pub capacity: Demand,
     /// Whether the worker is draining and accepts no new runs.
     pub draining: bool,
+    /// Number of the announcement that brought this record, in its incarnation. The leader sets it.
+    pub sequence: u64,
+}
+
+impl WorkerRecord {
+    /// Returns whether both records say the same of a worker.
+    #[must_use]
+    pub fn says_same(&self, other: &Self) -> bool {
+        *self
+            == Self {
+                sequence: self.sequence,
+                ..other.clone()
+            }
+    }
 }
--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -223,9 +223,9 @@
         }
     }
 
-    /// Adds a worker or replaces its record. A record of an earlier incarnation than the stored one
+    /// Adds a worker or replaces its record. A record of an earlier announcement than the stored one
     /// arrived late and changes nothing. A drain ends only with the incarnation: a record without it
-    /// is from before the drain, and its sequence is known to an earlier leader alone.
+    /// is from before the drain, also if the worker does not number its announcements.
     fn put_worker(&mut self, mut record: WorkerRecord) -> Change {
         let crashed = self.count_crashes(&record);
         let number = self.worker_by_id(&record.id).unwrap_or_else(|| {
@@ -238,7 +238,8 @@
         record.draining |= known.is_some_and(|known| {
             known.draining && known.incarnation_started_ms == record.incarnation_started_ms
         });
-        if known.is_none_or(|known| known.incarnation_started_ms <= record.incarnation_started_ms) {
+        let age = |record: &WorkerRecord| (record.incarnation_started_ms, record.sequence);
+        if known.is_none_or(|known| age(known) <= age(&record)) {
             self.workers.insert(number, record);
         }
         Change::Worker {
--- a/crates/cell/tests/cell/capacity.rs
+++ b/crates/cell/tests/cell/capacity.rs
@@ -179,6 +179,48 @@
     assert_eq!(committed(&sim, WORKER), HALF);
 }
 
+/// Guards against a capacity that a late announcement of before the shrinking restores.
+#[test]
+fn late_announcement_does_not_restore_a_capacity() {
+    for leader_changes in [false, true] {
+        let mut sim = cell(2, 2);
+        sim.unheard_workers.insert(WORKER.to_owned());
+        let earlier = sim.now_ms;
+        sim.run(100);
+        announce_change(&mut sim, WORKER, HALF);
+        sim.run(500);
+        if leader_changes {
+            change_leader(&mut sim);
+        }
+        let leader = sim.leader().expect("leader");
+
+        let late = announce(&mut sim, leader, WORKER, WHOLE, earlier);
+        sim.run(500);
+
+        assert_eq!(sim.control_replies.get(&late), Some(&ControlReply::Done));
+        assert_eq!(committed(&sim, WORKER), HALF, "{leader_changes}");
+    }
+}
+
+/// Guards against a new worker whose latest capacity is replaced by an earlier one that arrives while
+/// the latest one is being committed.
+#[test]
+fn late_announcement_of_a_new_worker_does_not_replace_the_latest() {
+    let mut sim = cell(2, 2);
+    let leader = sim.leader().expect("leader");
+    let id = "worker-2";
+    sim.add_worker(id, 2);
+    sim.unheard_workers.insert(id.to_owned());
+
+    let latest = announce(&mut sim, leader, id, HALF, 2);
+    let late = announce(&mut sim, leader, id, WHOLE, 1);
+    sim.run(500);
+
+    assert_eq!(sim.control_replies.get(&latest), Some(&ControlReply::Done));
+    assert_eq!(sim.control_replies.get(&late), Some(&ControlReply::Done));
+    assert_eq!(committed(&sim, id), HALF);
+}
+
 /// Guards against a worker that keeps the sequence numbers of its earlier incarnation, so that
 /// the announcements of the new one, which counts from the start, are dropped.
 #[test]
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -253,7 +253,7 @@
                 memory_mib: 64_000,
                 accelerators: 0,
             },
-            draining: false,
+            ..WorkerRecord::default()
         };
         self.workers.insert(id.to_owned(), Worker::new(record));
         self.next_heartbeat_ms
