Send a start only if it fits the worker's capacity now

Cause: a placement that was proposed before a smaller capacity of its worker was committed was sent when its own commit followed, without a look at the capacity.

Change: before a start is first sent, the runs whose starts were sent to the worker and this one must fit its capacity. Otherwise the run is lost as not sent, and its task waits again without a failed run; the rest of a gang is stopped.

--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -304,6 +304,19 @@
         ends.any(|until_ms| now_ms < until_ms)
     }
 
+    /// Returns whether a run fits beside those whose starts were sent. The capacity may have shrunk
+    /// since the run was placed.
+    pub fn has_room_for(&self, key: &RunKey) -> bool {
+        let sent = self.runs.iter().filter(|(other, run)| {
+            *other != key && !matches!(run.phase, Phase::Proposed | Phase::Committed)
+        });
+        let free = sent.fold(self.record.capacity, |free, (_, run)| {
+            free.minus(&run.demand, 1)
+        });
+        let run = self.runs.get(key);
+        run.is_some_and(|run| run.demand.times_in(&free) > 0)
+    }
+
     /// Returns whether the worker has runs that this leader did not place.
     pub fn has_unexpected_runs(&self) -> bool {
         self.runs.values().any(|run| run.phase == Phase::Unexpected)
--- a/crates/cell/src/leader/worker_commands.rs
+++ b/crates/cell/src/leader/worker_commands.rs
@@ -85,7 +85,9 @@
             let active = state
                 .job(key.task.step.job)
                 .is_some_and(|job| job.state == JobState::Active);
-            let sendable = active && self.send_start(state, number, key, io);
+            let view = self.workers.get(&number);
+            let has_room = view.is_some_and(|view| view.has_room_for(&key));
+            let sendable = active && has_room && self.send_start(state, number, key, io);
             if !sendable {
                 self.lose_runs(number, |run, _| *run == key, LossReason::NotSent, io);
             }
--- a/crates/cell/tests/cell/capacity.rs
+++ b/crates/cell/tests/cell/capacity.rs
@@ -102,6 +102,31 @@
     !sim.workers[id].running.is_empty()
 }
 
+/// Checks that no start was sent to a worker once its smaller capacity was committed. Runs for a
+/// while from a moment at which the worker is idle.
+fn assert_no_start_after_commit(sim: &mut Sim, id: &str, duration_ms: u64, case: &str) {
+    let end_ms = sim.now_ms + duration_ms;
+    let mut committed_ms = None;
+    while sim.now_ms < end_ms {
+        let idle = !is_running(sim, id);
+        sim.run(5);
+        // A start takes 5 ms to its worker.
+        if let Some(committed_ms) = committed_ms
+            && sim.now_ms > committed_ms + 5
+        {
+            assert!(
+                !idle || !is_running(sim, id),
+                "{case}: start at {} ms, capacity committed by {committed_ms} ms",
+                sim.now_ms
+            );
+        }
+        if sim.leader().is_some() && committed(sim, id) < LARGE {
+            committed_ms.get_or_insert(sim.now_ms);
+        }
+    }
+    assert!(committed_ms.is_some(), "{case}: capacity not committed");
+}
+
 /// Guards against starts by an old capacity while capacities change, under changes of the leader.
 #[test]
 fn starts_keep_to_capacities_that_change() {
@@ -241,6 +266,44 @@
     assert_eq!(committed(&sim, WORKER), LARGE);
 }
 
+/// Guards against a start that is sent because its placement was proposed before the smaller
+/// capacity of its worker was committed.
+#[test]
+fn placement_by_the_old_capacity_is_not_started() {
+    for offset_ms in (0..80).step_by(5) {
+        let mut sim = cell(3, 1);
+        sim.submit("urgent", 1, job(vec![step(1, LARGE, 400)]));
+        sim.run(offset_ms);
+        announce_change(&mut sim, WORKER, HALF);
+
+        assert_no_start_after_commit(&mut sim, WORKER, 1_000, &format!("{offset_ms} ms"));
+        set_capacity(&mut sim, WORKER, WHOLE);
+        sim.run(HEARTBEAT_MS + 1_000);
+
+        assert_eq!(sim.unfinished(1..2), Vec::<u64>::new(), "{offset_ms} ms");
+        assert_eq!(failed_runs(&sim, 1), 0, "{offset_ms} ms");
+    }
+}
+
+/// Guards against a gang of which some members start on workers that have shrunk, or that stays in
+/// part because one of its starts was not sent.
+#[test]
+fn gang_placed_by_the_old_capacity_starts_again_together() {
+    for offset_ms in (0..80).step_by(5) {
+        let mut sim = cell(4, 2);
+        sim.submit("urgent", 1, job(vec![gang(2, LARGE, 2_000)]));
+        sim.run(offset_ms);
+        announce_change(&mut sim, WORKER, HALF);
+
+        assert_no_start_after_commit(&mut sim, WORKER, 1_000, &format!("{offset_ms} ms"));
+        set_capacity(&mut sim, WORKER, WHOLE);
+        sim.run(HEARTBEAT_MS + 4_000);
+
+        assert_eq!(sim.unfinished(1..2), Vec::<u64>::new(), "{offset_ms} ms");
+        assert_eq!(failed_runs(&sim, 1), 0, "{offset_ms} ms");
+    }
+}
+
 /// Guards against a start by an old capacity after the policy service has responded about a gang.
 #[test]
 fn pending_advice_for_a_gang_follows_the_capacity() {
