Repeat a start only if it fits the worker's capacity now

Cause: a start without a reply, or one that a call under a higher token had overtaken, was sent again although a smaller capacity of its worker had been committed since the first try.

Change: a start that does not fit any more is not sent again; a call under a higher fencing token decides the outcome of the earlier tries.

--- a/crates/cell/src/leader/worker_commands.rs
+++ b/crates/cell/src/leader/worker_commands.rs
@@ -229,7 +229,7 @@
         let Some(view) = self.workers.get_mut(&number) else {
             return;
         };
-        let current = view.token(term);
+        let (current, has_room) = (view.token(term), view.has_room_for(&key));
         if *reply == WorkerReply::NoReply {
             view.missed_calls += 1;
         } else {
@@ -254,7 +254,7 @@
                 self.start_refused(state, number, key, (*refusal, tries, token < current), io);
             }
             WorkerReply::NoReply | WorkerReply::Stopped | WorkerReply::Renewed(_) => {
-                if tries < MAX_TRIES && token == current {
+                if tries < MAX_TRIES && token == current && has_room {
                     self.send_start(state, number, key, io);
                 } else {
                     view.fence_due = true;
@@ -285,13 +285,14 @@
                 ("tries", tries.to_string()),
             ],
         });
+        let has_room = view.has_room_for(&key);
         match refusal {
             StartRefusal::Unwilling => view.health.add_result(io.now_ms, true),
             StartRefusal::OtherLife => view.runs_reported = false,
             StartRefusal::Ticket => self.drop_ticket(key.task.step, number),
             StartRefusal::Fenced | StartRefusal::Old | StartRefusal::Late | StartRefusal::Room => {}
         }
-        if refusal == StartRefusal::Fenced && stale_token {
+        if refusal == StartRefusal::Fenced && stale_token && has_room {
             // A call under a higher token, which decided the outcome of other starts, has overtaken
             // this one.
             self.send_start(state, number, key, io);
--- a/crates/cell/tests/cell/capacity.rs
+++ b/crates/cell/tests/cell/capacity.rs
@@ -331,6 +331,33 @@
     }
 }
 
+/// Guards against a start that is repeated although its worker has shrunk since the first try.
+#[test]
+fn start_is_not_repeated_by_the_old_capacity() {
+    for shrunk_after_ms in (20..600).step_by(20) {
+        let mut sim = cell(6, 1);
+        sim.cut_workers.insert(WORKER.to_owned());
+        let sent = sim.commands_sent();
+        sim.submit("urgent", 1, job(vec![step(1, LARGE, 400)]));
+        sim.run_until(500, |sim| sim.commands_sent() > sent);
+        sim.run(shrunk_after_ms);
+        announce_change(&mut sim, WORKER, HALF);
+        sim.run(30);
+        assert_eq!(committed(&sim, WORKER), HALF);
+        sim.cut_workers.remove(WORKER);
+
+        for _ in 0..400 {
+            sim.run(5);
+            assert!(!is_running(&sim, WORKER), "{shrunk_after_ms} ms");
+        }
+        set_capacity(&mut sim, WORKER, WHOLE);
+        sim.run(HEARTBEAT_MS + 3_000);
+
+        assert_eq!(sim.unfinished(1..2), Vec::<u64>::new());
+        assert_eq!(failed_runs(&sim, 1), 0);
+    }
+}
+
 /// Guards against runs that are not counted while they are stopped, on a worker that has shrunk.
 #[test]
 fn runs_that_are_stopped_count_against_a_smaller_capacity() {
