Start runs only on workers that have announced themselves recently

Cause: a worker that answered calls counted as responsive although its announcements, which alone contain its capacity, had not arrived for any time. Starts went on by a capacity that had shrunk.

Change: the time of the last announcement is kept apart from that of the last contact. After 4 s without one, no run is placed or started on the worker; admission still counts it. This leaves 500 ms of the 4.5 s after which a smaller capacity counts.

--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -69,6 +69,7 @@
 
     fn is_usable(&self, now_ms: Millis) -> bool {
         self.accepts_work(now_ms)
+            && self.capacity_is_known(now_ms)
             && self.runs_reported
             && self.clock.is_some()
             && self.missed_calls < MISSED_CALLS_LIMIT
--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -10,6 +10,9 @@
 const CLOCK_DRIFT_PERMILLE: u64 = 20;
 /// Added to the end of a lease before its runs count as ended, for the worker's own delay.
 const LEASE_MARGIN_MS: u64 = 250;
+/// Time for which an announced capacity is used. A smaller one counts a heartbeat and `contact_ms`
+/// later (4,500 ms, rule of the users); the margin covers the way of the announcement and of a start.
+const CAPACITY_VALID_MS: u64 = 4_000;
 /// Number of low bits of a fencing token that hold the worker's epoch; the term is above them.
 const EPOCH_BITS: u32 = 20;
 
@@ -163,6 +166,8 @@
     pub last_contact_ms: Millis,
     /// Time at which this leader learned of this incarnation.
     pub joined_ms: Millis,
+    /// Time of the last announcement, which contained the capacity.
+    pub announced_ms: Millis,
     /// Sequence number of the latest announcement.
     pub sequence: u64,
     /// Consecutive calls without a reply.
@@ -199,6 +204,7 @@
             inherited_lease_until_ms: Millis(0),
             last_contact_ms: now_ms,
             joined_ms: now_ms,
+            announced_ms: now_ms,
             sequence,
             missed_calls: 0,
             runs_reported: false,
@@ -304,9 +310,14 @@
         ends.any(|until_ms| now_ms < until_ms)
     }
 
+    /// Returns whether the worker has announced its capacity recently.
+    pub fn capacity_is_known(&self, now_ms: Millis) -> bool {
+        now_ms.saturating_sub(self.announced_ms).0 < CAPACITY_VALID_MS
+    }
+
     /// Returns whether a run fits beside those whose starts were sent. The capacity may have shrunk
     /// since the run was placed.
-    pub fn has_room_for(&self, key: &RunKey) -> bool {
+    pub fn has_room_for(&self, key: &RunKey, now_ms: Millis) -> bool {
         let sent = self.runs.iter().filter(|(other, run)| {
             *other != key && !matches!(run.phase, Phase::Proposed | Phase::Committed)
         });
@@ -314,7 +325,8 @@
             free.minus(&run.demand, 1)
         });
         let run = self.runs.get(key);
-        run.is_some_and(|run| run.demand.times_in(&free) > 0)
+        let fits = run.is_some_and(|run| run.demand.times_in(&free) > 0);
+        fits && self.capacity_is_known(now_ms)
     }
 
     /// Returns whether the worker has runs that this leader did not place.
--- a/crates/cell/src/leader/worker_commands.rs
+++ b/crates/cell/src/leader/worker_commands.rs
@@ -86,7 +86,7 @@
                 .job(key.task.step.job)
                 .is_some_and(|job| job.state == JobState::Active);
             let view = self.workers.get(&number);
-            let has_room = view.is_some_and(|view| view.has_room_for(&key));
+            let has_room = view.is_some_and(|view| view.has_room_for(&key, io.now_ms));
             let sendable = active && has_room && self.send_start(state, number, key, io);
             if !sendable {
                 self.lose_runs(number, |run, _| *run == key, LossReason::NotSent, io);
@@ -229,7 +229,7 @@
         let Some(view) = self.workers.get_mut(&number) else {
             return;
         };
-        let (current, has_room) = (view.token(term), view.has_room_for(&key));
+        let (current, has_room) = (view.token(term), view.has_room_for(&key, io.now_ms));
         if *reply == WorkerReply::NoReply {
             view.missed_calls += 1;
         } else {
@@ -285,7 +285,7 @@
                 ("tries", tries.to_string()),
             ],
         });
-        let has_room = view.has_room_for(&key);
+        let has_room = view.has_room_for(&key, io.now_ms);
         match refusal {
             StartRefusal::Unwilling => view.health.add_result(io.now_ms, true),
             StartRefusal::OtherLife => view.runs_reported = false,
--- a/crates/cell/tests/cell/capacity.rs
+++ b/crates/cell/tests/cell/capacity.rs
@@ -358,6 +358,27 @@
     }
 }
 
+/// Guards against starts on a worker that answers calls while its announcements, and a smaller
+/// capacity with them, are lost.
+#[test]
+fn worker_without_announcements_gets_no_starts() {
+    let mut sim = cell(8, 1);
+    sim.unheard_workers.insert(WORKER.to_owned());
+    set_capacity(&mut sim, WORKER, HALF);
+
+    // Each start is checked against the capacity of its worker.
+    for id in 0..40 {
+        sim.submit("urgent", id, job(vec![step(1, LARGE, 200)]));
+        sim.run(250);
+    }
+    sim.unheard_workers.clear();
+    set_capacity(&mut sim, WORKER, WHOLE);
+    sim.run(20_000);
+
+    assert!(!state(&sim).jobs().is_empty());
+    assert_eq!(active_jobs(&sim), 0);
+}
+
 /// Guards against runs that are not counted while they are stopped, on a worker that has shrunk.
 #[test]
 fn runs_that_are_stopped_count_against_a_smaller_capacity() {
