Wait for announcements after an outage of the control VMs

Cause: a new leader took the capacities in the replicated state for current, however long no leader had received announcements. After an outage of some seconds it started runs by a capacity that had shrunk meanwhile.

Change: each control VM notes when it last led with a lease or heard of the leader. A new leader takes the inherited capacities to be announced one interval before that time, so that it starts runs at once after a short election and waits for the worker's announcement after a long outage. A VM that has just started does not know the time and waits.

--- a/crates/cell/src/control.rs
+++ b/crates/cell/src/control.rs
@@ -92,6 +92,9 @@
     last_alive_ms: SortedVec<VmId, Millis>,
     /// Failure domain of each other control VM that has connected.
     failure_domains: SortedVec<VmId, String>,
+    /// Last time at which this VM led with a lease or received a message of the leader; `None` if it
+    /// has done neither since its start.
+    last_led_ms: Option<Millis>,
     /// Time of the last consensus message of each control VM.
     last_consensus_ms: SortedVec<VmId, Millis>,
     connected: Vec<VmId>,
@@ -147,6 +150,7 @@
             entry_vms: SortedVec::new(),
             last_alive_ms: SortedVec::new(),
             failure_domains: SortedVec::new(),
+            last_led_ms: None,
             last_consensus_ms: SortedVec::new(),
             connected: Vec::new(),
             next_status_ms: Millis(0),
@@ -190,6 +194,9 @@
                 message,
             } => {
                 self.last_consensus_ms.insert(from, now_ms);
+                if self.replica.leader() == Some(from) {
+                    self.last_led_ms = Some(now_ms);
+                }
                 let from = MemberId {
                     vm: from,
                     incarnation,
@@ -255,6 +262,9 @@
     ) {
         let holds_lease = self.replica.holds_lease(now_ms);
         if let Some(leader) = &mut self.leader {
+            if holds_lease {
+                self.last_led_ms = Some(now_ms);
+            }
             let mut io = Io {
                 now_ms,
                 unix_ms,
@@ -362,7 +372,8 @@
             effects: out,
             commands: &mut self.commands,
         };
-        let mut leader = Leader::new(self.me.vm, term, self.bounds, &self.state, &mut io);
+        let led_ms = self.last_led_ms;
+        let mut leader = Leader::new(self.me.vm, term, self.bounds, &self.state, led_ms, &mut io);
         leader.advice_vm_joined(self.me.vm);
         for vm in self.entry_vms.keys() {
             leader.advice_vm_joined(*vm);
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -59,6 +59,9 @@
 /// Added to the time for which the status of an ended job is kept, because clocks differ.
 const STATUS_RETENTION_MARGIN_MS: u64 = 60_000;
 
+/// Time between two announcements of a worker.
+const ANNOUNCEMENT_INTERVAL_MS: u64 = 1_500;
+
 /// A call to a worker whose reply has not arrived.
 #[derive(Clone, Debug)]
 enum WorkerCall {
@@ -149,8 +152,16 @@
 
 impl Leader {
     /// Builds the leader's state from the replicated state. Runs that may be under way count as
-    /// running until their workers have reported.
-    pub fn new(me: VmId, term: u64, bounds: Bounds, state: &CellState, io: &mut Io<'_>) -> Self {
+    /// running until their workers have reported. `led_ms` is the last time at which this VM knew of
+    /// a leader, which received the workers' announcements.
+    pub fn new(
+        me: VmId,
+        term: u64,
+        bounds: Bounds,
+        state: &CellState,
+        led_ms: Option<Millis>,
+        io: &mut Io<'_>,
+    ) -> Self {
         let mut leader = Self {
             me,
             term,
@@ -190,6 +201,8 @@
         for (number, record) in state.workers().iter() {
             let mut view = leader.make_view(*number, record.clone(), io.now_ms);
             view.inherited_lease_until_ms = io.now_ms.saturating_add(inherited_ms);
+            view.announced_ms =
+                led_ms.map(|led_ms| led_ms.saturating_sub(Millis(ANNOUNCEMENT_INTERVAL_MS)));
             leader.update_address(*number, &view.record);
             leader.workers.insert(*number, view);
         }
--- a/crates/cell/src/leader/announcements.rs
+++ b/crates/cell/src/leader/announcements.rs
@@ -70,7 +70,7 @@
             }
             view.sequence = sequence;
             view.last_contact_ms = io.now_ms;
-            view.announced_ms = io.now_ms;
+            view.announced_ms = Some(io.now_ms);
             if let Some(clock_ms) = clock_ms {
                 view.update_clock(clock_ms, io.now_ms);
             }
--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -166,8 +166,9 @@
     pub last_contact_ms: Millis,
     /// Time at which this leader learned of this incarnation.
     pub joined_ms: Millis,
-    /// Time of the last announcement, which contained the capacity.
-    pub announced_ms: Millis,
+    /// Time of the last announcement, which contained the capacity; `None` if it is not known. An
+    /// earlier leader received it at this time or later.
+    pub announced_ms: Option<Millis>,
     /// Sequence number of the latest announcement.
     pub sequence: u64,
     /// Consecutive calls without a reply.
@@ -204,7 +205,7 @@
             inherited_lease_until_ms: Millis(0),
             last_contact_ms: now_ms,
             joined_ms: now_ms,
-            announced_ms: now_ms,
+            announced_ms: Some(now_ms),
             sequence,
             missed_calls: 0,
             runs_reported: false,
@@ -312,7 +313,8 @@
 
     /// Returns whether the worker has announced its capacity recently.
     pub fn capacity_is_known(&self, now_ms: Millis) -> bool {
-        now_ms.saturating_sub(self.announced_ms).0 < CAPACITY_VALID_MS
+        self.announced_ms
+            .is_some_and(|at_ms| now_ms.saturating_sub(at_ms).0 < CAPACITY_VALID_MS)
     }
 
     /// Returns whether a run fits beside those whose starts were sent. The capacity may have shrunk
--- a/crates/cell/tests/cell/capacity.rs
+++ b/crates/cell/tests/cell/capacity.rs
@@ -358,6 +358,33 @@
     }
 }
 
+/// Guards against a leader that sends the starts committed before it was cut off when it is back,
+/// by capacities that it has not heard of since.
+#[test]
+fn starts_wait_for_news_of_their_worker_after_a_silence() {
+    for offset_ms in (0..80).step_by(5) {
+        let mut sim = cell(7, 1);
+        let leader = sim.leader().expect("leader");
+        sim.submit("urgent", 1, job(vec![step(1, LARGE, 400)]));
+        sim.run(offset_ms);
+        set_capacity(&mut sim, WORKER, HALF);
+        let followers: Vec<VmId> = (1..=3).map(control).filter(|vm| *vm != leader).collect();
+        sim.silent_vms.extend(followers);
+        sim.unheard_workers.insert(WORKER.to_owned());
+        sim.run(6_000);
+
+        // The next heartbeat comes a second later. Each start is checked against the capacity of
+        // its worker.
+        sim.silent_vms.clear();
+        sim.run(1_000);
+        sim.unheard_workers.clear();
+        sim.run(5_000);
+        set_capacity(&mut sim, WORKER, WHOLE);
+        sim.run(HEARTBEAT_MS + 1_000);
+        assert_eq!(active_jobs(&sim), 0, "{offset_ms} ms");
+    }
+}
+
 /// Guards against starts on a worker that answers calls while its announcements, and a smaller
 /// capacity with them, are lost.
 #[test]
@@ -379,6 +406,38 @@
     assert_eq!(active_jobs(&sim), 0);
 }
 
+/// Guards against starts by the capacities in the replicated state after an outage, in which
+/// nobody has heard of the workers.
+#[test]
+fn starts_wait_for_announcements_after_an_outage() {
+    for outage_ms in [4_000, 6_000, 12_000] {
+        let mut sim = cell(12, 1);
+        sim.unheard_workers.insert(WORKER.to_owned());
+        set_capacity(&mut sim, WORKER, HALF);
+        for number in 1..=3 {
+            sim.kill(control(number));
+        }
+        sim.run(outage_ms);
+        for number in 1..=3 {
+            sim.start(control(number), false);
+        }
+        sim.run_until(5_000, |sim| sim.leader().is_some());
+
+        // Each start is checked against the capacity of its worker.
+        for id in 0..10 {
+            sim.submit("urgent", id, job(vec![step(1, LARGE, 200)]));
+            sim.run(100);
+        }
+        sim.unheard_workers.clear();
+        sim.run(5_000);
+        set_capacity(&mut sim, WORKER, WHOLE);
+        sim.run(10_000);
+
+        assert!(!state(&sim).jobs().is_empty());
+        assert_eq!(active_jobs(&sim), 0);
+    }
+}
+
 /// Guards against runs that are not counted while they are stopped, on a worker that has shrunk.
 #[test]
 fn runs_that_are_stopped_count_against_a_smaller_capacity() {
