Start nothing on a worker that is over its capacity

Cause: a worker that had shrunk below its runs still got tasks that need none of the resource of which it has too little, such as tasks that use spare processor time, although it was over its capacity after the start.

Change: a worker whose runs take more of any resource than its capacity has no free capacity until enough of them have ended.

--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -298,11 +298,17 @@
 
     /// Recomputes the free capacity from the runs.
     pub fn recompute_free(&mut self) {
-        let mut free = self.record.capacity;
-        for run in self.runs.values() {
-            free = free.minus(&run.demand, 1);
-        }
-        self.free = free;
+        self.free = self.free_beside(|_, _| true);
+    }
+
+    /// Returns the capacity that the counted runs leave free. A worker that has shrunk below them
+    /// has none, also of resources that are left.
+    fn free_beside(&self, is_counted: impl Fn(&RunKey, &RunView) -> bool) -> Demand {
+        let mut counted = self.runs.iter().filter(|(key, run)| is_counted(key, run));
+        let free = counted.try_fold(self.record.capacity, |free, (_, run)| {
+            free.checked_minus(&run.demand)
+        });
+        free.unwrap_or_default()
     }
 
     /// Returns whether a run on the worker must be alone.
@@ -320,11 +326,8 @@
     /// Returns whether a run fits beside those whose starts were sent. The capacity may have shrunk
     /// since the run was placed.
     pub fn has_room_for(&self, key: &RunKey, now_ms: Millis) -> bool {
-        let sent = self.runs.iter().filter(|(other, run)| {
-            *other != key && !matches!(run.phase, Phase::Proposed | Phase::Committed)
-        });
-        let free = sent.fold(self.record.capacity, |free, (_, run)| {
-            free.minus(&run.demand, 1)
+        let free = self.free_beside(|other, run| {
+            other != key && !matches!(run.phase, Phase::Proposed | Phase::Committed)
         });
         let run = self.runs.get(key);
         let fits = run.is_some_and(|run| run.demand.times_in(&free) > 0);
--- a/crates/cell/src/model.rs
+++ b/crates/cell/src/model.rs
@@ -26,6 +26,16 @@
             .min(times(self.accelerators, free_capacity.accelerators))
     }
 
+    /// Subtracts another demand; `None` if there is less of any resource.
+    #[must_use]
+    pub fn checked_minus(&self, other: &Self) -> Option<Self> {
+        Some(Self {
+            cpu_millicores: self.cpu_millicores.checked_sub(other.cpu_millicores)?,
+            memory_mib: self.memory_mib.checked_sub(other.memory_mib)?,
+            accelerators: self.accelerators.checked_sub(other.accelerators)?,
+        })
+    }
+
     /// Subtracts `count` times another demand; each resource stops at zero.
     #[must_use]
     pub fn minus(&self, other: &Self, count: u32) -> Self {
--- a/crates/cell/tests/cell/capacity.rs
+++ b/crates/cell/tests/cell/capacity.rs
@@ -2,7 +2,7 @@
 
 use acaciareel_cell::{
     CallerReply, CallerRequest, CellState, ControlReply, ControlRequest, Demand, JobId, JobState,
-    RefusalReason, WorkerRecord,
+    RefusalReason, StepSpec, WorkerRecord,
 };
 use acaciareel_types::VmId;
 
@@ -438,6 +438,28 @@
     }
 }
 
+/// Guards against tasks that need none of the resource of which a worker has too little, and start
+/// on it while it is over its capacity.
+#[test]
+fn worker_over_its_capacity_gets_no_starts() {
+    let mut sim = cell(13, 1);
+    sim.submit("urgent", 1, job(vec![step(1, LARGE, 9_000)]));
+    sim.run(500);
+    assert!(is_running(&sim, WORKER));
+    announce_change(&mut sim, WORKER, HALF);
+    sim.run(5_000);
+
+    // Each start is checked against the capacity of its worker.
+    let spare = StepSpec {
+        uses_spare_cpu: true,
+        ..step(1, 2_000, 200)
+    };
+    sim.submit("urgent", 2, job(vec![spare]));
+    sim.run(5_000);
+
+    assert_eq!(sim.unfinished(1..3), Vec::<u64>::new());
+}
+
 /// Guards against runs that are not counted while they are stopped, on a worker that has shrunk.
 #[test]
 fn runs_that_are_stopped_count_against_a_smaller_capacity() {
