--- a/crates/cell/tests/cell/worker.rs
+++ b/crates/cell/tests/cell/worker.rs
@@ -32,6 +32,8 @@
     pub fails: bool,
     /// Fault: runs make no progress.
     pub stalls: bool,
+    /// Fault: starts are refused with this reason and have no effect.
+    pub refusal: Option<StartRefusal>,
     clock_offset_ms: u64,
     token: u64,
     pub lease_until_ms: u64,
@@ -57,6 +59,7 @@
             alive: true,
             fails: false,
             stalls: false,
+            refusal: None,
             token: 0,
             lease_until_ms: 0,
             running: BTreeMap::new(),
@@ -196,6 +199,9 @@
                 if *token < self.token {
                     return WorkerReply::Refused(StartRefusal::Fenced);
                 }
+                if let Some(refusal) = self.refusal {
+                    return WorkerReply::Refused(refusal);
+                }
                 self.token = *token;
                 self.lease_until_ms = self.lease_until_ms.max((*lease_until_ms).min(longest_ms));
                 if self.running.contains_key(run) {
