Guard against a drain that is acknowledged and not recorded

While an announcement of a worker was being committed, the leader answered a further one of the same worker with that commit. A drain announced in that time was acknowledged, and the record was not draining.

--- a/crates/cell/tests/cell/faults.rs
+++ b/crates/cell/tests/cell/faults.rs
@@ -1,7 +1,7 @@
 //! Scheduling on a cell with faults. After each start the simulation checks that the task runs
 //! nowhere else, was not done before, and fits its worker.
 
-use acaciareel_cell::{CallerReply, StepSpec};
+use acaciareel_cell::{CallerReply, ControlReply, ControlRequest, StepSpec};
 
 use crate::sim::{Sim, control, entry, gang, job, queue, step};
 
@@ -605,6 +605,34 @@
     assert_eq!(sim.unfinished(0..8), Vec::<u64>::new());
 }
 
+/// Guards against a drain that is acknowledged although only the announcement before it is recorded.
+#[test]
+fn drain_announced_during_another_commit_is_recorded_before_its_acknowledgement() {
+    let mut sim = Sim::new(1, 3, 2);
+    sim.set_up(vec![queue("batch", 2, false)]);
+    let leader = sim.leader().expect("leader");
+    let mut record = sim.workers["worker-0"].record.clone();
+    let mut announce = |draining| {
+        record.capacity.cpu_millicores /= 2;
+        record.draining = draining;
+        let request = ControlRequest::Announce {
+            worker: record.clone(),
+            clock_ms: None,
+            sequence: sim.now_ms + u64::from(draining),
+        };
+        sim.control_request(leader, request)
+    };
+
+    announce(false);
+    let drain = announce(true);
+    sim.run_until(1_000, |sim| sim.control_replies.contains_key(&drain));
+
+    assert_eq!(sim.control_replies[&drain], ControlReply::Done);
+    let state = sim.control_of(leader).expect("leader").state();
+    let number = state.worker_by_id("worker-0").expect("known worker");
+    assert!(state.workers().get(&number).expect("record").draining);
+}
+
 /// Guards against one job with extreme numbers that ends the leader, or that makes it refuse or
 /// delay all others.
 #[test]
