--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -30,13 +30,13 @@
 /// State of a job as reported to callers.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum JobView {
-    /// Accepted; no run was ever placed.
+    /// Accepted; no worker has begun a task.
     Queued,
-    /// A run was placed, and the job has not ended.
+    /// A worker has begun a task, and the job has not ended.
     Running,
     /// All tasks are done.
     Completed,
-    /// A task or gang failed as often as the queue allows.
+    /// A task or gang failed as often as the queue allows, or crashed too many workers.
     Failed,
     /// Cancelled by its caller.
     Cancelled,
@@ -64,7 +64,7 @@
     Accepted,
     /// State of the job.
     Job(JobView),
-    /// Number of accepted jobs of the queue of which no run was ever placed.
+    /// Number of accepted jobs of the queue of which no worker has begun a task.
     Pending(u64),
     /// The job is cancelled, or had ended before.
     Cancelled,
