Count the waiting jobs of a queue that was renamed at its address

Cause: waiting jobs were counted under the name that their queue had when they were accepted. After a table that names the queue at the same host and prefix otherwise, callers read 0 where 7 wait, while the state of each job was still queued.

Change: rows of two tables stand for one queue if they share the name or the address. The test failed before (left 0, right 7).

--- a/crates/cell/src/leader/callers.rs
+++ b/crates/cell/src/leader/callers.rs
@@ -44,8 +44,8 @@
             }
             (CallerRequest::Submit(_), Err(_)) => io.reply_caller(origin, CallerReply::Invalid),
             (CallerRequest::Status, _) if rest.is_empty() => {
-                let pending = count_pending(state, &queue.name);
-                let unconfirmed = self.count_unconfirmed_runs(state, &queue.name);
+                let pending = count_pending(state, queue);
+                let unconfirmed = self.count_unconfirmed_runs(state, queue);
                 io.log(
                     "queue_queried",
                     vec![
@@ -172,12 +172,12 @@
     }
 
     /// Returns the number of runs of a queue whose start was sent and not confirmed by the worker.
-    fn count_unconfirmed_runs(&self, state: &CellState, queue: &str) -> usize {
+    fn count_unconfirmed_runs(&self, state: &CellState, queue: &QueueRow) -> usize {
         let runs = self.workers.values().flat_map(|view| view.runs.iter());
         let unconfirmed = runs.filter(|(_, run)| matches!(run.phase, Phase::Sent { .. }));
         let of_queue = unconfirmed.filter(|(key, _)| {
             let job = state.job(key.task.step.job);
-            job.is_some_and(|job| job.queue.name == queue)
+            job.is_some_and(|job| job.queue.is_same_queue(queue))
         });
         of_queue.count()
     }
@@ -202,10 +202,9 @@
     }
 }
 
-fn count_pending(state: &CellState, queue: &str) -> u64 {
-    let pending = state
-        .jobs()
-        .values()
-        .filter(|job| job.state == JobState::Active && !job.started && job.queue.name == queue);
-    pending.count() as u64
+fn count_pending(state: &CellState, queue: &QueueRow) -> u64 {
+    let waiting = state.jobs().values();
+    let waiting = waiting.filter(|job| job.state == JobState::Active && !job.started);
+    let of_queue = waiting.filter(|job| job.queue.is_same_queue(queue));
+    of_queue.count() as u64
 }
--- a/crates/cell/src/model.rs
+++ b/crates/cell/src/model.rs
@@ -206,6 +206,16 @@
     pub advice: Option<AdviceCost>,
 }
 
+impl QueueRow {
+    /// Returns whether two rows of different tables stand for one queue: a later table may change
+    /// its name or its address.
+    #[must_use]
+    pub fn is_same_queue(&self, other: &Self) -> bool {
+        let same_address = self.host == other.host && self.path_prefix == other.path_prefix;
+        same_address || self.name == other.name
+    }
+}
+
 /// The table of queues as an operator sends it.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct QueueTable {
--- a/crates/cell/tests/cell/pending.rs
+++ b/crates/cell/tests/cell/pending.rs
@@ -179,6 +179,29 @@
     assert_eq!(pending_of(&mut sim, "other"), Some(0));
 }
 
+/// Guards against waiting jobs that are not counted after their queue got another name or address.
+#[test]
+fn jobs_of_a_renamed_or_moved_queue_count_as_pending() {
+    let renamed = QueueRow {
+        name: "renamed".to_owned(),
+        ..queue("batch", 2, false)
+    };
+    let moved = QueueRow {
+        path_prefix: "/moved/".to_owned(),
+        ..queue("batch", 2, false)
+    };
+    for (row, path) in [(renamed, "batch"), (moved, "moved")] {
+        let mut sim = cell(1, 6);
+        submit_behind_a_cut(&mut sim, 7);
+        sim.run(500);
+
+        put_table(&mut sim, 2, vec![row]);
+        let counted = pending_of(&mut sim, path);
+
+        assert_eq!(counted, Some(7), "{path}");
+    }
+}
+
 /// Guards against jobs that count as started although every worker refused their runs.
 #[test]
 fn jobs_refused_by_their_workers_count_as_pending() {
