Wait for the announcement of a new incarnation

Cause: when a report of runs showed that a worker had started again, its new incarnation was used by the capacity of the earlier one for up to 4 s, as if it had announced it.

Change: the capacity of a new incarnation is known only once an announcement of this incarnation is committed.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -361,7 +361,7 @@
             return;
         };
         let id = record.id.clone();
-        self.announcements_committed(&record, io);
+        let announced = self.announcements_committed(&record, io);
         let known = self.workers.get(&number).map(|view| view.record.clone());
         let event = match &known {
             Some(known) if known.says_same(&record) => return,
@@ -392,6 +392,10 @@
             view.rack = rack;
             if new_incarnation {
                 view.begin_incarnation(self.bounds.lease_ms, io.now_ms);
+                view.announced_ms = None;
+            }
+            if announced {
+                view.announced_ms.get_or_insert(io.now_ms);
             }
             view.recompute_free();
         }
--- a/crates/cell/src/leader/announcements.rs
+++ b/crates/cell/src/leader/announcements.rs
@@ -88,8 +88,13 @@
         self.pending_announcements.push((worker, origin));
     }
 
-    /// Replies to the announcements of a worker that a committed record contains or replaces.
-    pub(super) fn announcements_committed(&mut self, record: &WorkerRecord, io: &mut Io<'_>) {
+    /// Replies to the announcements of a worker that a committed record contains or replaces. Returns
+    /// whether an announcement brought the record.
+    pub(super) fn announcements_committed(
+        &mut self,
+        record: &WorkerRecord,
+        io: &mut Io<'_>,
+    ) -> bool {
         let is_settled = |pending: &WorkerRecord| {
             let age = |record: &WorkerRecord| (record.incarnation_started_ms, record.sequence);
             // A drain stays in the record although a late announcement does not contain it.
@@ -100,20 +105,24 @@
             });
             age(pending) < age(record) || contained
         };
-        let of_worker = self.pending_announcements.iter();
-        let mut of_worker = of_worker.filter(|(pending, _)| pending.id == record.id);
-        let Some(settled) = of_worker.position(|(pending, _)| is_settled(pending)) else {
-            return;
+        let of_worker = self
+            .pending_announcements
+            .iter()
+            .map(|(pending, _)| pending);
+        let mut of_worker = of_worker.filter(|pending| pending.id == record.id).zip(1..);
+        let Some((pending, mut left)) = of_worker.find(|(pending, _)| is_settled(pending)) else {
+            return false;
         };
-        let mut left = settled + 1;
+        let announced = pending.incarnation_started_ms == record.incarnation_started_ms;
         let settled = self.pending_announcements.extract_if(.., |(pending, _)| {
             let is_due = pending.id == record.id && left > 0;
-            left -= usize::from(is_due);
+            left -= u32::from(is_due);
             is_due
         });
         for (_, origin) in settled {
             io.reply_control(origin, ControlReply::Done);
         }
+        announced
     }
 
     /// Returns whether a later incarnation is known of the worker, or of another worker at its
--- a/crates/cell/tests/cell/capacity.rs
+++ b/crates/cell/tests/cell/capacity.rs
@@ -460,6 +460,33 @@
     assert_eq!(sim.unfinished(1..3), Vec::<u64>::new());
 }
 
+/// Guards against starts by the capacity of an earlier incarnation on a worker whose new one has
+/// reported its runs and not yet announced itself.
+#[test]
+fn new_incarnation_gets_no_starts_before_it_announces_itself() {
+    let mut sim = cell(14, 1);
+    sim.submit("urgent", 1, job(vec![step(1, LARGE, 4_000)]));
+    sim.run(500);
+    assert!(is_running(&sim, WORKER));
+    sim.unheard_workers.insert(WORKER.to_owned());
+    sim.cut_workers.insert(WORKER.to_owned());
+    let now_ms = sim.now_ms;
+    let worker = sim.workers.get_mut(WORKER).expect("worker");
+    worker.restart(now_ms);
+    worker.record.capacity = capacity(HALF);
+    sim.run(5_000);
+
+    // Each start is checked against the capacity of its worker.
+    sim.cut_workers.clear();
+    sim.run(2_000);
+    sim.unheard_workers.clear();
+    sim.run(2_000);
+    set_capacity(&mut sim, WORKER, WHOLE);
+    sim.run(HEARTBEAT_MS + 5_000);
+
+    assert_eq!(sim.unfinished(1..2), Vec::<u64>::new());
+}
+
 /// Guards against runs that are not counted while they are stopped, on a worker that has shrunk.
 #[test]
 fn runs_that_are_stopped_count_against_a_smaller_capacity() {
