Answer all announcements that are committed together

Cause: since each differing announcement is committed, one commit of a worker's record answered only up to the first announcement that it replaced. If several were committed in one entry, and one of them repeated another, some were never answered, and later announcements of the same content joined them without a commit of their own.

Change: a repeated announcement waits under the record that it repeats. A commit answers all announcements that its record replaces, and all up to the last one that it contains.

--- a/crates/cell/src/leader/announcements.rs
+++ b/crates/cell/src/leader/announcements.rs
@@ -82,9 +82,11 @@
         if latest.is_none() && stored.is_some_and(|stored| stored.says_same(&worker)) {
             return io.reply_control(origin, ControlReply::Done);
         }
-        if !latest.is_some_and(|latest| latest.says_same(&worker)) {
+        let repeated = latest.filter(|latest| latest.says_same(&worker));
+        let worker = repeated.cloned().unwrap_or_else(|| {
             io.commands.push(Command::Worker(worker.clone()));
-        }
+            worker
+        });
         self.pending_announcements.push((worker, origin));
     }
 
@@ -95,29 +97,30 @@
         record: &WorkerRecord,
         io: &mut Io<'_>,
     ) -> bool {
-        let is_settled = |pending: &WorkerRecord| {
-            let age = |record: &WorkerRecord| (record.incarnation_started_ms, record.sequence);
+        let age = |record: &WorkerRecord| (record.incarnation_started_ms, record.sequence);
+        let is_contained = |pending: &WorkerRecord| {
             // A drain stays in the record although a late announcement does not contain it.
             let draining = pending.draining || record.draining;
-            let contained = record.says_same(&WorkerRecord {
+            let pending = WorkerRecord {
                 draining,
                 ..pending.clone()
-            });
-            age(pending) < age(record) || contained
-        };
-        let of_worker = self
-            .pending_announcements
-            .iter()
-            .map(|(pending, _)| pending);
-        let mut of_worker = of_worker.filter(|pending| pending.id == record.id).zip(1..);
-        let Some((pending, mut left)) = of_worker.find(|(pending, _)| is_settled(pending)) else {
-            return false;
+            };
+            *record == pending
         };
-        let announced = pending.incarnation_started_ms == record.incarnation_started_ms;
+        let pending = self.pending_announcements.iter();
+        let contained = pending.filter(|(pending, _)| pending.id == record.id);
+        let mut left = contained
+            .zip(1..)
+            .filter(|((pending, _), _)| is_contained(pending))
+            .map(|(_, count)| count)
+            .last()
+            .unwrap_or(0);
+        let announced = left > 0;
         let settled = self.pending_announcements.extract_if(.., |(pending, _)| {
-            let is_due = pending.id == record.id && left > 0;
-            left -= u32::from(is_due);
-            is_due
+            let of_worker = pending.id == record.id;
+            let is_settled = of_worker && (left > 0 || age(pending) < age(record));
+            left -= u32::from(of_worker && left > 0);
+            is_settled
         });
         for (_, origin) in settled {
             io.reply_control(origin, ControlReply::Done);
--- a/crates/cell/tests/cell/capacity.rs
+++ b/crates/cell/tests/cell/capacity.rs
@@ -186,6 +186,27 @@
     }
 }
 
+/// Guards against an announcement that is never answered because two earlier ones of the worker, of
+/// which the second repeats the first, were committed together with it.
+#[test]
+fn announcements_that_are_committed_together_are_all_answered() {
+    let mut sim = cell(1, 2);
+    let leader = sim.leader().expect("leader");
+    sim.unheard_workers.insert(WORKER.to_owned());
+    let now_ms = sim.now_ms;
+
+    let said = [LARGE, HALF, HALF, WHOLE, LARGE, LARGE, LARGE, HALF];
+    let requests = (now_ms..).zip(said).map(|(sequence, cpu_millicores)| {
+        announce(&mut sim, leader, WORKER, cpu_millicores, sequence)
+    });
+    let requests: Vec<u64> = requests.collect();
+    sim.run(1_000);
+
+    let answered = |request: &&u64| sim.control_replies.contains_key(*request);
+    assert_eq!(requests.iter().filter(answered).count(), said.len());
+    assert_eq!(committed(&sim, WORKER), HALF);
+}
+
 /// Guards against announcements that other control VMs forward and that are acknowledged before
 /// their capacity is committed.
 #[test]
