Use workers again that were cut off beyond their lease

Cause: after `lease_over` a worker has no runs, so no renewal was sent to it any more. Its count of missed calls stayed at 2 or more, and it got no runs until a new incarnation or a new leader. A renewal alone is not enough: the `Done` of a lost run was acknowledged and dropped, and the task was started again.

Change: a worker whose calls got no reply is called again once it has announced itself since the latest call; silent ones are not polled. The `Done` of a lost run ends its task, or its gang. If the task was placed again meanwhile, the later run is stopped, and its start is not sent or repeated; a start whose outcome is open then is decided by a fence. A caller so gets the result that is there instead of waiting for the second one. `failed` ends of lost runs still count for nothing: the lease lapsed before they were listed.

Ruled out: to let the later run go on. Callers wait for it, and if it is lost the task starts a third time although its end was acknowledged.

--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    JobId, JobSpec, QueueRow, RunCompletion, RunOutcome, StepKey, StepSpec, TaskKey, WorkerNumber,
+    JobId, JobSpec, QueueRow, RunCompletion, RunKey, RunOutcome, StepKey, StepSpec, TaskKey,
+    WorkerNumber,
 };
 
 /// State of a job.
@@ -228,28 +229,29 @@
         true
     }
 
-    /// Records the outcome of a run. The completion of any run but the current one changes nothing.
+    /// Records the outcome of a run and returns the runs that it makes superfluous. The completion
+    /// of any run but the current one changes nothing, unless it ends the task.
     pub(crate) fn complete_run(
         &mut self,
         completion: &RunCompletion,
         worker: WorkerNumber,
         at_unix_ms: u64,
-    ) {
+    ) -> Vec<(WorkerNumber, RunKey)> {
         self.started = true;
         let key = completion.run.task;
         let Some(spec) = self.step_spec(key.step) else {
-            return;
+            return Vec::new();
         };
         let (gang, long_running) = (spec.gang, spec.long_running);
         let max_attempts = self.queue.max_attempts.max(1);
         let Some(step) = self.step_mut(key.step) else {
-            return;
+            return Vec::new();
         };
         let Some(task) = step.tasks.get_mut(key.index as usize) else {
-            return;
+            return Vec::new();
         };
         if task.run != completion.run.run || task.state != TaskState::Placed(worker) {
-            return;
+            return self.complete_lost_run(completion, at_unix_ms);
         }
         task.state = TaskState::Waiting;
         if !completion.checkpoint.is_empty() {
@@ -292,6 +294,41 @@
         }
         self.complete_if_done(at_unix_ms);
         self.drop_spec_if_no_runs();
+        Vec::new()
+    }
+
+    /// Ends a task, or its gang, with a run that counted as lost and was done nevertheless, for
+    /// example in a cut. Returns the runs that were placed in its stead.
+    fn complete_lost_run(
+        &mut self,
+        completion: &RunCompletion,
+        at_unix_ms: u64,
+    ) -> Vec<(WorkerNumber, RunKey)> {
+        let key = completion.run.task;
+        let spec = self.step_spec(key.step);
+        let counts = spec.is_some_and(|spec| !spec.long_running)
+            && self.state == JobState::Active
+            && completion.outcome == RunOutcome::Done
+            && self
+                .task(key)
+                .is_some_and(|task| completion.run.run <= task.run);
+        let gang = spec.is_some_and(|spec| spec.gang);
+        let Some(step) = self.step_mut(key.step).filter(|_| counts) else {
+            return Vec::new();
+        };
+        let mut superfluous = Vec::new();
+        let tasks = (0u32..).zip(&mut step.tasks);
+        for (index, task) in tasks.filter(|(index, _)| gang || *index == key.index) {
+            if let TaskState::Placed(worker) = task.state {
+                let key = TaskKey { index, ..key };
+                let run = task.run;
+                superfluous.push((worker, RunKey { task: key, run }));
+            }
+            task.state = TaskState::Done;
+        }
+        self.complete_if_done(at_unix_ms);
+        self.drop_spec_if_no_runs();
+        superfluous
     }
 
     /// Records that a run is certainly not running any more.
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -337,6 +337,7 @@
                 worker,
                 through,
                 jobs,
+                superfluous,
             } => {
                 if let Some(view) = self.workers.get_mut(&worker) {
                     view.completions_committed = view.completions_committed.max(through);
@@ -346,6 +347,7 @@
                     self.refresh_job(state, id, io);
                     self.completions_committed(state, id, io);
                 }
+                self.stop_superfluous(&superfluous, io);
             }
             Change::RunsLost { jobs } => {
                 for id in jobs {
--- a/crates/cell/src/leader/relay.rs
+++ b/crates/cell/src/leader/relay.rs
@@ -75,12 +75,14 @@
         timeout_ms: u64,
         io: &mut Io<'_>,
     ) {
-        let Some(view) = self.workers.get(&number) else {
+        let may_relay = self.workers.len() >= MIN_WORKERS_FOR_RELAY;
+        let Some(view) = self.workers.get_mut(&number) else {
             return;
         };
+        view.last_call_ms = io.now_ms;
         let record = &view.record;
         let (address, worker_id) = (record.address.clone(), record.id.clone());
-        let relay = if self.workers.len() >= MIN_WORKERS_FOR_RELAY {
+        let relay = if may_relay {
             self.relays.choose(number, &record.failure_domain)
         } else {
             None
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -54,7 +54,8 @@
         }
         let needed = !view.runs_reported
             || !view.runs.is_empty()
-            || view.completions_committed > view.completions_acknowledged;
+            || view.completions_committed > view.completions_acknowledged
+            || view.announced_after_silence();
         // Completions are acknowledged by the renewal that follows their commit. An earlier renewal
         // would only list them again.
         let all_committed = view.completions_read == view.completions_committed;
--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -173,6 +173,8 @@
     pub sequence: u64,
     /// Consecutive calls without a reply.
     pub missed_calls: u32,
+    /// Time at which the latest call was sent.
+    pub last_call_ms: Millis,
     /// Whether the worker has reported its runs to this leader.
     pub runs_reported: bool,
     /// Raised to fence the starts that were sent before; part of the fencing token.
@@ -208,6 +210,7 @@
             announced_ms: Some(now_ms),
             sequence,
             missed_calls: 0,
+            last_call_ms: Millis(0),
             runs_reported: false,
             epoch: 0,
             fence_due: false,
@@ -334,6 +337,12 @@
         fits && self.capacity_is_known(now_ms)
     }
 
+    /// Returns whether the worker has announced itself since the latest call, if calls to it got no
+    /// reply.
+    pub fn announced_after_silence(&self) -> bool {
+        self.missed_calls > 0 && self.last_contact_ms > self.last_call_ms
+    }
+
     /// Returns whether the worker has runs that this leader did not place.
     pub fn has_unexpected_runs(&self) -> bool {
         self.runs.values().any(|run| run.phase == Phase::Unexpected)
--- a/crates/cell/src/leader/worker_commands.rs
+++ b/crates/cell/src/leader/worker_commands.rs
@@ -7,8 +7,8 @@
     worker::{LossReason, Phase, RunView},
 };
 use crate::{
-    CellState, Effect, JobState, RunKey, StartRefusal, StepKey, WorkerNumber, WorkerReply,
-    WorkerRequest, io::Io,
+    CellState, Effect, JobState, RunKey, StartRefusal, StepKey, TaskState, WorkerNumber,
+    WorkerReply, WorkerRequest, io::Io,
 };
 
 /// Number of times that a start is sent before a call with a higher fencing token decides its
@@ -114,6 +114,9 @@
         let Some(task) = step.tasks.get(key.task.index as usize) else {
             return false;
         };
+        if task.run != key.run || task.state != TaskState::Placed(number) {
+            return false;
+        }
         let checkpoint = if spec.gang {
             step.checkpoint.clone()
         } else {
@@ -254,9 +257,9 @@
                 self.start_refused(state, number, key, (*refusal, tries, token < current), io);
             }
             WorkerReply::NoReply | WorkerReply::Stopped | WorkerReply::Renewed(_) => {
-                if tries < MAX_TRIES && token == current && has_room {
-                    self.send_start(state, number, key, io);
-                } else {
+                let may_resend = tries < MAX_TRIES && token == current && has_room;
+                let resent = may_resend && self.send_start(state, number, key, io);
+                if !resent && let Some(view) = self.workers.get_mut(&number) {
                     view.fence_due = true;
                 }
             }
@@ -319,6 +322,20 @@
         self.stop_runs(|key| key.task.step == step, io);
     }
 
+    /// Stops runs of tasks that an earlier run has ended.
+    pub(super) fn stop_superfluous(&mut self, runs: &[(WorkerNumber, RunKey)], io: &mut Io<'_>) {
+        for (number, key) in runs {
+            if let Some(view) = self.workers.get_mut(number)
+                && let Some(run) = view.runs.get_mut(key)
+            {
+                run.stopping = true;
+                let fields = vec![("run", key.to_string()), ("worker", view.record.id.clone())];
+                io.warn("run_superfluous", fields);
+            }
+            self.stop_due(*number, io);
+        }
+    }
+
     /// Stops the runs that match, on all workers.
     pub(super) fn stop_runs(&mut self, is_selected: impl Fn(&RunKey) -> bool, io: &mut Io<'_>) {
         let mut workers = Vec::new();
--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -45,6 +45,8 @@
         through: u64,
         /// Jobs of the completed runs, sorted.
         jobs: Vec<JobId>,
+        /// Runs, with their workers, of tasks that an earlier run has ended.
+        superfluous: Vec<(WorkerNumber, RunKey)>,
     },
     /// Runs were recorded as lost, or ended jobs were removed.
     RunsLost {
@@ -177,15 +179,17 @@
                 completions,
                 at_unix_ms,
             } => {
+                let mut superfluous = Vec::new();
                 for completion in &completions {
                     if let Some(job) = self.jobs.get_mut(&completion.run.task.step.job) {
-                        job.complete_run(completion, worker, at_unix_ms);
+                        superfluous.extend(job.complete_run(completion, worker, at_unix_ms));
                     }
                 }
                 Change::RunsCompleted {
                     worker,
                     through,
                     jobs: jobs_of(completions.iter().map(|completion| completion.run)),
+                    superfluous,
                 }
             }
             Command::Lost { worker, runs } => self.lose_runs(worker, &runs),
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -11,6 +11,7 @@
 mod load;
 mod pending;
 mod recovery;
+mod returns;
 mod scale;
 mod services;
 mod sim;
--- /dev/null
+++ b/crates/cell/tests/cell/returns.rs
@@ -0,0 +1,266 @@
+//! Workers that come back: after a cut beyond their lease, or as a new incarnation.
+
+use acaciareel_cell::{ControlRequest, JobId, StepKey, StepSpec, Task, TaskKey, TaskState};
+
+use crate::{
+    sim::{Sim, gang, job, queue, step},
+    worker::LEASE_MS,
+};
+
+/// Longest time from the return of a worker to the commit of its report: the time between two
+/// announcements, and some calls.
+const REPORTED_MS: u64 = 2_000;
+
+fn cell(seed: u64, workers: u32) -> Sim {
+    let mut sim = Sim::new(seed, 3, workers);
+    sim.set_up(vec![queue("batch", 2, false)]);
+    sim
+}
+
+/// Returns the ids of the live workers that run tasks of a job.
+fn hosts(sim: &Sim, id: u64) -> Vec<String> {
+    let workers = sim.workers.iter().filter(|(_, worker)| worker.alive);
+    let hosts = workers.filter(|(_, worker)| {
+        let mut runs = worker.running.keys();
+        runs.any(|run| run.task.step.job == JobId(id))
+    });
+    hosts.map(|(id, _)| id.clone()).collect()
+}
+
+fn wait_for_hosts(sim: &mut Sim, id: u64, count: usize) -> Vec<String> {
+    sim.run_until(3 * LEASE_MS, |sim| hosts(sim, id).len() == count);
+    hosts(sim, id)
+}
+
+/// Returns the committed progress of the first task of a job.
+fn first_task(sim: &Sim, id: u64) -> Option<Task> {
+    let step = StepKey {
+        job: JobId(id),
+        occurrence: 0,
+        step: 0,
+    };
+    let control = sim.leader().and_then(|vm| sim.control_of(vm))?;
+    let job = control.state().job(JobId(id))?;
+    job.task(TaskKey { step, index: 0 }).cloned()
+}
+
+/// Runs until the first task of a job meets a condition. Steps of the shortest length leave the
+/// calls that follow it under way.
+fn run_until_first_task(sim: &mut Sim, id: u64, condition: impl Fn(&Task) -> bool) {
+    let end_ms = sim.now_ms + 5_000;
+    while !first_task(sim, id).is_some_and(|task| condition(&task)) {
+        assert!(sim.now_ms < end_ms, "condition not met");
+        sim.run(5);
+    }
+}
+
+/// Lets the workers announce themselves at once.
+fn announce(sim: &mut Sim, ids: &[String]) {
+    let leader = sim.leader().expect("leader");
+    for id in ids {
+        let worker = &sim.workers[id];
+        let request = ControlRequest::Announce {
+            worker: worker.record.clone(),
+            clock_ms: Some(worker.clock_ms(sim.now_ms)),
+            sequence: sim.now_ms,
+        };
+        sim.control_request(leader, request);
+    }
+}
+
+/// Checks that a job that needs all of every worker completes soon, so that nothing is left of
+/// earlier runs.
+fn assert_all_workers_are_free(sim: &mut Sim, id: u64, case: &str) {
+    let workers = u32::try_from(sim.workers.len()).expect("few workers");
+    sim.submit("batch", id, job(vec![gang(workers, 32_000, 300)]));
+    sim.run(4_000);
+    assert_eq!(sim.unfinished(id..=id), Vec::<u64>::new(), "{case}");
+}
+
+/// Guards against a worker that gets no runs any more after its runs were lost in a cut.
+#[test]
+fn worker_gets_runs_after_it_was_cut_off() {
+    for seed in (1..8).step_by(2) {
+        let mut sim = cell(seed, 1);
+        sim.submit("batch", 1, job(vec![step(1, 4_000, 3_000)]));
+        let hosts = wait_for_hosts(&mut sim, 1, 1);
+        sim.cut_workers.extend(hosts);
+        sim.run(LEASE_MS + 3_000);
+        sim.cut_workers.clear();
+
+        sim.run(20_000);
+
+        assert_eq!(sim.unfinished(1..2), Vec::<u64>::new(), "seed {seed}");
+        assert_all_workers_are_free(&mut sim, 2, &format!("seed {seed}"));
+    }
+}
+
+/// Guards against work that is done again because its worker was cut off when it ended.
+#[test]
+fn task_done_in_a_cut_is_not_started_again() {
+    for seed in 1..5 {
+        let mut sim = cell(seed, 1);
+        sim.submit("batch", 1, job(vec![step(1, 4_000, 3_000)]));
+        let hosts = wait_for_hosts(&mut sim, 1, 1);
+        sim.cut_workers.extend(hosts);
+        sim.run(LEASE_MS + 3_000);
+        sim.cut_workers.clear();
+
+        sim.run(REPORTED_MS);
+
+        assert_eq!(sim.unfinished(1..2), Vec::<u64>::new(), "seed {seed}");
+        assert_eq!(sim.starts, 1, "seed {seed}");
+    }
+}
+
+/// Cuts the workers of a job of 5 s off until it runs on others, and lets them return.
+fn run_again_elsewhere(sim: &mut Sim, spec: StepSpec) {
+    let tasks = spec.tasks as usize;
+    sim.submit("batch", 1, job(vec![spec]));
+    let first = wait_for_hosts(sim, 1, tasks);
+    sim.cut_workers.extend(first);
+    sim.run(6_000);
+    wait_for_hosts(sim, 1, tasks);
+    sim.cut_workers.clear();
+}
+
+/// Guards against a caller who waits for the second run of a task whose first run is done, and
+/// against a second run that goes on.
+#[test]
+fn later_run_of_a_task_done_in_a_cut_is_stopped() {
+    for (seed, spec) in [
+        (1, step(1, 20_000, 5_000)),
+        (2, step(1, 20_000, 5_000)),
+        (3, gang(2, 20_000, 5_000)),
+        (4, gang(2, 20_000, 5_000)),
+    ] {
+        let mut sim = cell(seed, 4);
+        let starts = 2 * u64::from(spec.tasks);
+        run_again_elsewhere(&mut sim, spec);
+        sim.run(REPORTED_MS);
+
+        assert_eq!(sim.unfinished(1..2), Vec::<u64>::new(), "seed {seed}");
+        assert_eq!(hosts(&sim, 1), Vec::<String>::new(), "seed {seed}");
+        assert_all_workers_are_free(&mut sim, 2, &format!("seed {seed}"));
+        assert_eq!(sim.starts, starts + 4, "seed {seed}");
+    }
+}
+
+/// Guards against a second run that goes on because the leader that had placed it was killed.
+#[test]
+fn new_leader_stops_the_later_run_of_a_task_done_in_a_cut() {
+    for delay_ms in (0..2_000).step_by(100) {
+        let mut sim = cell(1, 4);
+        run_again_elsewhere(&mut sim, step(1, 20_000, 5_000));
+        sim.run(delay_ms);
+        let leader = sim.leader().expect("leader");
+        sim.kill(leader);
+        sim.run(4_000);
+
+        let case = format!("killed after {delay_ms} ms");
+        assert_eq!(sim.unfinished(1..2), Vec::<u64>::new(), "{case}");
+        assert_eq!(hosts(&sim, 1), Vec::<String>::new(), "{case}");
+        assert_all_workers_are_free(&mut sim, 2, &case);
+    }
+}
+
+/// Guards against starts of a task that is done by an earlier run, and against a run whose start
+/// got no reply and that holds its capacity for ever.
+#[test]
+fn start_without_a_reply_is_given_up_when_the_task_is_done_by_an_earlier_run() {
+    let delays = (0..1_000).step_by(50);
+    for (delay_ms, cut_ms) in delays.flat_map(|delay_ms| [(delay_ms, 0), (delay_ms, 500)]) {
+        let mut sim = cell(1, 2);
+        let last = StepSpec {
+            depends_on: vec![0],
+            ..step(1, 20_000, 300)
+        };
+        sim.submit("batch", 1, job(vec![step(1, 20_000, 5_000), last]));
+        let first = wait_for_hosts(&mut sim, 1, 1);
+        sim.cut_workers.extend(first.iter().cloned());
+        sim.run(5_500);
+        sim.cut_workers = sim.workers.keys().cloned().collect();
+        run_until_first_task(&mut sim, 1, |task| task.run == 2);
+        sim.run(delay_ms);
+        sim.cut_workers.remove(&first[0]);
+        announce(&mut sim, &first);
+        run_until_first_task(&mut sim, 1, |task| task.state == TaskState::Done);
+        sim.run(cut_ms);
+        sim.cut_workers.clear();
+        sim.run(REPORTED_MS);
+
+        let case = format!("announced after {delay_ms} ms, others cut off for {cut_ms} ms more");
+        assert_eq!(sim.unfinished(1..2), Vec::<u64>::new(), "{case}");
+        assert_eq!(sim.starts, 2, "{case}");
+        assert_all_workers_are_free(&mut sim, 2, &case);
+    }
+}
+
+/// Guards against calls to workers that do not answer: renewals without runs are sent only after an
+/// announcement.
+#[test]
+fn silent_workers_without_runs_are_not_polled() {
+    let mut sim = cell(1, 4);
+    sim.submit("batch", 1, job(vec![gang(4, 20_000, 3_000)]));
+    let hosts = wait_for_hosts(&mut sim, 1, 4);
+    sim.cut_workers.extend(hosts.iter().cloned());
+    sim.run(LEASE_MS + 3_000);
+    let before = sim.commands_sent();
+
+    sim.run(10_000);
+    let unannounced = sim.commands_sent() - before;
+    announce(&mut sim, &hosts);
+    sim.run(1_500);
+    let announced = sim.commands_sent() - before - unannounced;
+
+    assert_eq!(unannounced, 0);
+    assert_eq!(announced, 4);
+}
+
+/// Guards against tasks that are lost or started once too often when workers are cut off again and
+/// again for longer than their lease, and against workers that stay unused afterwards.
+#[test]
+fn long_cuts_under_load() {
+    for seed in 0..6 {
+        let mut sim = cell(seed, 8);
+        let mut id = 0;
+        for round in 0..5 {
+            for number in 0..4 {
+                let worker = (seed + round + number) % 8;
+                sim.cut_workers.insert(format!("worker-{worker}"));
+            }
+            let cut_ms = LEASE_MS + 500 + sim.random(3_000);
+            let end_ms = sim.now_ms + cut_ms;
+            while sim.now_ms < end_ms {
+                id += 1;
+                let spec = match id % 3 {
+                    0 => gang(3, 8_000, 4_000),
+                    1 => step(2, 8_000, 5_000),
+                    _ => step(2, 4_000, 2_000),
+                };
+                sim.submit("batch", id, job(vec![spec]));
+                sim.run(200);
+            }
+            sim.cut_workers.clear();
+            if round % 2 == 1 {
+                let leader = sim.leader().expect("leader");
+                sim.kill(leader);
+                sim.run(3_000);
+                sim.start(leader, false);
+            }
+            let pause_ms = sim.random(3_000);
+            sim.run(pause_ms);
+        }
+        sim.run(25_000);
+
+        let accepted = |id: &u64| {
+            let control = sim.leader().and_then(|vm| sim.control_of(vm));
+            control.is_some_and(|control| control.state().job(JobId(*id)).is_some())
+        };
+        let accepted: Vec<u64> = (1..=id).filter(accepted).collect();
+        assert!(accepted.len() * 3 > usize::try_from(id).expect("few jobs") * 2);
+        let unfinished = sim.unfinished(accepted.into_iter());
+        assert_eq!(unfinished, Vec::<u64>::new(), "seed {seed}");
+        assert_all_workers_are_free(&mut sim, id + 1, &format!("seed {seed}"));
+    }
+}
