Use a new incarnation although the one before it was draining

Cause: if the reply to a renewal tells of a new incarnation before its first announcement, the record of the worker was proposed with the new start and the old `draining`. The state keeps a drain until the incarnation ends, so the new one got no runs however often it announced itself as ready.

Change: the proposed record is not draining. A drain that the new incarnation announces itself is kept, in whichever order the two are committed.

--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -197,6 +197,8 @@
                 let mut record = view.record.clone();
                 record.incarnation_started_ms = reported_ms;
                 record.sequence = 0;
+                // The drain belongs to the incarnation that announced it.
+                record.draining = false;
                 io.commands.push(Command::Worker(record));
             }
             view.next_renewal_ms = io.now_ms.saturating_add(Millis(RETRY_MS));
--- a/crates/cell/tests/cell/returns.rs
+++ b/crates/cell/tests/cell/returns.rs
@@ -196,6 +196,57 @@
     }
 }
 
+/// Guards against a new incarnation that counts as draining because a renewal told of it first.
+#[test]
+fn worker_gets_runs_after_it_drained_and_restarted() {
+    let mut unfinished = Vec::new();
+    for down_ms in (1_000..4_000).step_by(100) {
+        let mut sim = cell(1, 1);
+        sim.submit("batch", 1, job(vec![step(1, 4_000, 5_000)]));
+        let id = wait_for_hosts(&mut sim, 1, 1).remove(0);
+        sim.workers.get_mut(&id).expect("worker").record.draining = true;
+        sim.run(2_000);
+        sim.crashes.down_ms = down_ms;
+        sim.crashes.first_heartbeat_ms = 1_000;
+        sim.crash_worker(&id);
+
+        sim.run(30_000);
+
+        if !sim.unfinished(1..2).is_empty() {
+            unfinished.push(down_ms);
+        }
+    }
+    assert_eq!(unfinished, Vec::<u64>::new(), "ms down");
+}
+
+/// Guards against a drain that is undone because a renewal or a change of leader told of it last.
+#[test]
+fn new_incarnation_that_drains_gets_no_runs() {
+    for down_ms in (1_000..4_000).step_by(100) {
+        let mut sim = cell(1, 2);
+        sim.submit("batch", 1, job(vec![step(1, 4_000, 60_000)]));
+        let id = wait_for_hosts(&mut sim, 1, 1).remove(0);
+        sim.crashes.down_ms = down_ms;
+        sim.crash_worker(&id);
+        sim.run(down_ms + 50);
+        sim.workers.get_mut(&id).expect("worker").record.draining = true;
+        sim.run(4_000);
+        let leader = sim.leader().expect("leader");
+        sim.kill(leader);
+        sim.run(4_000);
+
+        for job_id in 10..20 {
+            sim.submit("batch", job_id, job(vec![step(2, 4_000, 300)]));
+        }
+        sim.run(200);
+
+        let running = &sim.workers[&id].running;
+        assert!(running.is_empty(), "down for {down_ms} ms: {running:?}");
+        sim.run(3_000);
+        assert_eq!(sim.unfinished(10..20), Vec::<u64>::new());
+    }
+}
+
 /// Guards against calls to workers that do not answer: renewals without runs are sent only after an
 /// announcement.
 #[test]
