Remove predecessors at an address when a leader starts

Cause: a worker that comes back under a new id at its old address shows that its earlier incarnation has ended, and the leader that commits the new record then records the runs of the old one as lost. If that leader was killed between the two commits, its successor knew both records from the start and never compared them: announcements of a known record change nothing. The runs waited for their lease.

Change: a new leader compares each worker with the holder of its address, and records the runs of superseded ones as lost at once.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -210,6 +210,9 @@
             leader.inherit_runs(state, job, io.now_ms);
             leader.refresh_job(state, job.id, io);
         }
+        for number in leader.superseded_workers() {
+            leader.remove_predecessor(number, io);
+        }
         io.log(
             "leader_started",
             vec![
@@ -441,11 +444,31 @@
             .map(|other| other.number)
             .collect();
         for older in older {
-            self.lose_runs(older, |_, _| true, LossReason::AddressReused, io);
-            io.commands.push(Command::RemoveWorker(older));
+            self.remove_predecessor(older, io);
         }
     }
 
+    fn remove_predecessor(&mut self, number: WorkerNumber, io: &mut Io<'_>) {
+        self.lose_runs(number, |_, _| true, LossReason::AddressReused, io);
+        io.commands.push(Command::RemoveWorker(number));
+    }
+
+    /// Returns the workers whose address belongs to a later incarnation of another worker.
+    fn superseded_workers(&self) -> Vec<WorkerNumber> {
+        let is_superseded = |record: &WorkerRecord| {
+            let holder = self.addresses.get(&record.address);
+            let holder = holder.and_then(|number| self.workers.get(number));
+            holder.is_some_and(|holder| {
+                holder.record.incarnation_started_ms > record.incarnation_started_ms
+            })
+        };
+        let superseded = self.workers.iter();
+        superseded
+            .filter(|(_, view)| is_superseded(&view.record))
+            .map(|(number, _)| *number)
+            .collect()
+    }
+
     /// Updates the waiting steps of a job from the replicated state.
     fn refresh_job(&mut self, state: &CellState, id: JobId, io: &mut Io<'_>) {
         self.pass_due = true;
--- a/crates/cell/tests/cell/returns.rs
+++ b/crates/cell/tests/cell/returns.rs
@@ -3,7 +3,7 @@
 use acaciareel_cell::{ControlRequest, JobId, StepKey, StepSpec, Task, TaskKey, TaskState};
 
 use crate::{
-    sim::{Sim, gang, job, queue, step},
+    sim::{Comeback, Sim, gang, job, queue, step},
     worker::LEASE_MS,
 };
 
@@ -247,6 +247,43 @@
     }
 }
 
+/// Returns how long a task waits for its next run if its worker crashes, comes back under a new id
+/// at the same address, and the leader is killed some time after the announcement of the new id.
+fn restart_after_leader_change_ms(seed: u64, delay_ms: u64) -> u64 {
+    const DOWN_MS: u64 = 1_000;
+    let mut sim = cell(seed, 4);
+    sim.crashes.comeback = Comeback::NewId;
+    sim.crashes.down_ms = DOWN_MS;
+    sim.submit("batch", 1, job(vec![step(1, 4_000, 20_000)]));
+    let id = wait_for_hosts(&mut sim, 1, 1).remove(0);
+    sim.run(1_000);
+    sim.crash_worker(&id);
+    sim.run(DOWN_MS + sim.crashes.first_heartbeat_ms + delay_ms);
+    if hosts(&sim, 1).is_empty() {
+        let leader = sim.leader().expect("leader");
+        sim.kill(leader);
+    }
+
+    let killed_ms = sim.now_ms;
+    wait_for_hosts(&mut sim, 1, 1);
+    sim.now_ms - killed_ms
+}
+
+/// Guards against runs that wait for their lease although their worker has come back under a new id,
+/// because the leader that learned of the id was killed before the loss of the runs was committed.
+#[test]
+fn new_leader_removes_predecessors_of_known_workers() {
+    let mut late = Vec::new();
+    for (seed, delay_ms) in (1..4).flat_map(|seed| (0..60).step_by(5).map(move |ms| (seed, ms))) {
+        let waited_ms = restart_after_leader_change_ms(seed, delay_ms);
+        // An election, the time between two announcements, and some calls.
+        if waited_ms > 4_000 {
+            late.push((seed, delay_ms, waited_ms));
+        }
+    }
+    assert_eq!(late, Vec::new(), "seed, ms from announcement to kill, ms");
+}
+
 /// Guards against calls to workers that do not answer: renewals without runs are sent only after an
 /// announcement.
 #[test]
