Bound how long suspects wait for workers of their own, and keep them

Cause: a suspect waited for a worker without runs, however long, and its worker was closed to others until it had ended. After two or three crashes of all workers, which make suspects of everything, tasks waited for ever or kept all workers. A gang that needs more empty workers than may drain never started.

Change: the worker of a suspect is closed for 3 s, after a third crash for 30 s. A suspect waits 2 s after its second crash while the service is half free, 30 s otherwise, and long-running ones 2 and 4 s, since callers miss them; then they run beside others. Workers with long-running tasks never become empty and are not drained. A gang may have as many draining workers as it needs if no others drain.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -243,7 +243,11 @@
                 let demand = pass::counted_demand(spec);
                 let mut inherited = RunView::new(demand, phase, None, now_ms);
                 if state.must_run_alone(job, key) {
-                    inherited.alone_until_ms = Some(isolation::end(spec, now_ms));
+                    inherited.alone_until_ms = Some(isolation::trial_end(
+                        spec,
+                        state.crash_count(key).may_share(),
+                        now_ms,
+                    ));
                 }
                 inherited.stopping = matches!(job.state, JobState::Failed | JobState::Cancelled);
                 view.add_run(run, inherited);
--- a/crates/cell/src/leader/isolation.rs
+++ b/crates/cell/src/leader/isolation.rs
@@ -1,8 +1,8 @@
 //! Tasks that may crash their workers: they run alone, and their jobs fail after too many crashes.
 //!
-//! A suspect waits for a worker without runs. If there is none, some workers take no new runs until
-//! they are empty. While more than half of a service's capacity is free, a task does not wait for
-//! long after its second crash: then only gaps on all workers keep it from running alone.
+//! A suspect waits for a worker without runs; some workers take no new runs until they are empty.
+//! Most suspects are innocent, so the worker takes other tasks again after a while, and no suspect
+//! waits for ever: it then runs beside others.
 
 use acaciareel_types::Millis;
 
@@ -18,21 +18,30 @@
 
 /// Share of the workers that may drain for suspects at the same time, in thousandths; at least one.
 const MAX_DRAINING_PERMILLE: usize = 100;
-/// Longest wait of a suspect for a worker of its own while the service is less than half full.
-const MAX_WAIT_MS: u64 = 2_000;
-/// How long a long-running suspect is alone on its worker.
-const LONG_RUNNING_TRIAL_MS: u64 = 3_000;
+/// Wait after which a suspect may run beside others after its second crash, if it is long-running or
+/// more than half of the service's capacity is free: then only gaps on all workers keep it waiting.
+const SHARE_AFTER_MS: u64 = 2_000;
+/// Wait after which any long-running suspect may run beside others; callers miss it meanwhile.
+const SHARE_LONG_RUNNING_AFTER_MS: u64 = 4_000;
+/// Wait after which any suspect may run beside others.
+const SHARE_ALWAYS_AFTER_MS: u64 = 30_000;
+/// How long the worker of a suspect takes no other tasks after its second crash, or if the suspect is
+/// long-running.
+const TRIAL_MS: u64 = 3_000;
+/// The same after further crashes. Another one would fail the job, whichever task causes it.
+const LONG_TRIAL_MS: u64 = 30_000;
 /// Time for which a worker that has joined is the last choice for a suspect. If the worker crashes
 /// by itself, the task would be blamed.
 const NEW_WORKER_MS: u64 = 10_000;
 
 /// Returns until when a suspect that starts now must be alone.
-pub(super) fn end(spec: &StepSpec, now_ms: Millis) -> Millis {
-    if spec.long_running {
-        now_ms.saturating_add(Millis(LONG_RUNNING_TRIAL_MS))
+pub(super) fn trial_end(spec: &StepSpec, few_crashes: bool, now_ms: Millis) -> Millis {
+    let trial_ms = if few_crashes || spec.long_running {
+        TRIAL_MS
     } else {
-        Millis(u64::MAX)
-    }
+        LONG_TRIAL_MS
+    };
+    now_ms.saturating_add(Millis(trial_ms))
 }
 
 /// Waiting tasks of a step that are placed together.
@@ -40,8 +49,17 @@
 pub(super) struct TaskGroup {
     /// Positions of the tasks, sorted.
     pub tasks: Vec<u32>,
-    /// Whether each task, or the gang, needs workers without other runs.
-    pub alone: bool,
+    /// Whether the tasks are suspects.
+    pub suspects: bool,
+}
+
+/// Workers on which a group of tasks may be placed.
+#[derive(Clone, Debug)]
+pub(super) struct GroupCandidates {
+    /// The workers.
+    pub candidates: Vec<Candidate>,
+    /// Time until which the workers then take no other tasks.
+    pub alone_until_ms: Option<Millis>,
 }
 
 impl Leader {
@@ -149,7 +167,7 @@
         let groups = [(others, false), (suspects, true)];
         let groups = groups.into_iter().filter(|(tasks, _)| !tasks.is_empty());
         groups
-            .map(|(tasks, alone)| TaskGroup { tasks, alone })
+            .map(|(tasks, suspects)| TaskGroup { tasks, suspects })
             .collect()
     }
 
@@ -163,7 +181,7 @@
         draining_for.retain(|number, key| {
             let spec = state.job(key.job).and_then(|job| job.step_spec(*key));
             let groups = spec.map(|spec| self.task_groups(state, *key, spec));
-            let waits = groups.is_some_and(|groups| groups.iter().any(|group| group.alone));
+            let waits = groups.is_some_and(|groups| groups.iter().any(|group| group.suspects));
             waits && free_capacity.contains_key(number)
         });
         self.draining_for = draining_for;
@@ -179,29 +197,82 @@
         owner.is_some_and(|owner| suspects_of != Some(*owner))
     }
 
-    /// Returns the candidates without runs, for tasks that must be alone.
-    pub(super) fn empty_candidates(
-        &self,
-        candidates: &[Candidate],
-        gang: bool,
-        now_ms: Millis,
-    ) -> Vec<Candidate> {
-        let empty = candidates.iter().filter_map(|candidate| {
+    /// Returns where suspects of a step may be placed now, of the given workers.
+    pub(super) fn suspect_candidates(
+        &mut self,
+        (state, job): (&CellState, &Job),
+        (key, spec): (StepKey, &StepSpec),
+        tasks: &[u32],
+        candidates: Vec<Candidate>,
+        io: &mut Io<'_>,
+    ) -> GroupCandidates {
+        let now_ms = io.now_ms;
+        let waited_ms = self.suspects_waited_ms(key, now_ms);
+        let few_crashes = tasks.iter().all(|index| {
+            let index = *index;
+            state.crash_count(TaskKey { step: key, index }).may_share()
+        });
+        let share_after_ms = if few_crashes && (spec.long_running || self.is_half_free(job, now_ms))
+        {
+            SHARE_AFTER_MS
+        } else if spec.long_running {
+            SHARE_LONG_RUNNING_AFTER_MS
+        } else {
+            SHARE_ALWAYS_AFTER_MS
+        };
+        if waited_ms >= share_after_ms {
+            return GroupCandidates {
+                candidates,
+                alone_until_ms: None,
+            };
+        }
+        self.drain_for_suspects(state, (key, spec), tasks.len(), &candidates, io);
+        let isolated = candidates.iter().filter_map(|candidate| {
             let view = self.workers.get(&candidate.worker)?;
             let is_empty = view.runs.is_empty() && candidate.free == view.record.capacity;
             let is_reserved = self.draining_for.contains_key(&candidate.worker);
             is_empty.then_some(Candidate {
-                max_tasks: if gang { candidate.max_tasks } else { 1 },
+                max_tasks: if spec.gang { candidate.max_tasks } else { 1 },
                 risk: candidate.risk + u32::from(is_new(view, now_ms)) + u32::from(!is_reserved),
                 ..*candidate
             })
         });
-        empty.collect()
+        GroupCandidates {
+            candidates: isolated.collect(),
+            alone_until_ms: Some(trial_end(spec, few_crashes, now_ms)),
+        }
+    }
+
+    /// Returns how long suspects of a step have waited for workers of their own.
+    fn suspects_waited_ms(&mut self, key: StepKey, now_ms: Millis) -> u64 {
+        let since_ms = self.steps.get_mut(&key);
+        let since_ms = since_ms.map(|step| *step.suspects_since_ms.get_or_insert(now_ms));
+        now_ms.saturating_sub(since_ms.unwrap_or(now_ms)).0
+    }
+
+    /// Returns whether more than half of the capacity of a job's service is free.
+    fn is_half_free(&self, job: &Job, now_ms: Millis) -> bool {
+        let (mut free, mut capacity) = (0, 0);
+        for view in self.workers.values() {
+            if view.record.service == job.queue.service && view.accepts_work(now_ms) {
+                free += u64::from(view.free.cpu_millicores);
+                capacity += u64::from(view.record.capacity.cpu_millicores);
+            }
+        }
+        free * 2 > capacity
+    }
+
+    /// Returns whether one more worker may drain for suspects of a step. A gang that needs many
+    /// workers at once may have them if no others drain.
+    fn may_drain(&self, key: StepKey, spec: &StepSpec) -> bool {
+        let limit = (self.workers.len() * MAX_DRAINING_PERMILLE / 1_000).max(1);
+        let only_this = self.draining_for.values().all(|owner| *owner == key);
+        self.draining_for.len() < limit || (spec.gang && only_this)
     }
 
     /// Lets workers drain for the suspects of a step until there are as many as they need. Those
-    /// with the least in use are chosen, and those with long-running tasks last.
-    pub(super) fn drain_for_suspects(
+    /// with the least in use are chosen, and none with long-running tasks, which never end.
+    fn drain_for_suspects(
         &mut self,
         state: &CellState,
         (key, spec): (StepKey, &StepSpec),
@@ -210,7 +281,6 @@
         io: &mut Io<'_>,
     ) {
         let demand = counted_demand(spec);
-        let limit = (self.workers.len() * MAX_DRAINING_PERMILLE / 1_000).max(1);
         let slots_if_empty = |view: &WorkerView| {
             let most = spec.max_per_worker.unwrap_or(u32::MAX);
             let slots = demand.times_in(&view.record.capacity).min(most);
@@ -219,23 +289,20 @@
         let reserved = self.draining_for.iter().filter(|(_, owner)| **owner == key);
         let reserved = reserved.filter_map(|(number, _)| self.workers.get(number));
         let mut slots: usize = reserved.map(slots_if_empty).sum();
-        let mut by_preference: Vec<(bool, bool, u32, WorkerNumber)> = candidates
+        let mut by_preference: Vec<(bool, u32, WorkerNumber)> = candidates
             .iter()
             .filter_map(|candidate| {
                 let view = self.workers.get(&candidate.worker)?;
                 let capacity = view.record.capacity.cpu_millicores;
                 let used_millicores = capacity.saturating_sub(view.free.cpu_millicores);
-                Some((
-                    has_long_running(state, view),
-                    is_new(view, io.now_ms),
-                    used_millicores,
-                    candidate.worker,
-                ))
+                let can_drain = !has_long_running(state, view) && !view.is_isolated(io.now_ms);
+                let is_new = is_new(view, io.now_ms);
+                can_drain.then_some((is_new, used_millicores, candidate.worker))
             })
             .collect();
         by_preference.sort_unstable();
-        for (_, _, _, worker) in by_preference {
-            if slots >= tasks || self.draining_for.len() >= limit {
+        for (_, _, worker) in by_preference {
+            if slots >= tasks || !self.may_drain(key, spec) {
                 return;
             }
             if !self.draining_for.contains_key(&worker)
@@ -254,41 +321,6 @@
             }
         }
     }
-
-    /// Returns whether suspects of a step may share workers with others after a wait: long-running
-    /// tasks always, other tasks while more than half of the service's capacity is free.
-    pub(super) fn may_share(
-        &mut self,
-        (state, job): (&CellState, &Job),
-        (key, tasks): (StepKey, &[u32]),
-        now_ms: Millis,
-    ) -> bool {
-        let may_share = |index: &u32| {
-            let index = *index;
-            state.crash_count(TaskKey { step: key, index }).may_share()
-        };
-        if !tasks.iter().all(may_share) {
-            return false;
-        }
-        let Some(step) = self.steps.get_mut(&key) else {
-            return false;
-        };
-        let since_ms = *step.suspects_since_ms.get_or_insert(now_ms);
-        if now_ms.saturating_sub(since_ms).0 < MAX_WAIT_MS {
-            return false;
-        }
-        if job.step_spec(key).is_some_and(|spec| spec.long_running) {
-            return true;
-        }
-        let (mut free, mut capacity) = (0, 0);
-        for view in self.workers.values() {
-            if view.record.service == job.queue.service && view.accepts_work(now_ms) {
-                free += u64::from(view.free.cpu_millicores);
-                capacity += u64::from(view.record.capacity.cpu_millicores);
-            }
-        }
-        free * 2 > capacity
-    }
 }
 
 fn is_new(view: &WorkerView, now_ms: Millis) -> bool {
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -6,7 +6,7 @@
 use super::{
     Leader, Phase, RunView,
     advice_requests::MAX_WORKERS_PER_REQUEST,
-    isolation::{self, TaskGroup},
+    isolation::{GroupCandidates, TaskGroup},
     worker::WorkerView,
 };
 use crate::{
@@ -209,20 +209,25 @@
         let free_tasks = group.tasks;
         let tasks = u32::try_from(free_tasks.len()).unwrap_or(u32::MAX);
         let demand = counted_demand(spec);
-        let suspects_of = group.alone.then_some(key);
-        let all_candidates = self.candidates(
+        let suspects_of = group.suspects.then_some(key);
+        let candidates = self.candidates(
             job,
             spec,
             (key, urgency),
             (free_capacity, suspects_of),
             io.now_ms,
         );
-        let alone = group.alone && !self.may_share((state, job), (key, &free_tasks), io.now_ms);
-        let candidates = if alone {
-            self.drain_for_suspects(state, (key, spec), free_tasks.len(), &all_candidates, io);
-            self.empty_candidates(&all_candidates, spec.gang, io.now_ms)
+        let GroupCandidates {
+            candidates,
+            alone_until_ms,
+        } = if group.suspects {
+            let (job, step) = ((state, job), (key, spec));
+            self.suspect_candidates(job, step, &free_tasks, candidates, io)
         } else {
-            all_candidates.clone()
+            GroupCandidates {
+                candidates,
+                alone_until_ms: None,
+            }
         };
         let chosen = if spec.gang {
             place_gang(&demand, tasks, &candidates, spec.rack_local)
@@ -241,7 +246,7 @@
             self.request_advice(key, queue, unrequested, spec.gang, io);
         }
         let Some(chosen) = chosen else {
-            if alone {
+            if alone_until_ms.is_some() {
                 return Some(());
             }
             let on_time = urgency.timeliness == Timeliness::OnTime;
@@ -255,7 +260,7 @@
             if let Some(available) = free_capacity.get_mut(worker) {
                 available.free = available.free.minus(&demand, 1);
                 available.unreserved = available.unreserved.minus(&demand, 1);
-                if alone {
+                if alone_until_ms.is_some() {
                     *available = FreeCapacity::default();
                 }
             }
@@ -264,7 +269,7 @@
             self.mark_reserved(chosen.iter().copied());
         }
         if queue.advice.is_none() {
-            self.propose(job, (key, alone), &free_tasks, &chosen, io);
+            self.propose(job, (key, alone_until_ms), &free_tasks, &chosen, io);
             return Some(());
         }
         let Some(advice) = self.advice.get(&key) else {
@@ -274,12 +279,12 @@
         let valid = |worker: &WorkerNumber| advice.ticket(*worker, io.now_ms).is_some();
         let missing: Vec<WorkerNumber> = chosen.iter().filter(|w| !valid(w)).copied().collect();
         if missing.is_empty() {
-            self.propose(job, (key, alone), &free_tasks, &chosen, io);
+            self.propose(job, (key, alone_until_ms), &free_tasks, &chosen, io);
             return Some(());
         }
         if !spec.gang {
             let ready: Vec<WorkerNumber> = chosen.iter().filter(|w| valid(w)).copied().collect();
-            self.propose(job, (key, alone), &free_tasks, &ready, io);
+            self.propose(job, (key, alone_until_ms), &free_tasks, &ready, io);
         }
         let mut requested = if spec.gang { chosen } else { missing };
         requested.sort_unstable();
@@ -416,7 +421,7 @@
     fn propose(
         &mut self,
         job: &Job,
-        (key, alone): (StepKey, bool),
+        (key, alone_until_ms): (StepKey, Option<Millis>),
         tasks: &[u32],
         chosen: &[WorkerNumber],
         io: &mut Io<'_>,
@@ -441,14 +446,14 @@
             let ticket = self.advice.get(&key).and_then(|a| a.allowed.get(worker));
             let ticket = ticket.map(|ticket| ticket.text.clone());
             let mut view = RunView::new(demand, Phase::Proposed, ticket, io.now_ms);
-            view.alone_until_ms = alone.then(|| isolation::end(spec, io.now_ms));
+            view.alone_until_ms = alone_until_ms;
             if let Some(worker) = self.workers.get_mut(worker) {
                 worker.add_run(run, view);
             }
             if let Some(step) = self.steps.get_mut(&key) {
                 let (Ok(at) | Err(at)) = step.proposed.binary_search(index);
                 step.proposed.insert(at, *index);
-                if alone {
+                if alone_until_ms.is_some() {
                     step.suspects_since_ms = None;
                 }
             }
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -15,4 +15,5 @@
 mod scale;
 mod services;
 mod sim;
+mod suspects;
 mod worker;
--- /dev/null
+++ b/crates/cell/tests/cell/suspects.rs
@@ -0,0 +1,170 @@
+//! Suspects: tasks under which workers have crashed, most of them innocent.
+
+use acaciareel_cell::{JobId, JobState, StepSpec};
+
+use crate::sim::{Comeback, Sim, gang, job, queue, service, step};
+
+/// Longest time for which a long-running task may be missing while there is capacity for it (rule
+/// LOST of the users: 6 s after its last run, and 3 s more).
+const RESTART_MS: u64 = 9_000;
+/// Processor capacity of a worker, in cores.
+const CORES: u64 = 32;
+/// Id of the first job of the load; tests use lower ones.
+const FIRST_LOAD_ID: u64 = 1_000;
+
+fn cell(workers: u32) -> Sim {
+    let mut sim = Sim::new(1, 3, workers);
+    sim.crashes.comeback = Comeback::SameId;
+    sim.set_up(vec![queue("batch", 2, false), queue("watch", 1, false)]);
+    sim
+}
+
+/// Returns the ids of the live workers that run a task of a job.
+fn hosts(sim: &Sim, id: u64) -> Vec<String> {
+    let workers = sim.workers.iter().filter(|(_, worker)| worker.alive);
+    let hosts = workers.filter(|(_, worker)| {
+        let mut runs = worker.running.keys();
+        runs.any(|run| run.task.step.job == JobId(id))
+    });
+    hosts.map(|(id, _)| id.clone()).collect()
+}
+
+fn wait_for_hosts(sim: &mut Sim, id: u64) -> Vec<String> {
+    sim.run_until(40_000, |sim| !hosts(sim, id).is_empty());
+    sim.run(500);
+    hosts(sim, id)
+}
+
+fn crash_all(sim: &mut Sim) {
+    let ids: Vec<String> = sim.workers.keys().cloned().collect();
+    for id in ids {
+        sim.crash_worker(&id);
+    }
+}
+
+fn state_of(sim: &Sim, id: u64) -> Option<JobState> {
+    let control = sim.leader().and_then(|vm| sim.control_of(vm))?;
+    Some(control.state().job(JobId(id))?.state)
+}
+
+/// Jobs of four tasks of four cores, which together use a share of all workers.
+struct Load {
+    percent: u64,
+    task_ms: u64,
+    next_id: u64,
+    due_permille: u64,
+}
+
+impl Load {
+    fn new(percent: u64, task_ms: u64) -> Self {
+        Self {
+            percent,
+            task_ms,
+            next_id: FIRST_LOAD_ID,
+            due_permille: 0,
+        }
+    }
+
+    fn run(&mut self, sim: &mut Sim, duration_ms: u64) {
+        let workers = u64::try_from(sim.workers.len()).expect("few workers");
+        let end_ms = sim.now_ms + duration_ms;
+        while sim.now_ms < end_ms {
+            self.due_permille += workers * CORES * self.percent * 1_000 / 16 / self.task_ms;
+            while self.due_permille >= 1_000 {
+                self.due_permille -= 1_000;
+                let spec = job(vec![step(4, 4_000, self.task_ms)]);
+                sim.submit("batch", self.next_id, spec);
+                self.next_id += 1;
+            }
+            sim.run(100);
+        }
+    }
+}
+
+/// Guards against long-running tasks that never restart: each needs an empty worker after its third
+/// crash, and there are more of them than workers.
+#[test]
+fn services_restart_after_three_mass_crashes() {
+    let mut sim = cell(12);
+    sim.submit("watch", 1, job(vec![service(40, 2_000)]));
+    sim.run(8_000);
+    for _ in 0..3 {
+        crash_all(&mut sim);
+        sim.run(RESTART_MS);
+    }
+
+    let at_work = sim.at_work(1).len();
+    sim.run(60_000);
+
+    assert_eq!((at_work, sim.at_work(1).len()), (40, 40));
+}
+
+/// Guards against a suspect that waits for ever for a worker without runs, because each worker has
+/// a long-running task.
+#[test]
+fn suspect_starts_beside_services_on_all_workers() {
+    let mut sim = cell(4);
+    let watch = StepSpec {
+        max_per_worker: Some(1),
+        ..service(4, 2_000)
+    };
+    sim.submit("watch", 1, job(vec![watch]));
+    sim.run(5_000);
+    sim.submit("batch", 2, job(vec![step(1, 4_000, 15_000)]));
+    for _ in 0..3 {
+        let host = wait_for_hosts(&mut sim, 2);
+        sim.crash_worker(&host[0]);
+        sim.run(4_000);
+    }
+
+    sim.run(60_000);
+
+    // The job may also be given up, as three workers have crashed under its task.
+    assert_ne!(state_of(&sim, 2), Some(JobState::Active));
+    assert_eq!(sim.at_work(1), [0, 1, 2, 3]);
+}
+
+/// Guards against suspects that keep all workers for themselves: after two mass crashes each of 48
+/// workers runs one task of four cores for a minute.
+#[test]
+fn other_jobs_start_beside_many_long_suspects() {
+    let mut sim = cell(48);
+    sim.submit("batch", 1, job(vec![step(150, 4_000, 60_000)]));
+    sim.run(1_500);
+    for _ in 0..2 {
+        crash_all(&mut sim);
+        sim.run(6_500);
+    }
+    let mut load = Load::new(40, 2_000);
+
+    load.run(&mut sim, 20_000);
+
+    let sent = load.next_id - FIRST_LOAD_ID;
+    let unfinished = sim.unfinished(FIRST_LOAD_ID..load.next_id).len();
+    assert!(
+        unfinished * 2 < usize::try_from(sent).expect("few jobs"),
+        "{unfinished} of {sent} jobs unfinished"
+    );
+}
+
+/// Guards against a gang of suspects that never starts because it needs more empty workers than may
+/// drain at the same time.
+#[test]
+fn gang_of_suspects_wider_than_the_draining_workers_starts() {
+    let mut sim = cell(20);
+    let mut load = Load::new(85, 2_000);
+    sim.submit("batch", 1, job(vec![gang(4, 20_000, 10_000)]));
+    load.run(&mut sim, 1_000);
+    for _ in 0..2 {
+        let hosts = wait_for_hosts(&mut sim, 1);
+        load.run(&mut sim, 4_000);
+        for id in &hosts {
+            sim.crash_worker(id);
+        }
+        load.run(&mut sim, 4_000);
+    }
+
+    load.run(&mut sim, 120_000);
+
+    assert_eq!(sim.unfinished(1..2), Vec::<u64>::new());
+}
