Count no crash for runs whose lease was over long before

Cause: runs that ended with their lease were remembered until their worker came back. One that was cut off beyond its lease and crashed later counted as a crash under them: a job was given up although no worker had crashed under its task.

Change: such runs are forgotten 5 s after their lease unless the worker is back as a later incarnation by then, under a new leader too.

Measured: the new test failed before (the job was given up after three cuts with a crash 10 s after each); it passes, and so does the test of workers that are back 8 s after a crash, with leases of 6 s.

--- a/crates/cell/src/command.rs
+++ b/crates/cell/src/command.rs
@@ -96,6 +96,8 @@
         /// Runs, each with its last known checkpoint and whether the worker had confirmed it.
         runs: Vec<(RunKey, String, bool)>,
     },
+    /// Forgets the runs of such a worker: if it has crashed, it may have done so after their leases.
+    ForgetExpired(WorkerNumber),
     /// Fails a job of which a task has crashed too many workers.
     GiveUp {
         /// Id of the job.
--- a/crates/cell/src/crashes.rs
+++ b/crates/cell/src/crashes.rs
@@ -134,7 +134,13 @@
         expired.push(ExpiredRun { key, confirmed });
     }
 
-    /// Forgets such runs: the worker is in contact as the same incarnation, or is removed.
+    /// Returns whether such runs of a worker are remembered.
+    pub fn has_expired(&self, worker: WorkerNumber) -> bool {
+        self.expired.contains_key(&worker)
+    }
+
+    /// Forgets such runs: the worker is in contact as the same incarnation, is removed, or has been
+    /// silent for long.
     pub fn forget_expired(&mut self, worker: WorkerNumber) {
         self.expired.remove(&worker);
     }
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -38,6 +38,9 @@
 const STALLED_MS: u64 = 4_000;
 /// Added to the longest time of a stop before the stop is sent again.
 const STOP_MARGIN_MS: u64 = 100;
+/// Time after the end of its leases within which a worker must come back for its crash to count for
+/// its runs. Workers are back some seconds after a crash; later, a cut is the likelier cause.
+const FORGET_EXPIRED_AFTER_MS: u64 = 5_000;
 /// A worker without runs and without contact for this long is removed.
 const REMOVE_WORKER_AFTER_MS: u64 = 60_000;
 
@@ -440,6 +443,7 @@
             };
             self.lose_runs(number, |_, _| true, reason, io);
         }
+        self.forget_expired(state, number, io);
         self.stop_stalled(state, number, io);
         self.send_committed(state, number, io);
         self.stop_due(number, io);
@@ -457,6 +461,22 @@
         }
     }
 
+    /// Forgets the runs that ended with their lease if their worker does not come back soon.
+    fn forget_expired(&mut self, state: &CellState, number: WorkerNumber, io: &mut Io<'_>) {
+        let Some(view) = self.workers.get_mut(&number) else {
+            return;
+        };
+        if !state.has_expired_runs(number) {
+            view.expired_since_ms = None;
+            return;
+        }
+        let since_ms = *view.expired_since_ms.get_or_insert(io.now_ms);
+        if io.now_ms.saturating_sub(since_ms).0 > FORGET_EXPIRED_AFTER_MS {
+            view.expired_since_ms = None;
+            io.commands.push(Command::ForgetExpired(number));
+        }
+    }
+
     /// Stops runs without progress. A long-running task at 100 percent is at work and makes no
     /// further progress.
     fn stop_stalled(&mut self, state: &CellState, number: WorkerNumber, io: &mut Io<'_>) {
--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -166,6 +166,8 @@
     pub last_contact_ms: Millis,
     /// Time at which this leader learned of this incarnation.
     pub joined_ms: Millis,
+    /// Time since which the state has runs that ended with their lease.
+    pub expired_since_ms: Option<Millis>,
     /// Time of the last announcement, which contained the capacity; `None` if it is not known. An
     /// earlier leader received it at this time or later.
     pub announced_ms: Option<Millis>,
@@ -207,6 +209,7 @@
             inherited_lease_until_ms: Millis(0),
             last_contact_ms: now_ms,
             joined_ms: now_ms,
+            expired_since_ms: None,
             announced_ms: Some(now_ms),
             sequence,
             missed_calls: 0,
--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -132,6 +132,13 @@
         self.crash_count(key).is_suspect()
     }
 
+    /// Returns whether runs on a worker ended with their lease, and the worker has not been in contact
+    /// since.
+    #[must_use]
+    pub fn has_expired_runs(&self, worker: WorkerNumber) -> bool {
+        self.crashes.has_expired(worker)
+    }
+
     /// Returns a task that has crashed so many workers that its job must fail.
     #[must_use]
     pub fn exhausted_task(&self, job: &Job) -> Option<(TaskKey, CrashCount)> {
@@ -218,6 +225,10 @@
                 self.crashes.confirm(run);
                 Change::RunsLost { jobs: Vec::new() }
             }
+            Command::ForgetExpired(worker) => {
+                self.crashes.forget_expired(worker);
+                Change::RunsLost { jobs: Vec::new() }
+            }
             Command::GiveUp { id, at_unix_ms } => {
                 if let Some(job) = self.jobs.get_mut(&id) {
                     job.give_up(at_unix_ms);
--- a/crates/cell/tests/cell/suspects.rs
+++ b/crates/cell/tests/cell/suspects.rs
@@ -2,7 +2,10 @@
 
 use acaciareel_cell::{JobId, JobState, StepSpec};
 
-use crate::sim::{Comeback, Sim, gang, job, queue, service, step};
+use crate::{
+    sim::{Comeback, Sim, gang, job, queue, service, step},
+    worker::LEASE_MS,
+};
 
 /// Longest time for which a long-running task may be missing while there is capacity for it (rule
 /// LOST of the users: 6 s after its last run, and 3 s more).
@@ -124,6 +127,29 @@
     assert_eq!(sim.at_work(1), [0, 1, 2, 3]);
 }
 
+/// Guards against a job that is given up because of workers that crashed after its runs on them had
+/// lapsed.
+#[test]
+fn job_whose_workers_crash_after_a_cut_completes() {
+    let mut sim = cell(12);
+    sim.submit("batch", 1, job(vec![step(1, 4_000, 15_000)]));
+    for _ in 0..3 {
+        let host = wait_for_hosts(&mut sim, 1);
+        sim.cut_workers.insert(host[0].clone());
+        sim.run(LEASE_MS + 4_000);
+        sim.crash_worker(&host[0]);
+        sim.run(3_100);
+        sim.cut_workers.clear();
+        sim.run(2_000);
+    }
+
+    sim.run(60_000);
+
+    let under = sim.crashes.log.iter().map(|crash| crash.under.len());
+    assert_eq!(under.sum::<usize>(), 0);
+    assert_eq!(sim.unfinished(1..2), Vec::<u64>::new());
+}
+
 /// Guards against suspects that keep all workers for themselves: after two mass crashes each of 48
 /// workers runs one task of four cores for a minute.
 #[test]
