Guard against repeated announcements that are never acknowledged

A worker that repeated an announcement during its commit got no reply to the repetition, nor to later ones, also of a drain.

--- a/crates/cell/tests/cell/capacity.rs
+++ b/crates/cell/tests/cell/capacity.rs
@@ -225,6 +225,30 @@
     assert_eq!(committed(&sim, WORKER), HALF);
 }
 
+/// Guards against a worker whose announcements, also of a drain, stay unanswered after it repeated
+/// one that was being committed.
+#[test]
+fn announcement_repeated_during_its_commit_is_acknowledged() {
+    let mut sim = cell(1, 4);
+    let leader = sim.leader().expect("leader");
+    sim.unheard_workers.insert(WORKER.to_owned());
+    set_capacity(&mut sim, WORKER, HALF);
+    let sequence = sim.now_ms;
+
+    let mut calls = Vec::new();
+    for repeat in 0..3 {
+        calls.push(announce(&mut sim, leader, WORKER, HALF, sequence + repeat));
+    }
+    sim.run(500);
+    let worker = sim.workers.get_mut(WORKER).expect("worker");
+    worker.record.draining = true;
+    calls.push(announce(&mut sim, leader, WORKER, HALF, sequence + 3));
+    sim.run(500);
+
+    let replies: Vec<_> = calls.iter().map(|c| sim.control_replies.get(c)).collect();
+    assert_eq!(replies, [Some(&ControlReply::Done); 4]);
+}
+
 /// Guards against a capacity that a late announcement of before the shrinking restores.
 #[test]
 fn late_announcement_does_not_restore_a_capacity() {
