Close at most a quarter of the workers for suspects

Cause: after crashes of many workers most tasks are suspects, and each worker without runs was closed for one of them, so other jobs found no room although most of it was free (LOST in plays with all jobs of two kinds crashing their workers for 20 s).

Change: a quarter of the workers, four at least, may be closed at a time; a gang may have as many as it needs if no others are closed.

--- a/crates/cell/src/leader/isolation.rs
+++ b/crates/cell/src/leader/isolation.rs
@@ -16,6 +16,11 @@
     placement::Candidate,
 };
 
+/// Share of the workers that may be closed to others for suspects at the same time, in thousandths.
+/// After a crash of many workers most tasks are suspects, and workers without runs are many.
+const MAX_CLOSED_PERMILLE: usize = 250;
+/// Number of workers that may be closed in any case.
+const MIN_CLOSED: usize = 4;
 /// Share of the workers that may drain for suspects at the same time, in thousandths; at least one.
 const MAX_DRAINING_PERMILLE: usize = 100;
 /// Wait after which a suspect may run beside others after its second crash, if it is long-running or
@@ -227,11 +232,12 @@
             };
         }
         self.drain_for_suspects(state, (key, spec), tasks.len(), &candidates, io);
+        let may_close = self.may_close(key, spec, now_ms);
         let isolated = candidates.iter().filter_map(|candidate| {
             let view = self.workers.get(&candidate.worker)?;
             let is_empty = view.runs.is_empty() && candidate.free == view.record.capacity;
             let is_reserved = self.draining_for.contains_key(&candidate.worker);
-            is_empty.then_some(Candidate {
+            (is_empty && (may_close || is_reserved)).then_some(Candidate {
                 max_tasks: if spec.gang { candidate.max_tasks } else { 1 },
                 risk: candidate.risk + u32::from(is_new(view, now_ms)) + u32::from(!is_reserved),
                 ..*candidate
@@ -262,6 +268,17 @@
         free * 2 > capacity
     }
 
+    /// Returns whether one more worker may be closed for suspects of a step. A gang that needs many
+    /// workers at once may have them if no others are closed.
+    fn may_close(&self, key: StepKey, spec: &StepSpec, now_ms: Millis) -> bool {
+        let is_isolated = |view: &&WorkerView| view.is_isolated(now_ms);
+        let isolated = self.workers.values().filter(is_isolated).count();
+        let of_others = self.draining_for.values().filter(|owner| **owner != key);
+        let closed = isolated + of_others.count();
+        let limit = (self.workers.len() * MAX_CLOSED_PERMILLE / 1_000).max(MIN_CLOSED);
+        closed < limit || (spec.gang && closed == 0)
+    }
+
     /// Returns whether one more worker may drain for suspects of a step. A gang that needs many
     /// workers at once may have them if no others drain.
     fn may_drain(&self, key: StepKey, spec: &StepSpec) -> bool {
