--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -271,6 +271,14 @@
                 && known.incarnation_started_ms < record.incarnation_started_ms
                 && !known.draining
         };
+        let number = self.worker_by_id(&record.id);
+        let known = number.and_then(|number| self.workers.get(&number));
+        if known.is_some_and(|known| {
+            known.incarnation_started_ms == record.incarnation_started_ms
+                && known.address == record.address
+        }) {
+            return Vec::new();
+        }
         let crashed = self.workers.iter();
         let crashed = crashed.filter(|(_, known)| is_predecessor(known));
         let crashed: Vec<WorkerNumber> = crashed.map(|(number, _)| *number).collect();
