End the waiting time when a worker has accepted the task

Cause: the waiting time of `acaciareel_wait_seconds` and `acaciareel histogram` was observed when a start call was sent. While workers did not answer, or refused, the histogram showed no wait, and one request gave a sample for each call.

Change: it is observed when the worker accepts the call, lists the task after a lost reply, or posts its result before either. The observation is called `Started`; metric names and labels are unchanged.

--- a/crates/acaciareeld/src/metering.rs
+++ b/crates/acaciareeld/src/metering.rs
@@ -152,7 +152,7 @@
                 }
                 self.record_time(TOTAL, &tenant, class, total_ms);
             }
-            Observation::Placed {
+            Observation::Started {
                 tenant,
                 class,
                 waited_ms,
--- a/crates/node/examples/capacity/simulation.rs
+++ b/crates/node/examples/capacity/simulation.rs
@@ -302,7 +302,7 @@
             Observation::TablesInForce(version) => {
                 self.in_force.insert(id, (version.0, self.now_ms));
             }
-            Observation::Placed { waited_ms, .. } => self.waits_ms.push(waited_ms.0),
+            Observation::Started { waited_ms, .. } => self.waits_ms.push(waited_ms.0),
             Observation::Log {
                 event: "placer_started",
                 fields,
--- a/crates/node/src/effect.rs
+++ b/crates/node/src/effect.rs
@@ -158,13 +158,13 @@
         /// Time from receipt to answer.
         total_ms: Millis,
     },
-    /// A start call was sent to a worker.
-    Placed {
+    /// A worker has confirmed that it has a task.
+    Started {
         /// Tenant of the request.
         tenant: TenantName,
         /// Class of the request.
         class: Class,
-        /// Time from acceptance to start.
+        /// Time from acceptance to the confirmation.
         waited_ms: Millis,
     },
     /// The result of a task has arrived at the task's placer.
--- a/crates/node/src/placer/recovery.rs
+++ b/crates/node/src/placer/recovery.rs
@@ -126,6 +126,10 @@
         let fenced = task.token < call.token;
         match task.state {
             TaskState::Recovering | TaskState::Uncertain if listed => {
+                // The placer that started a recovering task has observed its start.
+                if task.state == TaskState::Uncertain {
+                    self.observe_start(ctx, id);
+                }
                 self.set_running(ctx, id, index, call);
                 self.adopt(ctx, id, index, report);
                 self.stop_if_cancelled(ctx, id, index);
--- a/crates/node/src/placer/results.rs
+++ b/crates/node/src/placer/results.rs
@@ -77,11 +77,20 @@
         let Some(index) = self.index_of(id, task) else {
             return;
         };
-        let Some(job) = self.jobs.get_mut(&id) else {
+        let Some(job) = self.jobs.get(&id) else {
             return;
         };
         let now_ms = ctx.io.now_ms;
-        let task = &mut job.tasks[index];
+        if matches!(
+            job.tasks[index].state,
+            TaskState::Calling | TaskState::Uncertain
+        ) {
+            self.observe_start(ctx, id);
+        }
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let task = &job.tasks[index];
         if !task.state.settled() && task.state != TaskState::Finishing {
             ctx.io.observe(Observation::Ended {
                 tenant: job.request.tenant.clone(),
--- a/crates/node/src/placer/start.rs
+++ b/crates/node/src/placer/start.rs
@@ -189,11 +189,6 @@
             exclusive: job.effect != RunEffect::Idempotent,
             body: job.request.body.clone(),
         };
-        ctx.io.observe(Observation::Placed {
-            tenant: job.request.tenant.clone(),
-            class: job.class,
-            waited_ms: ctx.io.now_ms.saturating_sub(job.accepted_ms),
-        });
         let call = ctx.calls.add(Call {
             domain: self.domain.clone(),
             role_number: self.role_number,
@@ -237,6 +232,7 @@
                 *state = TaskState::Running {
                     accepted_ms: now_ms,
                 };
+                self.observe_start(ctx, id);
                 self.stop_if_cancelled(ctx, id, index);
                 return;
             }
@@ -255,6 +251,17 @@
         self.settle(ctx, id);
     }
 
+    /// Observes the waiting time of a job, a task of which a worker has confirmed.
+    pub(super) fn observe_start(&self, ctx: &mut PlacerContext<'_, '_>, id: JobId) {
+        if let Some(job) = self.jobs.get(&id) {
+            ctx.io.observe(Observation::Started {
+                tenant: job.request.tenant.clone(),
+                class: job.class,
+                waited_ms: ctx.io.now_ms.saturating_sub(job.accepted_ms),
+            });
+        }
+    }
+
     /// Records that a task did not run and never will.
     pub(super) fn never_ran(&mut self, ctx: &mut PlacerContext<'_, '_>, id: JobId, index: usize) {
         self.end_task(ctx, id, index, TaskState::NeverRan, TaskOutcome::Refused);
--- a/crates/node/tests/cluster/measures.rs
+++ b/crates/node/tests/cluster/measures.rs
@@ -228,3 +228,47 @@
 
     assert_traffic("370 workers", &traffic);
 }
+
+/// Guards against a waiting time that ends with a start call which no worker has accepted: the
+/// histogram would show no wait while workers do not answer.
+#[test]
+fn the_waiting_time_ends_when_a_worker_has_accepted_the_task() {
+    let mut sim = Sim::ready_with(160, 2, [1, 0, 0]);
+    for worker in sim.workers.values_mut() {
+        worker.unresponsive = true;
+    }
+    let connection = sim.submit(1, "verify", "khomas-a/wait", 1, 50);
+    sim.submit(1, "lookup", "wait", 1, 50);
+    sim.run_for(3_000);
+    assert_eq!(sim.waits_ms, []);
+
+    for worker in sim.workers.values_mut() {
+        worker.unresponsive = false;
+    }
+    let verdict = sim.verdict_of(connection, 18_000);
+
+    assert!(sim.ran(connection), "{verdict:?}");
+    assert_eq!(sim.waits_ms.len(), 1, "{:?}", sim.waits_ms);
+    assert!(sim.waits_ms[0] >= 3_000, "{:?}", sim.waits_ms);
+}
+
+/// Guards against an accepted task without a waiting time, because the reply to its start call is
+/// lost.
+#[test]
+fn the_waiting_time_is_known_without_a_reply_to_the_start_call() {
+    for kind in ["lookup", "verify"] {
+        let mut sim = Sim::ready_with(161, 2, [1, 0, 0]);
+        for worker in sim.workers.values_mut() {
+            worker.loses_replies = true;
+        }
+        let connection = sim.submit(1, kind, "khomas-a/wait", 1, 50);
+        sim.run_for(1_000);
+        for worker in sim.workers.values_mut() {
+            worker.loses_replies = false;
+        }
+        let verdict = sim.verdict_of(connection, 18_000);
+
+        assert!(sim.ran(connection), "{kind}: {verdict:?}");
+        assert_eq!(sim.waits_ms.len(), 1, "{kind}: {:?}", sim.waits_ms);
+    }
+}
--- a/crates/node/tests/cluster/network.rs
+++ b/crates/node/tests/cluster/network.rs
@@ -56,6 +56,9 @@
                 self.checks.require(version.0 >= vm.tables_version, text);
                 vm.tables_version = version.0;
             }
+            Effect::Observe(Observation::Started { waited_ms, .. }) => {
+                self.waits_ms.push(waited_ms.0);
+            }
             Effect::Observe(Observation::Log { event, fields, .. }) => {
                 self.log
                     .push(format!("{} vm-{id} {event} {fields:?}", self.now_ms));
--- a/crates/node/tests/cluster/sim.rs
+++ b/crates/node/tests/cluster/sim.rs
@@ -114,6 +114,8 @@
     pub pending_results: BTreeMap<Conn, (WorkerId, TaskId)>,
     /// Announcements without a reply, and whether they said that the worker is leaving.
     pub pending_announcements: BTreeMap<Conn, (WorkerId, bool)>,
+    /// Waiting times that the nodes have observed.
+    pub waits_ms: Vec<u64>,
     pub checks: Checks,
     voters: SortedVec<GroupId, Vec<VmId>>,
     /// Whether VMs keep their seed when they start again, as they do with unchanged settings.
@@ -155,6 +157,7 @@
             connections: BTreeMap::new(),
             pending_results: BTreeMap::new(),
             pending_announcements: BTreeMap::new(),
+            waits_ms: Vec::new(),
             checks: Checks::default(),
             voters: voters(per_domain),
             keep_seeds: false,
