List requests of the tables product that crash worker after worker

The tables product has the same cause as the cells (BUDGET): an attempt whose worker crashed is returned to the queue and counts nothing.

A design with a count in the ledger and tasks that run alone was reviewed and left out of this landing: it gave up innocent requests on a worker that crashes by itself, and let a pool of one worker stand still.

--- a/crates/node/tests/cluster/main.rs
+++ b/crates/node/tests/cluster/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod chaos;
 mod checks;
+mod crashes;
 mod measures;
 mod network;
 mod operators;
--- a/crates/node/tests/cluster/network.rs
+++ b/crates/node/tests/cluster/network.rs
@@ -252,6 +252,9 @@
                 && !self.cut_worker_links.contains(&(vm, id.clone()));
             let now_ms = self.now_ms;
             let worker = self.workers.get_mut(&id).expect("known worker");
+            if worker.restart_at_ms.is_some_and(|at_ms| now_ms >= at_ms) {
+                worker.restart(now_ms, &mut self.runs);
+            }
             if !worker.up {
                 continue;
             }
--- a/crates/node/tests/cluster/worker.rs
+++ b/crates/node/tests/cluster/worker.rs
@@ -8,6 +8,8 @@
     Answer, FencingToken, Incarnation, Resources, RunningTask, TaskId, VmId, WorkerReport,
 };
 
+/// Time after which a process that a task has crashed starts again.
+const RESTART_MS: u64 = 2_000;
 /// Time since the last contact with a placer after which a worker stops its exclusive tasks.
 const TASK_LEASE_MS: u64 = 10_000;
 
@@ -47,6 +49,8 @@
     pub unacknowledged: BTreeMap<TaskId, Answer>,
     /// Whether the process is running.
     pub up: bool,
+    /// When the process starts again after a task has crashed it.
+    pub restart_at_ms: Option<u64>,
     /// Time at which a VM first confirmed an announcement with `leaving`.
     pub leaving_confirmed_ms: Option<u64>,
     pub next_announce_ms: u64,
@@ -80,6 +84,7 @@
             running: BTreeMap::new(),
             unacknowledged: BTreeMap::new(),
             up: true,
+            restart_at_ms: None,
             leaving_confirmed_ms: None,
             next_announce_ms: now_ms,
             next_post_ms: now_ms,
@@ -112,6 +117,7 @@
         (self.lease_holder, self.lease_until_ms) = (None, 0);
         (self.last_contact_ms, self.next_announce_ms) = (now_ms, now_ms);
         self.up = true;
+        self.restart_at_ms = None;
     }
 
     /// Returns a full report with the next sequence number.
@@ -269,7 +275,8 @@
         self.next_post_ms = now_ms;
     }
 
-    /// Completes the tasks whose run time has passed. If the task lease has expired, stops
+    /// Completes the tasks whose run time has passed; one with `crash` in its body ends the process
+    /// instead, which starts again later. If the task lease has expired, stops
     /// exclusive tasks and begins a new incarnation: in the old one, a placer would conclude from
     /// their absence that they never ran.
     pub fn tick(&mut self, now_ms: u64, runs: &mut [Run]) {
@@ -279,6 +286,11 @@
             .filter(|(_, task)| now_ms >= task.end_ms);
         for task in done.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
             let body = self.running[&task].body.clone();
+            if String::from_utf8_lossy(&body).contains("crash") {
+                self.crash(now_ms, runs);
+                self.restart_at_ms = Some(now_ms + RESTART_MS);
+                return;
+            }
             let answer = [b"answer to ".as_slice(), &body].concat();
             self.end(now_ms, &task, true, &answer, runs);
         }
