--- a/crates/cell/src/crashes.rs
+++ b/crates/cell/src/crashes.rs
@@ -18,10 +18,9 @@
 /// Crashes after which a task is given up even if it never ran alone. The users allow two starts
 /// after the third crash, and the fifth crash may happen before the fourth is known.
 const MAX_CRASHES: u32 = 4;
-/// Crashes under a run that the worker had confirmed, without which no task is given up: the users
-/// allow it from the second crash on.
+/// Confirmed crashes from which on a task may be given up (rule of the users).
 const MIN_CONFIRMED: u32 = 2;
-/// Crashes after which a task is given up if its runs are never confirmed.
+/// Crashes after which a task is given up although fewer of them are confirmed.
 const MAX_UNCONFIRMED_CRASHES: u32 = 6;
 
 /// Crashes of workers under the runs of one task.
@@ -109,7 +108,7 @@
 }
 
 /// Serialised form in a snapshot. Its fields are encoded by position.
-#[derive(Default, Deserialize, Serialize)]
+#[derive(Deserialize, Serialize)]
 pub(crate) struct StoredCrashes {
     counts: Vec<(TaskKey, CrashCount)>,
     expired: Vec<(WorkerNumber, Vec<ExpiredRun>)>,
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -130,13 +130,14 @@
         let reserved = std::mem::take(&mut self.reserved_for_gangs);
         self.previously_reserved = reserved;
         for (urgency, key) in order {
-            let Some(spec) = state.job(key.job).and_then(|job| job.step_spec(key)) else {
+            let job = state.job(key.job);
+            let Some((job, spec)) = job.and_then(|job| Some((job, job.step_spec(key)?))) else {
                 self.steps.remove(&key);
                 continue;
             };
             for group in self.task_groups(state, key, spec) {
                 self.place_group(
-                    state,
+                    (state, job, spec),
                     (key, urgency, group),
                     &mut free_capacity,
                     &mut reserving,
@@ -194,17 +195,14 @@
     }
 
     /// Tries to place tasks of one step, and requests advice where workers or tickets are missing.
-    /// Returns `None` if the step does not exist any more.
     fn place_group(
         &mut self,
-        state: &CellState,
+        (state, job, spec): (&CellState, &Job, &StepSpec),
         (key, urgency, group): (StepKey, Urgency, TaskGroup),
         free_capacity: &mut FreeCapacityByWorker,
         reserving: &mut usize,
         io: &mut Io<'_>,
-    ) -> Option<()> {
-        let job = state.job(key.job)?;
-        let spec = job.step_spec(key)?;
+    ) {
         let queue = &job.queue;
         let free_tasks = group.tasks;
         let tasks = u32::try_from(free_tasks.len()).unwrap_or(u32::MAX);
@@ -247,14 +245,14 @@
         }
         let Some(chosen) = chosen else {
             if alone_until_ms.is_some() {
-                return Some(());
+                return;
             }
             let on_time = urgency.timeliness == Timeliness::OnTime;
             if on_time || *reserving < MAX_LATE_RESERVING_GANGS {
                 *reserving += usize::from(!on_time);
                 self.reserve(&demand, tasks, &candidates, free_capacity);
             }
-            return Some(());
+            return;
         };
         for worker in &chosen {
             if let Some(available) = free_capacity.get_mut(worker) {
@@ -270,17 +268,17 @@
         }
         if queue.advice.is_none() {
             self.propose(job, (key, alone_until_ms), &free_tasks, &chosen, io);
-            return Some(());
+            return;
         }
         let Some(advice) = self.advice.get(&key) else {
             // No VM had capacity for the first advice request yet.
-            return Some(());
+            return;
         };
         let valid = |worker: &WorkerNumber| advice.ticket(*worker, io.now_ms).is_some();
         let missing: Vec<WorkerNumber> = chosen.iter().filter(|w| !valid(w)).copied().collect();
         if missing.is_empty() {
             self.propose(job, (key, alone_until_ms), &free_tasks, &chosen, io);
-            return Some(());
+            return;
         }
         if !spec.gang {
             let ready: Vec<WorkerNumber> = chosen.iter().filter(|w| valid(w)).copied().collect();
@@ -299,7 +297,6 @@
             }
         }
         self.request_advice(key, queue, requested, spec.gang, io);
-        Some(())
     }
 
     /// Returns the workers that may run tasks of the step: the usable workers, or, if the queue has
--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -10,8 +10,8 @@
 const CLOCK_DRIFT_PERMILLE: u64 = 20;
 /// Added to the end of a lease before its runs count as ended, for the worker's own delay.
 const LEASE_MARGIN_MS: u64 = 250;
-/// Time for which an announced capacity is used. A smaller one counts a heartbeat and `contact_ms`
-/// later (4,500 ms, rule of the users); the margin covers the way of the announcement and of a start.
+/// Time for which an announced capacity is used. Starts must keep to a smaller one 4,500 ms after the
+/// change (rule of the users); the margin covers the way of the announcement and of a start.
 const CAPACITY_VALID_MS: u64 = 4_000;
 /// Number of low bits of a fencing token that hold the worker's epoch; the term is above them.
 const EPOCH_BITS: u32 = 20;
@@ -192,6 +192,8 @@
     pub completions_acknowledged: u64,
     pub runs: SortedVec<RunKey, RunView>,
     pub free: Demand,
+    /// Time until which the worker takes no further runs, because one must be alone.
+    pub isolated_until_ms: Option<Millis>,
     pub health: Health,
     /// Time at which the worker deregistered.
     pub deregistered_ms: Option<Millis>,
@@ -225,6 +227,7 @@
             completions_acknowledged: 0,
             runs: SortedVec::new(),
             free,
+            isolated_until_ms: None,
             health: Health::default(),
             deregistered_ms: None,
         }
@@ -302,8 +305,10 @@
         self.recompute_free();
     }
 
-    /// Recomputes the free capacity from the runs.
+    /// Recomputes the free capacity from the runs, and until when one of them must be alone.
     pub fn recompute_free(&mut self) {
+        let ends = self.runs.values().filter_map(|run| run.alone_until_ms);
+        self.isolated_until_ms = ends.max();
         self.free = self.free_beside(|_, _| true);
     }
 
@@ -319,8 +324,8 @@
 
     /// Returns whether a run on the worker must be alone.
     pub fn is_isolated(&self, now_ms: Millis) -> bool {
-        let mut ends = self.runs.values().filter_map(|run| run.alone_until_ms);
-        ends.any(|until_ms| now_ms < until_ms)
+        self.isolated_until_ms
+            .is_some_and(|until_ms| now_ms < until_ms)
     }
 
     /// Returns whether the worker has announced its capacity recently.
--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -76,6 +76,7 @@
     workers: Vec<(WorkerNumber, WorkerRecord)>,
     next_worker: u32,
     jobs: Vec<Job>,
+    crashes: StoredCrashes,
 }
 
 impl CellState {
@@ -348,23 +349,18 @@
             workers: self.workers.iter().map(|(n, w)| (*n, w.clone())).collect(),
             next_worker: self.next_worker,
             jobs: self.jobs.values().map(|job| Job::clone(job)).collect(),
+            crashes: self.crashes.to_stored(),
         };
-        let encoded = postcard::to_allocvec(&(stored, self.crashes.to_stored()));
-        encoded.expect("plain data can be encoded")
+        postcard::to_allocvec(&stored).expect("plain data can be encoded")
     }
 
-    /// Decodes a snapshot. One of a version without crash counts ends before them.
+    /// Decodes a snapshot.
     ///
     /// # Errors
     ///
     /// Fails if the bytes are not a valid snapshot.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        let (stored, rest): (Stored, _) = postcard::take_from_bytes(bytes)?;
-        let crashes = if rest.is_empty() {
-            StoredCrashes::default()
-        } else {
-            postcard::from_bytes(rest)?
-        };
+        let stored: Stored = postcard::from_bytes(bytes)?;
         let jobs = stored.jobs.into_iter().map(|job| (job.id, Box::new(job)));
         let numbers_by_id = stored.workers.iter().map(|(n, w)| (w.id.clone(), *n));
         Ok(Self {
@@ -373,7 +369,7 @@
             workers: stored.workers.into_iter().collect(),
             next_worker: stored.next_worker,
             jobs: jobs.collect(),
-            crashes: crashes.into(),
+            crashes: stored.crashes.into(),
         })
     }
 }
