Share the loop over seeds and the search for hosts between tests

crashes::* repeated the loop over seeds and both ways to come back in each test, and two files the search for the workers of a job.

--- a/crates/cell/tests/cell/crashes.rs
+++ b/crates/cell/tests/cell/crashes.rs
@@ -128,23 +128,26 @@
     })
 }
 
-fn assert_no_faults(faults: &[String]) {
+/// Plays each seed with both ways in which workers come back, and fails with all faults found.
+fn assert_no_faults_in(
+    seeds: impl Iterator<Item = u64>,
+    play: impl Fn(u64, Comeback) -> Vec<String>,
+) {
+    let mut faults = Vec::new();
+    for (seed, comeback) in seeds.flat_map(|seed| BOTH.map(|comeback| (seed, comeback))) {
+        let found = play(seed, comeback).into_iter();
+        faults.extend(found.map(|fault| format!("seed {seed}, {comeback:?}: {fault}")));
+    }
     assert!(faults.is_empty(), "{} faults: {faults:#?}", faults.len());
 }
 
-/// Returns the id of a live worker that runs a task of a job.
-fn host(sim: &Sim, id: u64) -> Option<String> {
-    let workers = sim.workers.iter().filter(|(_, worker)| worker.alive);
-    let mut hosts = workers.filter(|(_, worker)| {
-        let mut runs = worker.running.keys();
-        runs.any(|run| run.task.step.job == JobId(id))
-    });
-    hosts.next().map(|(id, _)| id.clone())
+fn unfinished_fault(unfinished: &[u64]) -> Option<String> {
+    (!unfinished.is_empty()).then(|| format!("{unfinished:?} unfinished"))
 }
 
 fn wait_for_host(sim: &mut Sim, id: u64) -> String {
-    sim.run_until(2 * RESTART_MS, |sim| host(sim, id).is_some());
-    host(sim, id).expect("host")
+    sim.run_until(2 * RESTART_MS, |sim| !sim.hosts(id).is_empty());
+    sim.hosts(id).remove(0)
 }
 
 /// Lets each live worker crash by itself every few seconds, while the load goes on.
@@ -174,8 +177,8 @@
 /// Guards against a task that crashes worker after worker for ever (loftbook-nam seed 2).
 #[test]
 fn task_that_crashes_its_workers_is_given_up() {
-    let mut faults = Vec::new();
-    for (seed, comeback) in (0..12).flat_map(|seed| BOTH.map(|comeback| (seed, comeback))) {
+    assert_no_faults_in(0..12, |seed, comeback| {
+        let mut faults = Vec::new();
         let mut sim = cell(seed, 8, comeback);
         let mut load = Load::new();
         load.run(&mut sim, 1_000);
@@ -185,16 +188,16 @@
         load.run(&mut sim, 10_000);
 
         let fault = budget_fault(&sim, key, &left);
-        faults.extend(fault.map(|fault| format!("seed {seed}, {comeback:?}: {fault}")));
-    }
-    assert_no_faults(&faults);
+        faults.extend(fault);
+        faults
+    });
 }
 
 /// Guards against several such tasks of one job, each of which takes its own attempts.
 #[test]
 fn job_of_several_tasks_that_crash_their_workers_is_given_up() {
-    let mut faults = Vec::new();
-    for (seed, comeback) in (0..6).flat_map(|seed| BOTH.map(|comeback| (seed, comeback))) {
+    assert_no_faults_in(0..6, |seed, comeback| {
+        let mut faults = Vec::new();
         let mut sim = cell(seed, 8, comeback);
         let mut load = Load::new();
         let spec = job(vec![step(6, 4_000, 4_000)]);
@@ -206,16 +209,16 @@
         let found = keys
             .iter()
             .filter_map(|key| budget_fault(&sim, *key, &left));
-        faults.extend(found.map(|fault| format!("seed {seed}, {comeback:?}: {fault}")));
-    }
-    assert_no_faults(&faults);
+        faults.extend(found);
+        faults
+    });
 }
 
 /// Guards against jobs that are given up because their tasks were on the crashed workers.
 #[test]
 fn neighbours_of_a_task_that_crashes_its_workers_complete() {
-    let mut faults = Vec::new();
-    for (seed, comeback) in (0..8).flat_map(|seed| BOTH.map(|comeback| (seed, comeback))) {
+    assert_no_faults_in(0..8, |seed, comeback| {
+        let mut faults = Vec::new();
         let mut sim = cell(seed, 4, comeback);
         let mut load = Load::new();
         let neighbours = 100..106;
@@ -231,21 +234,17 @@
         let mut unfinished = sim.unfinished(neighbours);
         unfinished.extend(load.unfinished(&sim));
         let fault = budget_fault(&sim, key, &left);
-        faults.extend(fault.map(|fault| format!("seed {seed}, {comeback:?}: {fault}")));
-        if !unfinished.is_empty() {
-            faults.push(format!(
-                "seed {seed}, {comeback:?}: {unfinished:?} unfinished"
-            ));
-        }
-    }
-    assert_no_faults(&faults);
+        faults.extend(fault);
+        faults.extend(unfinished_fault(&unfinished));
+        faults
+    });
 }
 
 /// Guards against jobs that are given up after several other tasks crashed their workers in turn.
 #[test]
 fn neighbours_of_task_after_task_that_crashes_workers_complete() {
-    let mut faults = Vec::new();
-    for (seed, comeback) in (0..6).flat_map(|seed| BOTH.map(|comeback| (seed, comeback))) {
+    assert_no_faults_in(0..6, |seed, comeback| {
+        let mut faults = Vec::new();
         let mut sim = cell(seed, 4, comeback);
         let mut load = Load::new();
         let neighbours = 100..104;
@@ -266,23 +265,19 @@
         let found = keys
             .iter()
             .filter_map(|key| budget_fault(&sim, *key, &left));
-        faults.extend(found.map(|fault| format!("seed {seed}, {comeback:?}: {fault}")));
+        faults.extend(found);
         let mut unfinished = sim.unfinished(neighbours);
         unfinished.extend(load.unfinished(&sim));
-        if !unfinished.is_empty() {
-            faults.push(format!(
-                "seed {seed}, {comeback:?}: {unfinished:?} unfinished"
-            ));
-        }
-    }
-    assert_no_faults(&faults);
+        faults.extend(unfinished_fault(&unfinished));
+        faults
+    });
 }
 
 /// Guards against a gang that is started for ever, and gangs beside it that are given up with it.
 #[test]
 fn gang_with_a_task_that_crashes_its_workers_is_given_up() {
-    let mut faults = Vec::new();
-    for (seed, comeback) in (0..8).flat_map(|seed| BOTH.map(|comeback| (seed, comeback))) {
+    assert_no_faults_in(0..8, |seed, comeback| {
+        let mut faults = Vec::new();
         let mut sim = cell(seed, 6, comeback);
         let mut load = Load::new();
         let neighbours = 100..104;
@@ -298,23 +293,19 @@
         sim.run(30_000);
 
         let fault = budget_fault(&sim, key, &left);
-        faults.extend(fault.map(|fault| format!("seed {seed}, {comeback:?}: {fault}")));
+        faults.extend(fault);
         let mut unfinished = sim.unfinished(neighbours);
         unfinished.extend(load.unfinished(&sim));
-        if !unfinished.is_empty() {
-            faults.push(format!(
-                "seed {seed}, {comeback:?}: {unfinished:?} unfinished"
-            ));
-        }
-    }
-    assert_no_faults(&faults);
+        faults.extend(unfinished_fault(&unfinished));
+        faults
+    });
 }
 
 /// Guards against a count of crashes that is lost with the leader that kept it.
 #[test]
 fn count_of_crashes_survives_a_change_of_leader() {
-    let mut faults = Vec::new();
-    for (seed, comeback) in (0..8).flat_map(|seed| BOTH.map(|comeback| (seed, comeback))) {
+    assert_no_faults_in(0..8, |seed, comeback| {
+        let mut faults = Vec::new();
         let mut sim = cell(seed, 8, comeback);
         let mut load = Load::new();
         let each = seed % 2 == 0;
@@ -339,16 +330,16 @@
 
         let left = if given_up { vec![] } else { vec![1] };
         let fault = budget_fault(&sim, key, &left);
-        faults.extend(fault.map(|fault| format!("seed {seed}, {comeback:?}: {fault}")));
-    }
-    assert_no_faults(&faults);
+        faults.extend(fault);
+        faults
+    });
 }
 
 /// Guards against a crash that is not counted because the lease lapsed before the worker was back.
 #[test]
 fn crash_counts_if_the_worker_is_back_after_its_lease() {
-    let mut faults = Vec::new();
-    for (seed, comeback) in (0..8).flat_map(|seed| BOTH.map(|comeback| (seed, comeback))) {
+    assert_no_faults_in(0..8, |seed, comeback| {
+        let mut faults = Vec::new();
         let mut sim = cell(seed, 8, comeback);
         sim.crashes.down_ms = LEASE_MS + 2_000;
         let mut load = Load::new();
@@ -358,9 +349,9 @@
         load.run(&mut sim, 10_000);
 
         let fault = budget_fault(&sim, key, &left);
-        faults.extend(fault.map(|fault| format!("seed {seed}, {comeback:?}: {fault}")));
-    }
-    assert_no_faults(&faults);
+        faults.extend(fault);
+        faults
+    });
 }
 
 /// Guards against a job that is given up because its workers were cut off beyond their lease.
@@ -424,8 +415,8 @@
 /// Guards against short jobs that are given up because their workers crash by themselves.
 #[test]
 fn jobs_on_workers_that_crash_by_themselves_complete() {
-    let mut faults = Vec::new();
-    for (seed, comeback) in (0..10).flat_map(|seed| BOTH.map(|comeback| (seed, comeback))) {
+    assert_no_faults_in(0..10, |seed, comeback| {
+        let mut faults = Vec::new();
         let mut sim = cell(seed, 8, comeback);
         let mut load = Load::new();
 
@@ -434,20 +425,16 @@
         sim.run(30_000);
 
         let unfinished = without_suspects(&sim, load.unfinished(&sim));
-        if !unfinished.is_empty() {
-            faults.push(format!(
-                "seed {seed}, {comeback:?}: {unfinished:?} unfinished"
-            ));
-        }
-    }
-    assert_no_faults(&faults);
+        faults.extend(unfinished_fault(&unfinished));
+        faults
+    });
 }
 
 /// Guards against a long-running task that is given up, or takes other tasks with it for ever.
 #[test]
 fn service_that_crashes_its_workers_restarts_alone() {
-    let mut faults = Vec::new();
-    for (seed, comeback) in (0..8).flat_map(|seed| BOTH.map(|comeback| (seed, comeback))) {
+    assert_no_faults_in(0..8, |seed, comeback| {
+        let mut faults = Vec::new();
         let mut sim = cell(seed, 8, comeback);
         let mut load = Load::new();
         let neighbours = 100..104;
@@ -474,14 +461,14 @@
         let restarts = status == Some(JobView::Running) && starts >= 2;
         if !restarts || in_company > 0 || !unfinished.is_empty() {
             faults.push(format!(
-                "seed {seed}, {comeback:?}: {status:?}, starts in the last 30 s: {starts}, \
+                "{status:?}, starts in the last 30 s: {starts}, \
                  crashes: {}, in company after {CRASHES_IN_COMPANY}: {in_company}, {unfinished:?} \
                  unfinished",
                 sim.crashes.count_under(key)
             ));
         }
-    }
-    assert_no_faults(&faults);
+        faults
+    });
 }
 
 /// Guards against a long-running task that restarts late after crashes it did not cause.
@@ -514,10 +501,9 @@
 /// Guards against workers that stay reserved for suspects long after the last crash.
 #[test]
 fn capacity_is_in_use_again_after_the_crashes() {
-    let mut faults = Vec::new();
     // Without a policy service, which may leave too few workers for the load.
-    let seeds = (1..12).step_by(2);
-    for (seed, comeback) in seeds.flat_map(|seed| BOTH.map(|comeback| (seed, comeback))) {
+    assert_no_faults_in((1..12).step_by(2), |seed, comeback| {
+        let mut faults = Vec::new();
         let mut sim = cell(seed, 4, comeback);
         sim.submit("watch", 1, job(vec![service(4, 2_000)]));
         sim.run(3_000);
@@ -537,19 +523,17 @@
 
         let unfinished = sim.unfinished(full);
         if !unfinished.is_empty() || sim.at_work(1) != [0, 1, 2, 3] {
-            faults.push(format!(
-                "seed {seed}, {comeback:?}: {unfinished:?} unfinished"
-            ));
+            faults.push(format!("{unfinished:?} unfinished"));
         }
-    }
-    assert_no_faults(&faults);
+        faults
+    });
 }
 
 /// Guards against accepted jobs that stay unfinished after crashes and changes of leader.
 #[test]
 fn all_other_jobs_complete_after_the_crashes() {
-    let mut faults = Vec::new();
-    for (seed, comeback) in (0..10).flat_map(|seed| BOTH.map(|comeback| (seed, comeback))) {
+    assert_no_faults_in(0..10, |seed, comeback| {
+        let mut faults = Vec::new();
         let mut sim = cell(seed, 8, comeback);
         let mut load = Load::new();
         let mut keys = Vec::new();
@@ -572,13 +556,9 @@
         let found = keys
             .iter()
             .filter_map(|key| budget_fault(&sim, *key, &left));
-        faults.extend(found.map(|fault| format!("seed {seed}, {comeback:?}: {fault}")));
+        faults.extend(found);
         let unfinished = without_suspects(&sim, load.unfinished(&sim));
-        if !unfinished.is_empty() {
-            faults.push(format!(
-                "seed {seed}, {comeback:?}: {unfinished:?} unfinished"
-            ));
-        }
-    }
-    assert_no_faults(&faults);
+        faults.extend(unfinished_fault(&unfinished));
+        faults
+    });
 }
--- a/crates/cell/tests/cell/returns.rs
+++ b/crates/cell/tests/cell/returns.rs
@@ -17,19 +17,9 @@
     sim
 }
 
-/// Returns the ids of the live workers that run tasks of a job.
-fn hosts(sim: &Sim, id: u64) -> Vec<String> {
-    let workers = sim.workers.iter().filter(|(_, worker)| worker.alive);
-    let hosts = workers.filter(|(_, worker)| {
-        let mut runs = worker.running.keys();
-        runs.any(|run| run.task.step.job == JobId(id))
-    });
-    hosts.map(|(id, _)| id.clone()).collect()
-}
-
 fn wait_for_hosts(sim: &mut Sim, id: u64, count: usize) -> Vec<String> {
-    sim.run_until(3 * LEASE_MS, |sim| hosts(sim, id).len() == count);
-    hosts(sim, id)
+    sim.run_until(3 * LEASE_MS, |sim| sim.hosts(id).len() == count);
+    sim.hosts(id)
 }
 
 /// Returns the committed progress of the first task of a job.
@@ -140,7 +130,7 @@
         sim.run(REPORTED_MS);
 
         assert_eq!(sim.unfinished(1..2), Vec::<u64>::new(), "seed {seed}");
-        assert_eq!(hosts(&sim, 1), Vec::<String>::new(), "seed {seed}");
+        assert_eq!(sim.hosts(1), Vec::<String>::new(), "seed {seed}");
         assert_all_workers_are_free(&mut sim, 2, &format!("seed {seed}"));
         assert_eq!(sim.starts, starts + 4, "seed {seed}");
     }
@@ -159,7 +149,7 @@
 
         let case = format!("killed after {delay_ms} ms");
         assert_eq!(sim.unfinished(1..2), Vec::<u64>::new(), "{case}");
-        assert_eq!(hosts(&sim, 1), Vec::<String>::new(), "{case}");
+        assert_eq!(sim.hosts(1), Vec::<String>::new(), "{case}");
         assert_all_workers_are_free(&mut sim, 2, &case);
     }
 }
@@ -259,7 +249,7 @@
     sim.run(1_000);
     sim.crash_worker(&id);
     sim.run(DOWN_MS + sim.crashes.first_heartbeat_ms + delay_ms);
-    if hosts(&sim, 1).is_empty() {
+    if sim.hosts(1).is_empty() {
         let leader = sim.leader().expect("leader");
         sim.kill(leader);
     }
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -847,6 +847,16 @@
         }
     }
 
+    /// Returns the ids of the live workers that run tasks of a job.
+    pub fn hosts(&self, id: u64) -> Vec<String> {
+        let workers = self.workers.iter().filter(|(_, worker)| worker.alive);
+        let hosts = workers.filter(|(_, worker)| {
+            let mut runs = worker.running.keys();
+            runs.any(|run| run.task.step.job == JobId(id))
+        });
+        hosts.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Returns the tasks of a job that are at work, sorted: long-running ones at 100 percent.
     pub fn at_work(&self, id: u64) -> Vec<u32> {
         let runs = self.workers.values().filter(|worker| worker.alive);
--- a/crates/cell/tests/cell/suspects.rs
+++ b/crates/cell/tests/cell/suspects.rs
@@ -22,20 +22,10 @@
     sim
 }
 
-/// Returns the ids of the live workers that run a task of a job.
-fn hosts(sim: &Sim, id: u64) -> Vec<String> {
-    let workers = sim.workers.iter().filter(|(_, worker)| worker.alive);
-    let hosts = workers.filter(|(_, worker)| {
-        let mut runs = worker.running.keys();
-        runs.any(|run| run.task.step.job == JobId(id))
-    });
-    hosts.map(|(id, _)| id.clone()).collect()
-}
-
 fn wait_for_hosts(sim: &mut Sim, id: u64) -> Vec<String> {
-    sim.run_until(40_000, |sim| !hosts(sim, id).is_empty());
+    sim.run_until(40_000, |sim| !sim.hosts(id).is_empty());
     sim.run(500);
-    hosts(sim, id)
+    sim.hosts(id)
 }
 
 fn crash_all(sim: &mut Sim) {
