List a placement on a worker that is being removed as known red

By reading: a placement that is committed after the record of a worker's successor and before the removal of the worker leaves its task placed for ever, because the removal ends no runs.

--- a/crates/cell/tests/cell/crash_counts.rs
+++ b/crates/cell/tests/cell/crash_counts.rs
@@ -1,7 +1,8 @@
 //! Crashes of workers in the replicated state: what counts, and when a task is exhausted.
 
 use acaciareel_cell::{
-    CellState, Change, Command, JobId, RunKey, StepKey, TaskKey, WorkerNumber, WorkerRecord,
+    CellState, Change, Command, JobId, RunKey, StepKey, TaskKey, TaskState, WorkerNumber,
+    WorkerRecord,
 };
 
 use crate::sim::{gang, job, queue, step};
@@ -171,3 +172,16 @@
 
     assert_eq!(state.crash_count(task(0)).crashes, 0);
 }
+
+/// Guards against a task that stays placed for ever on a worker that is removed meanwhile.
+#[test]
+#[ignore = "known red, see KNOWN-RED.txt"]
+fn run_placed_on_a_removed_worker_waits_again() {
+    let mut state = state(false);
+    place(&mut state, 0, 1);
+
+    state.apply(Command::RemoveWorker(WORKER));
+
+    let task = state.job(JOB).and_then(|job| job.task(task(0)));
+    assert_eq!(task.expect("task").state, TaskState::Waiting);
+}
