Add tenants, API key digests and images to the model of a cell

Cause: keys, caps, shares and learned run times are built side by side, so their common types come first. Change: tenants in the queue table, the digest of a caller's key in its request, the tenant of a job, the image of a step, and one function that tells the run time to expect. Nothing decides by them yet, so behaviour is unchanged.

--- a/crates/acaciareeld/src/cell/frames/tests.rs
+++ b/crates/acaciareeld/src/cell/frames/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of encoding and decoding frames.
 
-use acaciareel_cell::{AddressedRequest, CallerRequest, PeerMessage};
+use acaciareel_cell::{AddressedRequest, ApiKeyDigest, CallerRequest, PeerMessage};
 use acaciareel_consensus::Message;
 use acaciareel_types::{LogIndex, Millis, Term};
 use proptest::prelude::*;
@@ -20,6 +20,7 @@
             request: AddressedRequest {
                 host: "a.example".to_owned(),
                 path: "/q/0".to_owned(),
+                api_key: Some(ApiKeyDigest([7; 32])),
                 request: CallerRequest::Status,
             },
         }),
--- a/crates/acaciareeld/src/cell/inbound.rs
+++ b/crates/acaciareeld/src/cell/inbound.rs
@@ -215,6 +215,7 @@
         request: AddressedRequest {
             host,
             path,
+            api_key: None,
             request,
         },
         timeout_ms: timeout_ms.saturating_sub(RESPONSE_MARGIN_MS),
--- a/crates/cell/src/command.rs
+++ b/crates/cell/src/command.rs
@@ -45,6 +45,10 @@
         queue: QueueRow,
         /// What to run.
         spec: JobSpec,
+        /// Name of the tenant whose key the caller sent; `None` on queues that need no key.
+        tenant: Option<String>,
+        /// Whether the tenant has exceeded its rate of jobs.
+        over_rate: bool,
         /// Time of acceptance on the leader's clock, in Unix milliseconds.
         at_unix_ms: u64,
     },
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -96,6 +96,10 @@
     pub id: JobId,
     /// Row of the queue at the time of acceptance. Later queue tables do not change it.
     pub queue: QueueRow,
+    /// Name of the tenant that owns the job; `None` if it was submitted to a queue without keys.
+    pub tenant: Option<String>,
+    /// Whether the tenant had exceeded its rate of jobs at the time of acceptance.
+    pub over_rate: bool,
     /// What to run. The steps and the payload are dropped once the job has ended and no run of it
     /// can still be running.
     pub spec: JobSpec,
@@ -125,6 +129,8 @@
         let mut job = Self {
             id,
             queue,
+            tenant: None,
+            over_rate: false,
             spec,
             state: JobState::Active,
             started: false,
@@ -136,6 +142,14 @@
         job
     }
 
+    /// Sets the tenant that owns the job, and whether the tenant has exceeded its rate of jobs.
+    #[must_use]
+    pub fn owned_by(mut self, tenant: Option<String>, over_rate: bool) -> Self {
+        self.tenant = tenant;
+        self.over_rate = over_rate;
+        self
+    }
+
     /// Returns the declaration of a step.
     #[must_use]
     pub fn step_spec(&self, key: StepKey) -> Option<&StepSpec> {
--- a/crates/cell/src/leader/callers.rs
+++ b/crates/cell/src/leader/callers.rs
@@ -118,6 +118,8 @@
             id,
             queue,
             spec,
+            tenant: None,
+            over_rate: false,
             at_unix_ms,
         });
     }
@@ -163,7 +165,7 @@
             let goes_first = job.queue.priority <= queue.priority
                 && job.queue.service == queue.service
                 && self.is_on_time(job, *key, io);
-            let run_ms = self.run_times.task_ms(&job.queue, spec.estimate_ms);
+            let run_ms = self.run_times.expect(&job.queue, spec).median_ms;
             let tasks = step.waiting.len() as u64;
             let millicores = u64::from(spec.demand.cpu_millicores);
             goes_first.then_some((tasks * millicores).saturating_mul(run_ms))
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`Command`]s change the replicated state, [`CellState`].
 
 mod admission;
+mod api_key;
 mod command;
 mod control;
 mod crashes;
@@ -21,6 +22,7 @@
 
 pub use crate::{
     admission::{AdmissionRefusal, Load, admit},
+    api_key::ApiKeyDigest,
     command::{Command, RunCompletion, RunOutcome},
     control::{Control, ControlSettings},
     crashes::CrashCount,
@@ -38,7 +40,7 @@
     },
     model::{
         AdviceCost, Demand, JobSpec, JobSpecError, QueueRow, QueueTable, Schedule, StepSpec,
-        WorkerRecord,
+        TenantRow, WorkerRecord,
     },
     placement::{Candidate, place_gang, place_separately},
     state::{CellState, Change},
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -3,7 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{ControlRequest, JobSpec, WorkerRecord, WorkerReply, WorkerRequest};
+use crate::{ApiKeyDigest, ControlRequest, JobSpec, WorkerRecord, WorkerReply, WorkerRequest};
 
 /// Request of a caller to an entry VM.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -23,6 +23,8 @@
     pub host: String,
     /// Path named by the caller.
     pub path: String,
+    /// Digest of the caller's API key; `None` if the caller sent none.
+    pub api_key: Option<ApiKeyDigest>,
     /// Decoded method and body.
     pub request: CallerRequest,
 }
--- a/crates/cell/src/model.rs
+++ b/crates/cell/src/model.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::ApiKeyDigest;
+
 /// An amount of each resource that tasks share on a worker.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Demand {
@@ -82,6 +84,8 @@
     pub speculative: bool,
     /// Whether tasks run until the job is cancelled.
     pub long_running: bool,
+    /// Name of what the tasks run. Tasks of the same image behave alike.
+    pub image: Option<String>,
 }
 
 /// Occurrences of a repeated job.
@@ -204,6 +208,8 @@
     pub target_ms: u64,
     /// Cost of the policy service; `None` if any worker of the service may run the tasks.
     pub advice: Option<AdviceCost>,
+    /// Whether callers need no API key.
+    pub public: bool,
 }
 
 impl QueueRow {
@@ -216,6 +222,20 @@
     }
 }
 
+/// A tenant: the account of a group of callers.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TenantRow {
+    /// Name of the tenant in logs and metrics, and owner of its jobs.
+    pub name: String,
+    /// Digests of the tenant's API keys, sorted.
+    pub api_keys: Vec<ApiKeyDigest>,
+    /// Share of the tenant when capacity is short, and the number of its jobs per second that are
+    /// owed service, in thousandths.
+    pub weight_permille: u64,
+    /// Most resources that the tenant's runs may hold on all workers together; 0 means no limit.
+    pub cap: Demand,
+}
+
 /// The table of queues as an operator sends it.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct QueueTable {
@@ -223,6 +243,8 @@
     pub version: u64,
     /// Queues, sorted by host and path prefix.
     pub rows: Vec<QueueRow>,
+    /// Tenants, sorted by name. Without any, callers need no API keys.
+    pub tenants: Vec<TenantRow>,
     /// The table in the operator's own form, returned unchanged to operators.
     pub source: Vec<u8>,
 }
--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -168,10 +168,14 @@
                 id,
                 queue,
                 spec,
+                tenant,
+                over_rate,
                 at_unix_ms,
             } => {
-                self.jobs
-                    .get_or_insert_with(id, || Box::new(Job::new(id, queue, spec, at_unix_ms)));
+                self.jobs.get_or_insert_with(id, || {
+                    let job = Job::new(id, queue, spec, at_unix_ms);
+                    Box::new(job.owned_by(tenant, over_rate))
+                });
                 Change::Accepted(id)
             }
             Command::Cancel { id, at_unix_ms } => {
--- a/crates/cell/tests/cell/crash_counts.rs
+++ b/crates/cell/tests/cell/crash_counts.rs
@@ -42,6 +42,8 @@
         id: JOB,
         queue: queue("batch", 2, false),
         spec: job(vec![tasks]),
+        tenant: None,
+        over_rate: false,
         at_unix_ms: 0,
     });
     state
--- a/crates/cell/tests/cell/pending.rs
+++ b/crates/cell/tests/cell/pending.rs
@@ -156,6 +156,7 @@
     let table = QueueTable {
         version,
         rows,
+        tenants: Vec::new(),
         source,
     };
     sim.control_request(leader, ControlRequest::PutQueues(table));
--- a/crates/cell/tests/cell/recovery.rs
+++ b/crates/cell/tests/cell/recovery.rs
@@ -112,6 +112,7 @@
         let table = |version| QueueTable {
             version,
             rows: vec![queue("urgent", 0, false)],
+            tenants: Vec::new(),
             source: b"{}".to_vec(),
         };
         let first = sim.control_request(control(2), ControlRequest::PutQueues(table(1)));
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -3,9 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use acaciareel_cell::{
-    AddressedRequest, AdviceCost, Bounds, CallerReply, CallerRequest, Control, ControlReply,
-    ControlRequest, ControlSettings, Demand, Effect, Entry, Event, JobId, JobSpec, JobView,
-    PeerMessage, QueueRow, QueueTable, StepSpec, TaskKey, WorkerRecord, WorkerReply, WorkerRequest,
+    AddressedRequest, AdviceCost, ApiKeyDigest, Bounds, CallerReply, CallerRequest, Control,
+    ControlReply, ControlRequest, ControlSettings, Demand, Effect, Entry, Event, JobId, JobSpec,
+    JobView, PeerMessage, QueueRow, QueueTable, StepSpec, TaskKey, TenantRow, WorkerRecord,
+    WorkerReply, WorkerRequest,
 };
 use acaciareel_consensus::{MemberId, Record, RestoredState};
 use acaciareel_types::{Incarnation, Millis, ProcessEpoch, VmId};
@@ -97,6 +98,10 @@
     seeds: Vec<VmId>,
     next_heartbeat_ms: BTreeMap<String, u64>,
     pub starts: u64,
+    /// Tenants of the first queue table.
+    pub tenants: Vec<TenantRow>,
+    /// Digest of the API key that callers send.
+    pub api_key: Option<ApiKeyDigest>,
     commands_sent_by: BTreeMap<VmId, u64>,
     /// Leader and number of each call to a worker so far.
     worker_calls: BTreeSet<(VmId, u64)>,
@@ -171,6 +176,7 @@
             per_worker_us: 500,
             ticket_valid_ms: 2_500,
         }),
+        public: false,
     }
 }
 
@@ -220,6 +226,8 @@
             seeds: (1..=3.min(controls)).map(control).collect(),
             next_heartbeat_ms: BTreeMap::new(),
             starts: 0,
+            tenants: Vec::new(),
+            api_key: None,
             commands_sent_by: BTreeMap::new(),
             worker_calls: BTreeSet::new(),
             caller_calls: BTreeMap::new(),
@@ -807,6 +815,7 @@
         let table = QueueTable {
             version: 1,
             rows,
+            tenants: std::mem::take(&mut self.tenants),
             source: b"{}".to_vec(),
         };
         self.control_request(leader, ControlRequest::PutQueues(table));
@@ -819,6 +828,7 @@
         let request = AddressedRequest {
             host: HOST.to_owned(),
             path,
+            api_key: self.api_key,
             request,
         };
         let event = Event::Caller {
