Leave slow tasks at 100 percent running and find hanging workers as a whole

Cause: a run whose percentage had not changed for 4 s was stopped, also at 100 percent, where a task that takes longer than expected stays while it is at work.

Ruled out: no rule at 100 percent, since a run that hangs there would keep its job for ever; a longer limit, since the heavy tail stands still for 11 s and more; counting each member of a gang, since the members of a gang end together and wait for the slowest.

Change: stop_stalled moves to leader/stalls.rs, with the decision as a pure function. A run at 100 percent is stopped if it is far beyond its expected run time and its checkpoint does not advance, or if nearly all runs of its worker stand still and none ends there. Below 100 percent the limit of 4 s stays. A worker is charged only if most of its runs stand still. Simulated tasks may now take longer than reported, workers have a speed, and the members of a gang end together.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -21,6 +21,7 @@
 mod relay;
 mod renewal;
 mod run_times;
+mod stalls;
 mod status_queries;
 mod worker;
 mod worker_commands;
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -33,9 +33,6 @@
 const MAX_MISSED_CALLS_FOR_LEASE: u32 = 2;
 /// Time that a deregistered worker may take to end its process.
 const DEREGISTERED_GRACE_MS: u64 = 1_000;
-/// A run without progress for this long is stopped and placed elsewhere. The slowest healthy tasks
-/// take 85 s and advance by one percent several times in this time.
-const STALLED_MS: u64 = 4_000;
 /// Added to the longest time of a stop before the stop is sent again.
 const STOP_MARGIN_MS: u64 = 100;
 /// Time after the end of its leases within which a worker must come back for its crash to count for
@@ -216,6 +213,9 @@
         view.update_clock(report.clock_ms, io.now_ms);
         view.completions_acknowledged = view.completions_acknowledged.max(acknowledged);
         let first = !std::mem::replace(&mut view.runs_reported, true);
+        if first {
+            view.progress.first_reported(io.now_ms);
+        }
         if first && view.completions_read == 0 {
             // Completions that an earlier leader acknowledged are not listed again.
             let before = report
@@ -281,6 +281,9 @@
                     ("end", through.to_string()),
                 ],
             });
+            if completion.outcome != RunOutcome::Interrupted {
+                view.progress.run_ended(io.now_ms);
+            }
             match completion.outcome {
                 // Tasks of one job that fail together count once, because the job may be the cause.
                 RunOutcome::Failed if failed_job == Some(completion.run.task.step.job) => {}
@@ -344,8 +347,12 @@
                 if run.percent != reported.percent {
                     run.percent = reported.percent;
                     run.last_progress_ms = io.now_ms;
+                    view.progress.run_advanced();
+                }
+                if run.checkpoint != reported.checkpoint {
+                    run.checkpoint.clone_from(&reported.checkpoint);
+                    run.last_checkpoint_ms = Some(io.now_ms);
                 }
-                run.checkpoint.clone_from(&reported.checkpoint);
                 continue;
             }
             let key = reported.run.task;
@@ -477,45 +484,6 @@
         }
     }
 
-    /// Stops runs without progress. A long-running task at 100 percent is at work and makes no
-    /// further progress.
-    fn stop_stalled(&mut self, state: &CellState, number: WorkerNumber, io: &mut Io<'_>) {
-        let Some(view) = self.workers.get_mut(&number) else {
-            return;
-        };
-        if view.missed_calls > 0 {
-            return;
-        }
-        let mut stalled = false;
-        for (key, run) in view.runs.iter_mut() {
-            let stalled_ms = io.now_ms.saturating_sub(run.last_progress_ms).0;
-            let confirmed = matches!(run.phase, Phase::Confirmed { .. });
-            if !confirmed || run.stopping || stalled_ms <= STALLED_MS {
-                continue;
-            }
-            let step = key.task.step;
-            let spec = state.job(step.job).and_then(|job| job.step_spec(step));
-            let at_work = run.percent == 100 && spec.is_some_and(|spec| spec.long_running);
-            if !at_work {
-                run.stopping = true;
-                stalled = true;
-                io.effects.push(Effect::Log {
-                    level: crate::LogLevel::Warn,
-                    event: "run_stalled",
-                    fields: vec![
-                        ("run", key.to_string()),
-                        ("worker", view.record.id.clone()),
-                        ("percent", run.percent.to_string()),
-                        ("still_ms", stalled_ms.to_string()),
-                    ],
-                });
-            }
-        }
-        if stalled {
-            view.health.add_result(io.now_ms, true);
-        }
-    }
-
     /// Sends the stops that are due on a worker. A stop is sent again after the longest time of a
     /// stop.
     pub(super) fn stop_due(&mut self, number: WorkerNumber, io: &mut Io<'_>) {
--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -3,6 +3,7 @@
 
 use acaciareel_types::{Millis, SortedVec};
 
+use super::stalls::WorkerProgress;
 use crate::{Demand, RunKey, WorkerNumber, WorkerRecord};
 
 /// A worker's clock may run slower than this VM's by this share, in thousandths (2%, bound of the
@@ -87,6 +88,8 @@
     pub percent: u32,
     /// Time of the last change of the progress, or of the first start.
     pub last_progress_ms: Millis,
+    /// Time at which the checkpoint last changed; `None` if the run has saved none.
+    pub last_checkpoint_ms: Option<Millis>,
     pub started_ms: Millis,
     /// Time at which the latest stop was sent; `None` if none was sent or the latest one failed.
     pub stop_sent_ms: Option<Millis>,
@@ -104,6 +107,7 @@
             checkpoint: String::new(),
             percent: 0,
             last_progress_ms: now_ms,
+            last_checkpoint_ms: None,
             started_ms: now_ms,
             stop_sent_ms: None,
             stopping: false,
@@ -144,6 +148,13 @@
         }
     }
 
+    /// Puts the worker on probation at once: nearly all its runs stand still, which is as much
+    /// evidence as several failures in a row.
+    pub fn add_standstill(&mut self, now_ms: Millis) {
+        self.failing_permille = self.failing_permille.max(PROBATION_PERMILLE);
+        self.add_result(now_ms, true);
+    }
+
     /// Returns whether the worker may have only one run at a time now.
     pub fn on_probation(&self, now_ms: Millis) -> bool {
         self.failing_permille >= PROBATION_PERMILLE || now_ms < self.probation_until_ms
@@ -195,6 +206,8 @@
     /// Time until which the worker takes no further runs, because one must be alone.
     pub isolated_until_ms: Option<Millis>,
     pub health: Health,
+    /// Evidence of whether the worker's runs advance.
+    pub progress: WorkerProgress,
     /// Time at which the worker deregistered.
     pub deregistered_ms: Option<Millis>,
 }
@@ -229,6 +242,7 @@
             free,
             isolated_until_ms: None,
             health: Health::default(),
+            progress: WorkerProgress::default(),
             deregistered_ms: None,
         }
     }
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -16,5 +16,6 @@
 mod scale;
 mod services;
 mod sim;
+mod stalls;
 mod suspects;
 mod worker;
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -5,7 +5,7 @@
 use acaciareel_cell::{
     AddressedRequest, AdviceCost, ApiKeyDigest, Bounds, CallerReply, CallerRequest, Control,
     ControlReply, ControlRequest, ControlSettings, Demand, Effect, Entry, Event, JobId, JobSpec,
-    JobView, PeerMessage, QueueRow, QueueTable, StepSpec, TaskKey, TenantRow, WorkerRecord,
+    JobView, PeerMessage, QueueRow, QueueTable, RunKey, StepSpec, TaskKey, TenantRow, WorkerRecord,
     WorkerReply, WorkerRequest,
 };
 use acaciareel_consensus::{MemberId, Record, RestoredState};
@@ -111,6 +111,8 @@
     done: BTreeSet<TaskKey>,
     /// How far the time of day has been set back on all VMs.
     pub clock_behind_ms: u64,
+    /// Work of a run, in milliseconds on a worker of usual speed.
+    pub work_ms: fn(RunKey, &StepSpec) -> u64,
     /// Number of failure domains, over which control VMs and workers are spread in turn.
     domains: u32,
     /// Whether the log lines of the VMs are printed.
@@ -233,6 +235,7 @@
             caller_calls: BTreeMap::new(),
             done: BTreeSet::new(),
             clock_behind_ms: 0,
+            work_ms: |_, spec| spec.estimate_ms,
             domains,
             verbose: std::env::var_os("CELL_SIM_LOG").is_some(),
         };
@@ -592,10 +595,12 @@
         let new_run = match request {
             WorkerRequest::Start { run, .. } => {
                 let spec = &self.jobs[&run.task.step.job].steps[run.task.step.step as usize];
+                let work_ms = (self.work_ms)(*run, spec);
                 Some(Running {
                     demand: spec.demand,
-                    remaining_ms: spec.estimate_ms,
-                    total_ms: spec.estimate_ms,
+                    remaining_ms: work_ms,
+                    total_ms: work_ms,
+                    reported_ms: spec.estimate_ms,
                     gang_size: if spec.gang { spec.tasks } else { 1 },
                     is_service: spec.long_running,
                 })
@@ -696,6 +701,15 @@
                 present.get(&(key.task.step, key.run)).copied().unwrap_or(0) >= gang_sizes[key]
             }));
         }
+        // The members of a gang end together.
+        let mut ready: BTreeMap<(acaciareel_cell::StepKey, u32), u32> = BTreeMap::new();
+        for run in &finished {
+            *ready.entry((run.task.step, run.run)).or_default() += 1;
+        }
+        finished.retain(|run| {
+            let spec = &self.jobs[&run.task.step.job].steps[run.task.step.step as usize];
+            !spec.gang || ready[&(run.task.step, run.run)] >= spec.tasks
+        });
         for run in finished {
             self.done.insert(run.task);
             for worker in self.workers.values_mut() {
--- a/crates/cell/tests/cell/worker.rs
+++ b/crates/cell/tests/cell/worker.rs
@@ -16,6 +16,8 @@
     pub demand: Demand,
     pub remaining_ms: u64,
     pub total_ms: u64,
+    /// Work after which the run reports 100 percent; it may have more to do.
+    pub reported_ms: u64,
     /// Number of members that must run at the same time to make progress; 1 for a task without a
     /// gang.
     pub gang_size: u32,
@@ -23,6 +25,15 @@
     pub is_service: bool,
 }
 
+impl Running {
+    fn percent(&self) -> u32 {
+        let done_ms = self.total_ms - self.remaining_ms;
+        let left_ms = u128::from(self.reported_ms.saturating_sub(done_ms));
+        let left = 100 * left_ms / u128::from(self.reported_ms.max(1));
+        u32::try_from(100 - left).unwrap_or(100)
+    }
+}
+
 /// State and faults of a worker.
 #[derive(Debug)]
 pub struct Worker {
@@ -32,6 +43,10 @@
     pub fails: bool,
     /// Fault: runs make no progress.
     pub stalls: bool,
+    /// Work done in a second, in milliseconds of a worker of usual speed.
+    pub speed_permille: u64,
+    /// Work of less than a millisecond that is carried over, in microseconds.
+    carried_us: u64,
     /// Fault: starts are refused with this reason and have no effect.
     pub refusal: Option<StartRefusal>,
     clock_offset_ms: u64,
@@ -59,6 +74,8 @@
             alive: true,
             fails: false,
             stalls: false,
+            speed_permille: 1_000,
+            carried_us: 0,
             refusal: None,
             token: 0,
             lease_until_ms: 0,
@@ -135,10 +152,13 @@
                 self.complete(run, RunOutcome::Failed);
             }
         }
+        self.carried_us += step_ms * self.speed_permille;
+        let work_ms = self.carried_us / 1_000;
+        self.carried_us %= 1_000;
         let mut finished = Vec::new();
         for (key, run) in &mut self.running {
             if !self.stalls && ready(key) {
-                run.remaining_ms = run.remaining_ms.saturating_sub(step_ms);
+                run.remaining_ms = run.remaining_ms.saturating_sub(work_ms);
             }
             if run.remaining_ms == 0 && !run.is_service {
                 finished.push(*key);
@@ -268,10 +288,7 @@
         let running = self.running.iter().map(|(run, state)| ReportedRun {
             run: *run,
             checkpoint: String::new(),
-            percent: u32::try_from(
-                100 - 100 * u128::from(state.remaining_ms) / u128::from(state.total_ms.max(1)),
-            )
-            .unwrap_or(100),
+            percent: state.percent(),
         });
         RenewalReport {
             clock_ms: self.clock_ms(now_ms),
