Authenticate callers with the API keys of tenants

Until now keys were ignored, every caller reached every job, and jobs had no owner.

The leader finds the tenant in an index by digest that is rebuilt with each table, and replies 401 for an unknown key and 403 for a job of another tenant, stored or being committed. Accepted jobs get the tenant's name. A submission that an entry VM sent twice is answered 504 in place of these, because its first copy may have been accepted. Refusals have a log line and a counter.

Ruled out: copies of keys on entry VMs, which would need a bound on their age (docs/design/api-keys.md).

The blocks of loopback addresses in the daemon's cell tests have room for six tests now.

--- a/crates/acaciareeld/src/cell/inbound.rs
+++ b/crates/acaciareeld/src/cell/inbound.rs
@@ -13,7 +13,7 @@
 use acaciareel_cell::{AddressedRequest, CallerReply, ControlReply, ControlRequest, Event};
 use acaciareel_platform::{
     http::{self, ControlError},
-    jobs, workers,
+    jobs, keys, workers,
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -196,6 +196,8 @@
     let timeout_ms = header_text(&request, http::TIMEOUT_HEADER)
         .parse::<f64>()
         .map_or(DEFAULT_TIMEOUT_MS, clamp_timeout_ms);
+    let api_key = request.headers().get(keys::AUTHORIZATION_HEADER);
+    let api_key = api_key.and_then(|value| keys::from_header(value.as_bytes()));
     let body = match read_body(request, MAX_CALLER_BODY_BYTES).await {
         Ok(body) => body,
         Err(status) => return empty(status),
@@ -215,7 +217,7 @@
         request: AddressedRequest {
             host,
             path,
-            api_key: None,
+            api_key,
             request,
         },
         timeout_ms: timeout_ms.saturating_sub(RESPONSE_MARGIN_MS),
@@ -370,5 +372,10 @@
         let seconds = HeaderValue::from(seconds);
         out.headers_mut().insert(header::RETRY_AFTER, seconds);
     }
+    if let Some(challenge) = response.challenge {
+        let challenge = HeaderValue::from_static(challenge);
+        out.headers_mut()
+            .insert(header::WWW_AUTHENTICATE, challenge);
+    }
     out
 }
--- a/crates/acaciareeld/src/cell/run.rs
+++ b/crates/acaciareeld/src/cell/run.rs
@@ -614,6 +614,9 @@
                 let value = Duration::from_millis(value_ms);
                 histogram!(name, "label" => label).record(value);
             }
+            Effect::Count { name, labels } => {
+                counter!(format!("acaciareel_cell_{name}"), &labels).increment(1);
+            }
             Effect::Gauge { name, value } => {
                 #[allow(clippy::cast_precision_loss, reason = "counts are small")]
                 gauge!(format!("acaciareel_cell_{name}")).set(value as f64);
--- a/crates/acaciareeld/tests/cell/env.rs
+++ b/crates/acaciareeld/tests/cell/env.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request};
+use hyper::{Method, Request, http::response};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
@@ -65,10 +65,10 @@
     /// Starts the processes and `workers` workers, puts a configuration in force, and waits until
     /// the entry VM serves callers. `test_number` must differ between the tests of one process.
     pub async fn start(test_number: u8, workers: u8) -> Self {
-        let pid = u8::try_from(std::process::id() % 50).expect("fits into a byte");
+        let pid = u8::try_from(std::process::id() % 42).expect("fits into a byte");
         let mut cell = Self {
             folder: tempfile::tempdir().expect("temporary folder"),
-            block: 5 * pid + test_number,
+            block: 6 * pid + test_number,
             processes: Vec::new(),
             client: Client::builder(TokioExecutor::new()).build_http(),
             checks: Arc::default(),
@@ -307,11 +307,17 @@
             .header("host", "jobs.example")
             .body(Full::new(Bytes::from(body.to_owned())))
             .expect("request");
+        let (response, body) = self.exchange(request).await?;
+        Some((response.status.as_u16(), body))
+    }
+
+    /// Sends a request and returns the head and the body of the response.
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Option<(response::Parts, String)> {
         let exchange = async {
             let response = self.client.request(request).await.ok()?;
-            let status = response.status().as_u16();
-            let body = response.into_body().collect().await.ok()?.to_bytes();
-            Some((status, String::from_utf8_lossy(&body).into_owned()))
+            let (head, body) = response.into_parts();
+            let body = body.collect().await.ok()?.to_bytes();
+            Some((head, String::from_utf8_lossy(&body).into_owned()))
         };
         tokio::time::timeout(Duration::from_secs(3), exchange)
             .await
@@ -386,6 +392,55 @@
         .await
     }
 
+    /// Makes a caller's request with an `Authorization` header and returns the status and the
+    /// `WWW-Authenticate` header of the response. Without `is_submission` it reads the
+    /// state of the job.
+    pub async fn call_with_key(
+        &self,
+        authorization: &str,
+        id: u64,
+        is_submission: bool,
+    ) -> Option<(u16, Option<String>)> {
+        let (method, body) = if is_submission {
+            (Method::POST, JOB)
+        } else {
+            (Method::GET, "")
+        };
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}/q/{id:016x}", self.callers_address()))
+            .header("host", "jobs.example")
+            .header("authorization", authorization)
+            .body(Full::new(Bytes::from(body)))
+            .expect("request");
+        let (head, _) = self.exchange(request).await?;
+        let challenge = head.headers.get("www-authenticate");
+        let challenge = challenge.map(|value| value.to_str().expect("text").to_owned());
+        Some((head.status.as_u16(), challenge))
+    }
+
+    /// Sends a configuration with these tenants to a control VM and returns the status.
+    pub async fn put_tenants(&self, vm: usize, version: u64, tenants: &str) -> Option<u16> {
+        let version = format!(r#""version":{version},"tenants":{tenants}"#);
+        let config = QUEUE_CONFIG.replace(r#""version":1"#, &version);
+        let path = "/acaciareel/Config.Replace";
+        self.call_for_status("POST", self.control_address(vm), path, &config)
+            .await
+    }
+
+    /// Reads the configuration in force from a control VM.
+    pub async fn config(&self, vm: usize) -> Option<(u16, String)> {
+        let path = "/acaciareel/Config.Get";
+        self.call("GET", self.control_address(vm), path, "").await
+    }
+
+    /// Reads the metrics page of a VM.
+    pub async fn metrics_of(&self, vm: usize) -> String {
+        let address = SocketAddr::from((self.ip_address(vm), METRICS_PORT));
+        let page = self.call("GET", address, "/", "").await;
+        page.expect("metrics page").1
+    }
+
     /// Waits until all these jobs have completed. Panics after `limit`.
     pub async fn wait_until_completed(&self, ids: &[u64], limit: Duration) {
         let started = Instant::now();
--- a/crates/acaciareeld/tests/cell/main.rs
+++ b/crates/acaciareeld/tests/cell/main.rs
@@ -138,3 +138,64 @@
     assert!(reloaded.contains("event=settings_reloaded"), "{reloaded}");
     assert_eq!(cell.submit(1).await, Some(200));
 }
+
+/// Guards against a daemon that does not pass the caller's key on or omits the challenge, against a
+/// revoked key that is accepted on a connection that has stayed open, against keys in clear text in logs or metrics, and against a configuration that operators get back
+/// without its keys.
+#[tokio::test]
+async fn callers_authenticate_with_keys() {
+    const TENANTS: &str = r#"[{"name":"alpha","api_keys":["clear-text-1"],"weight":1},{"name":"beta","api_keys":["clear-text-2"],"weight":1}]"#;
+    const SHARED: &str = r#"[{"name":"alpha","api_keys":["clear-text-1"]},{"name":"beta","api_keys":["clear-text-1"]}]"#;
+    const MALFORMED: &str = r#"[{"name":"alpha","api_keys":"clear-text-1"}]"#;
+    let cell = Cell::start(5, 2).await;
+    let leader = cell.leader().await;
+
+    let put = cell.put_tenants(leader, 2, TENANTS).await;
+    let shared = cell.put_tenants(leader, 3, SHARED).await;
+    let malformed = cell.put_tenants(leader, 4, MALFORMED).await;
+    let accepted = cell.call_with_key("Token clear-text-1", 1, true).await;
+    let unknown = cell.call_with_key("Token clear-text-9", 2, true).await;
+    let foreign = cell.call_with_key("Token clear-text-2", 1, false).await;
+    let without_key = cell.submit(3).await;
+    let config = cell.config(leader).await;
+    let replaced = TENANTS.replace("clear-text-1", "clear-text-3");
+    let put_later = cell.put_tenants(leader, 3, &replaced).await;
+    let revoked = cell.call_with_key("Token clear-text-1", 1, false).await;
+    let added = cell.call_with_key("Token clear-text-3", 1, false).await;
+    // Logs are written at intervals of 100 ms.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let metrics = cell.metrics_of(leader).await;
+
+    let challenge = Some("Token".to_owned());
+    assert_eq!((put, shared, malformed), (Some(200), Some(400), Some(400)));
+    assert_eq!(accepted, Some((200, None)));
+    assert_eq!(unknown, Some((401, challenge.clone())));
+    assert_eq!(put_later, Some(200));
+    assert_eq!(revoked, Some((401, challenge)));
+    assert_eq!(added, Some((200, None)));
+    assert_eq!(foreign, Some((403, None)));
+    assert_eq!(without_key, Some(401));
+    let (status, config) = config.expect("configuration");
+    assert_eq!(status, 200);
+    assert!(config.contains(TENANTS), "{config}");
+    let log = cell.log_of(leader);
+    for line in [
+        "event=access_refused reason=unknown_key tenant=unknown queue=q",
+        "event=access_refused reason=foreign_job tenant=beta queue=q",
+    ] {
+        assert!(log.contains(line), "{line}: {log}");
+    }
+    for labels in [
+        r#"{reason="unknown_key",tenant="unknown",queue="q"} 3"#,
+        r#"{reason="foreign_job",tenant="beta",queue="q"} 1"#,
+    ] {
+        let line = format!("acaciareel_cell_access_refused_total{labels}");
+        assert!(metrics.contains(&line), "{line}: {metrics}");
+    }
+    for vm in 0..=ENTRY_VM {
+        let page = cell.metrics_of(vm).await;
+        assert!(!page.contains("clear-text"), "{page}");
+        let log = cell.log_of(vm);
+        assert!(!log.contains("clear-text"), "{log}");
+    }
+}
--- a/crates/cell/src/entry.rs
+++ b/crates/cell/src/entry.rs
@@ -46,6 +46,23 @@
     last_sent: Option<(VmId, Millis)>,
     /// Whether the request was ever sent, so that it may have taken effect.
     ever_sent: bool,
+    /// Whether the request was sent more than once, so that an earlier copy may have taken effect
+    /// although the latest one is refused.
+    sent_again: bool,
+}
+
+impl PendingRequest {
+    /// Returns the reply for the caller. If a submission was sent again after its key had been
+    /// revoked, the first copy may have been accepted, so that a refusal would be untrue.
+    fn known_outcome(&self, reply: CallerReply) -> CallerReply {
+        let is_submit = matches!(self.request.request, CallerRequest::Submit(_));
+        let is_denied = matches!(reply, CallerReply::UnknownKey | CallerReply::ForeignJob);
+        if self.sent_again && is_submit && is_denied {
+            CallerReply::Uncertain
+        } else {
+            reply
+        }
+    }
 }
 
 /// Latest status of a control VM.
@@ -175,6 +192,7 @@
             deadline_ms: now_ms.saturating_add(Millis(timeout_ms)),
             last_sent: None,
             ever_sent: false,
+            sent_again: false,
         };
         self.pending.insert(self.next_call, pending);
         self.send(now_ms, self.next_call, out);
@@ -186,6 +204,7 @@
             return;
         };
         pending.last_sent = Some((leader, now_ms));
+        pending.sent_again = pending.ever_sent;
         pending.ever_sent = true;
         let message = PeerMessage::Call {
             call,
@@ -265,6 +284,7 @@
         };
         if let Some(pending) = self.pending.remove(&call) {
             let connection = pending.connection;
+            let reply = pending.known_outcome(reply);
             out.push(Effect::Measure {
                 name: "leader_reply_ms",
                 label: request_name(&pending.request.request).to_owned(),
--- a/crates/cell/src/io.rs
+++ b/crates/cell/src/io.rs
@@ -341,6 +341,14 @@
         /// Measured duration; the daemon exports it in seconds.
         value_ms: u64,
     },
+    /// Adds 1 to a counter.
+    Count {
+        /// Name of the counter, without the prefix `acaciareel_cell_` of the metrics page.
+        name: &'static str,
+        /// Names and values of the labels. Values come from the queue table, which bounds their
+        /// number.
+        labels: Vec<(&'static str, String)>,
+    },
     /// Sets a gauge.
     Gauge {
         /// Name of the gauge, without the prefix `acaciareel_cell_` of the metrics page.
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -15,6 +15,7 @@
 mod advice;
 mod advice_requests;
 mod announcements;
+mod authentication;
 mod callers;
 mod isolation;
 mod pass;
@@ -28,6 +29,8 @@
 pub(crate) use relay::MIN_WORKERS_FOR_RELAY;
 
 use advice::{AdviceCall, AdviceVms, StepAdvice};
+use authentication::KeyIndex;
+use callers::PendingSubmit;
 use run_times::RunTimes;
 use worker::{LossReason, Phase, RunView, WorkerView};
 
@@ -117,7 +120,8 @@
     /// Number of the last call to a worker or the policy service.
     next_call: u64,
     status_queries: status_queries::StatusQueries,
-    pending_submits: SortedVec<JobId, Vec<Origin>>,
+    key_index: KeyIndex,
+    pending_submits: SortedVec<JobId, PendingSubmit>,
     pending_cancels: SortedVec<JobId, Vec<Origin>>,
     /// Jobs whose first confirmed run is being committed, sorted.
     pending_starts: Vec<JobId>,
@@ -177,6 +181,7 @@
             relays: relay::Relays::default(),
             next_call: calls_of_epoch(term),
             status_queries: status_queries::StatusQueries::default(),
+            key_index: KeyIndex::default(),
             pending_submits: SortedVec::new(),
             pending_cancels: SortedVec::new(),
             pending_starts: Vec::new(),
@@ -277,8 +282,10 @@
     pub fn step_down(mut self, io: &mut Io<'_>) {
         let pending_submits = std::mem::take(&mut self.pending_submits);
         let pending_cancels = std::mem::take(&mut self.pending_cancels);
-        let waiting = pending_submits.into_iter().chain(pending_cancels);
-        let callers = waiting.flat_map(|(_, origins)| origins);
+        let submits = pending_submits.into_iter();
+        let submits = submits.flat_map(|(_, submit)| submit.origins);
+        let cancels = pending_cancels.into_iter().flat_map(|(_, origins)| origins);
+        let callers = submits.chain(cancels);
         for origin in callers.chain(self.status_queries.take_all()) {
             reply_not_leader(origin, io);
         }
@@ -314,7 +321,8 @@
                 }
             }
             Change::Accepted(id) => {
-                for origin in self.pending_submits.remove(&id).unwrap_or_default() {
+                let submit = self.pending_submits.remove(&id);
+                for origin in submit.into_iter().flat_map(|submit| submit.origins) {
                     io.reply_caller(origin, CallerReply::Accepted);
                 }
                 if let Some(job) = state.job(id) {
--- a/crates/cell/src/leader/callers.rs
+++ b/crates/cell/src/leader/callers.rs
@@ -9,6 +9,15 @@
     message::AddressedRequest,
 };
 
+/// A submission that is being committed.
+#[derive(Clone, Debug)]
+pub(super) struct PendingSubmit {
+    /// Tenant that will own the job.
+    pub tenant: Option<String>,
+    /// Where the replies go; several if the submission was repeated.
+    pub origins: Vec<Origin>,
+}
+
 /// Time after which a caller should retry while there is no queue table.
 const RETRY_AFTER_MS: u64 = 1_000;
 /// Share of a service's capacity that waiting work can use, in thousandths. The rest is lost to
@@ -37,10 +46,15 @@
             return io.reply_caller(origin, CallerReply::UnknownQueue);
         };
         let id = rest.parse::<JobId>();
+        let job = id.as_ref().ok().copied();
+        let Ok(tenant) = self.authorize(state, origin, queue, request.api_key, job, io) else {
+            return;
+        };
         match (request.request, id) {
             (CallerRequest::Submit(spec), Ok(id)) => {
                 let queue = queue.clone();
-                self.submit(state, origin, id, queue, spec, io);
+                let tenant = tenant.map(str::to_owned);
+                self.submit(state, origin, id, queue, tenant, spec, io);
             }
             (CallerRequest::Submit(_), Err(_)) => io.reply_caller(origin, CallerReply::Invalid),
             (CallerRequest::Status, _) if rest.is_empty() => {
@@ -65,12 +79,17 @@
         }
     }
 
+    #[allow(
+        clippy::too_many_arguments,
+        reason = "the parts of a submission are used apart from each other"
+    )]
     fn submit(
         &mut self,
         state: &CellState,
         origin: Origin,
         id: JobId,
         queue: QueueRow,
+        tenant: Option<String>,
         spec: JobSpec,
         io: &mut Io<'_>,
     ) {
@@ -83,7 +102,7 @@
             return io.reply_caller(origin, CallerReply::Invalid);
         }
         if let Some(waiting) = self.pending_submits.get_mut(&id) {
-            waiting.push(origin);
+            waiting.origins.push(origin);
             return;
         }
         if let Err(refused) = self.check_admission(state, &queue, &spec, io) {
@@ -111,14 +130,18 @@
             };
             return io.reply_caller(origin, reply);
         }
-        self.pending_submits.insert(id, vec![origin]);
+        let pending = PendingSubmit {
+            tenant: tenant.clone(),
+            origins: vec![origin],
+        };
+        self.pending_submits.insert(id, pending);
         self.request_advice_early(id, &queue, &spec, io);
         let at_unix_ms = io.unix_ms;
         io.commands.push(Command::Accept {
             id,
             queue,
             spec,
-            tenant: None,
+            tenant,
             over_rate: false,
             at_unix_ms,
         });
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -85,6 +85,10 @@
     },
     /// The request may have taken effect; its outcome is unknown.
     Uncertain,
+    /// The queue requires an API key of a tenant, and the caller sent none or an unknown one.
+    UnknownKey,
+    /// The job belongs to another tenant.
+    ForeignJob,
 }
 
 /// Request to the policy service: which of these workers may run a step.
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -497,7 +497,7 @@
             Effect::Gauge { name, value } => {
                 self.gauges.insert((vm, name), value);
             }
-            Effect::Measure { .. } => {}
+            Effect::Measure { .. } | Effect::Count { .. } => {}
         }
     }
 
