Index runs by worker and workers by address

Cause: each crash of a worker searched all tasks and all workers, and the leader searched all workers for each crashed run and for predecessors at an address. `Change::Worker` names the worker that crashed for each run. The leader's own part (announcements, log lines, examination of jobs) was not measured.

--- a/crates/cell/src/crashes.rs
+++ b/crates/cell/src/crashes.rs
@@ -6,6 +6,8 @@
 //! or another worker at its address, joins before it has drained. A worker that is only cut off
 //! comes back as the same incarnation.
 
+use std::collections::BTreeMap;
+
 use acaciareel_types::SortedVec;
 use serde::{Deserialize, Serialize};
 
@@ -96,7 +98,9 @@
 /// Crash counts of all tasks that have any, and the runs whose worker may have crashed.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub(crate) struct Crashes {
-    counts: SortedVec<TaskKey, CrashCount>,
+    /// A tree, because a crash of all workers inserts the counts of all running tasks: 23,000 inserts
+    /// into a sorted vector took 140 ms.
+    counts: BTreeMap<TaskKey, CrashCount>,
     expired: SortedVec<WorkerNumber, Vec<ExpiredRun>>,
 }
 
@@ -166,9 +170,7 @@
         units.dedup();
         let alone = units.len() == 1;
         for run in &runs {
-            let count = self
-                .counts
-                .get_or_insert_with(run.task, CrashCount::default);
+            let count = self.counts.entry(run.task).or_default();
             count.add(run.run, alone);
         }
         for run in expired.iter().filter(|run| run.confirmed) {
@@ -180,7 +182,7 @@
     /// Returns whether a worker has crashed under any task of a job.
     pub fn has_any(&self, id: JobId) -> bool {
         let first = first_task(id);
-        let mut counts = self.counts.iter_from(&first);
+        let mut counts = self.counts.range(first..);
         counts.next().is_some_and(|(key, _)| key.step.job == id)
     }
 
@@ -192,7 +194,7 @@
         has_limit: impl Fn(TaskKey) -> bool,
     ) -> Option<(TaskKey, CrashCount)> {
         let first = first_task(id);
-        let counts = self.counts.iter_from(&first);
+        let counts = self.counts.range(first..);
         let mut of_job = counts.take_while(|(key, _)| key.step.job == id);
         let exhausted = of_job.find(|(key, count)| count.is_exhausted() && has_limit(**key));
         exhausted.map(|(key, count)| (*key, *count))
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     JobId, JobSpec, QueueRow, RunCompletion, RunKey, RunOutcome, StepKey, StepSpec, TaskKey,
-    WorkerNumber,
+    WorkerNumber, placed_runs::PlacedRuns,
 };
 
 /// State of a job.
@@ -225,10 +225,16 @@
 
     /// Records that a run may be running on a worker. Returns whether the run is accepted: the job
     /// is active, the task waits, and the run number is higher than that of the latest run.
-    pub(crate) fn place(&mut self, task: TaskKey, run: u32, worker: WorkerNumber) -> bool {
+    pub(crate) fn place(
+        &mut self,
+        key: RunKey,
+        worker: WorkerNumber,
+        placed: &mut PlacedRuns,
+    ) -> bool {
         if self.state != JobState::Active {
             return false;
         }
+        let RunKey { task, run } = key;
         let Some(step) = self.step_mut(task.step) else {
             return false;
         };
@@ -240,6 +246,7 @@
         }
         task.state = TaskState::Placed(worker);
         task.run = run;
+        placed.add(worker, key);
         true
     }
 
@@ -250,6 +257,7 @@
         completion: &RunCompletion,
         worker: WorkerNumber,
         at_unix_ms: u64,
+        placed: &mut PlacedRuns,
     ) -> Vec<(WorkerNumber, RunKey)> {
         self.started = true;
         let key = completion.run.task;
@@ -265,9 +273,10 @@
             return Vec::new();
         };
         if task.run != completion.run.run || task.state != TaskState::Placed(worker) {
-            return self.complete_lost_run(completion, at_unix_ms);
+            return self.complete_lost_run(completion, at_unix_ms, placed);
         }
         task.state = TaskState::Waiting;
+        placed.remove(worker, completion.run);
         if !completion.checkpoint.is_empty() {
             if gang {
                 step.checkpoint.clone_from(&completion.checkpoint);
@@ -280,11 +289,13 @@
             RunOutcome::Done if long_running => {}
             RunOutcome::Done if gang => {
                 // The tasks of a gang end together; the completion of one counts for all.
-                for member in step
-                    .tasks
-                    .iter_mut()
-                    .filter(|t| t.run == completion.run.run)
-                {
+                let run = completion.run.run;
+                let members = (0u32..).zip(&mut step.tasks);
+                for (index, member) in members.filter(|(_, member)| member.run == run) {
+                    if let TaskState::Placed(worker) = member.state {
+                        let task = TaskKey { index, ..key };
+                        placed.remove(worker, RunKey { task, run });
+                    }
                     member.state = TaskState::Done;
                 }
             }
@@ -317,6 +328,7 @@
         &mut self,
         completion: &RunCompletion,
         at_unix_ms: u64,
+        placed: &mut PlacedRuns,
     ) -> Vec<(WorkerNumber, RunKey)> {
         let key = completion.run.task;
         let spec = self.step_spec(key.step);
@@ -334,9 +346,12 @@
         let tasks = (0u32..).zip(&mut step.tasks);
         for (index, task) in tasks.filter(|(index, _)| gang || *index == key.index) {
             if let TaskState::Placed(worker) = task.state {
-                let key = TaskKey { index, ..key };
-                let run = task.run;
-                superfluous.push((worker, RunKey { task: key, run }));
+                let run = RunKey {
+                    task: TaskKey { index, ..key },
+                    run: task.run,
+                };
+                placed.remove(worker, run);
+                superfluous.push((worker, run));
             }
             task.state = TaskState::Done;
         }
@@ -348,11 +363,12 @@
     /// Records that a run is certainly not running any more.
     pub(crate) fn lose_run(
         &mut self,
-        task: TaskKey,
-        run: u32,
+        key: RunKey,
         worker: WorkerNumber,
         checkpoint: &str,
+        placed: &mut PlacedRuns,
     ) {
+        let RunKey { task, run } = key;
         let gang = self.step_spec(task.step).is_some_and(|spec| spec.gang);
         let Some(step) = self.step_mut(task.step) else {
             return;
@@ -362,6 +378,7 @@
         };
         if task.run == run && task.state == TaskState::Placed(worker) {
             task.state = TaskState::Waiting;
+            placed.remove(worker, key);
             if !checkpoint.is_empty() {
                 let target = if gang {
                     &mut step.checkpoint
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -406,7 +406,7 @@
         }
         self.update_address(number, &view.record);
         self.workers.insert(number, view);
-        self.remove_predecessors(number, io);
+        self.remove_predecessors(state, number, io);
         self.renew(number, io);
         self.pass_due = true;
     }
@@ -426,22 +426,19 @@
 
     /// Marks all runs as lost on the workers whose address belongs to a later incarnation, and
     /// removes those workers.
-    fn remove_predecessors(&mut self, number: WorkerNumber, io: &mut Io<'_>) {
+    fn remove_predecessors(&mut self, state: &CellState, number: WorkerNumber, io: &mut Io<'_>) {
         let Some(view) = self.workers.get(&number) else {
             return;
         };
-        let (address, incarnation_started_ms) = (
-            view.record.address.clone(),
-            view.record.incarnation_started_ms,
-        );
-        let older: Vec<WorkerNumber> = self
-            .workers
-            .values()
+        let record = &view.record;
+        let at_address = state.workers_at(&record.address).iter().copied();
+        let older: Vec<WorkerNumber> = at_address
             .filter(|other| {
-                other.record.address == address
-                    && other.record.incarnation_started_ms < incarnation_started_ms
+                self.workers.get(other).is_some_and(|other| {
+                    other.record.address == record.address
+                        && other.record.incarnation_started_ms < record.incarnation_started_ms
+                })
             })
-            .map(|other| other.number)
             .collect();
         for older in older {
             self.remove_predecessor(older, io);
--- a/crates/cell/src/leader/isolation.rs
+++ b/crates/cell/src/leader/isolation.rs
@@ -74,13 +74,13 @@
         &mut self,
         state: &CellState,
         successor: WorkerNumber,
-        crashed: &[RunKey],
+        crashed: &[(WorkerNumber, RunKey)],
         io: &mut Io<'_>,
     ) {
         let successor = state.workers().get(&successor);
         let successor = successor.map_or_else(String::new, |record| record.id.clone());
         let mut jobs = Vec::new();
-        for run in crashed {
+        for (worker, run) in crashed {
             let count = state.crash_count(run.task);
             io.warn(
                 "worker_crashed",
@@ -93,12 +93,9 @@
                 ],
             );
             jobs.push(run.task.step.job);
-            let mut views = self.workers.values();
-            let confirmed = views.any(|view| {
-                let view = view.runs.get(run);
-                view.is_some_and(|view| matches!(view.phase, Phase::Confirmed { .. }))
-            });
-            if confirmed {
+            let view = self.workers.get(worker);
+            let view = view.and_then(|view| view.runs.get(run));
+            if view.is_some_and(|view| matches!(view.phase, Phase::Confirmed { .. })) {
                 io.commands.push(Command::Confirmed(*run));
             }
         }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -17,6 +17,7 @@
 mod leader;
 mod message;
 mod model;
+mod placed_runs;
 mod placement;
 mod state;
 
--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -7,6 +7,7 @@
     Command, CrashCount, Job, JobId, JobState, QueueTable, RunKey, TaskKey, TaskState,
     WorkerNumber, WorkerRecord,
     crashes::{Crashes, StoredCrashes},
+    placed_runs::PlacedRuns,
 };
 
 /// Result of a command, for the leader of this state.
@@ -18,8 +19,9 @@
     Worker {
         /// Number of the worker.
         worker: WorkerNumber,
-        /// Runs under which an earlier incarnation, or another worker at the address, crashed.
-        crashed: Vec<RunKey>,
+        /// Runs under which an earlier incarnation, or another worker at the address, crashed, and
+        /// the worker that crashed.
+        crashed: Vec<(WorkerNumber, RunKey)>,
     },
     /// A worker was removed.
     WorkerRemoved {
@@ -69,8 +71,11 @@
     workers: SortedVec<WorkerNumber, WorkerRecord>,
     /// Number of the worker with each id. Thousands of announcements per second need this lookup.
     numbers_by_id: SortedVec<String, WorkerNumber>,
+    /// Sorted numbers of the workers at each address.
+    numbers_by_address: SortedVec<String, Vec<WorkerNumber>>,
     next_worker: u32,
     jobs: SortedVec<JobId, Box<Job>>,
+    placed: PlacedRuns,
     crashes: Crashes,
 }
 
@@ -115,6 +120,13 @@
         self.numbers_by_id.get(id).copied()
     }
 
+    /// Returns the numbers of the workers at an address, sorted. All but one have ended.
+    #[must_use]
+    pub fn workers_at(&self, address: &str) -> &[WorkerNumber] {
+        let numbers = self.numbers_by_address.get(address);
+        numbers.map_or(&[], Vec::as_slice)
+    }
+
     /// Returns the crashes of workers under a task.
     #[must_use]
     pub fn crash_count(&self, key: TaskKey) -> CrashCount {
@@ -193,7 +205,12 @@
                 let mut superfluous = Vec::new();
                 for completion in &completions {
                     if let Some(job) = self.jobs.get_mut(&completion.run.task.step.job) {
-                        superfluous.extend(job.complete_run(completion, worker, at_unix_ms));
+                        superfluous.extend(job.complete_run(
+                            completion,
+                            worker,
+                            at_unix_ms,
+                            &mut self.placed,
+                        ));
                     }
                 }
                 Change::RunsCompleted {
@@ -259,6 +276,17 @@
         });
         let age = |record: &WorkerRecord| (record.incarnation_started_ms, record.sequence);
         if known.is_none_or(|known| age(known) <= age(&record)) {
+            if known.is_none_or(|known| known.address != record.address) {
+                let address = known.map(|known| known.address.clone());
+                self.forget_address(number, address.as_deref());
+                let address = record.address.clone();
+                let at_address = self
+                    .numbers_by_address
+                    .get_or_insert_with(address, Vec::new);
+                if let Err(at) = at_address.binary_search(&number) {
+                    at_address.insert(at, number);
+                }
+            }
             self.workers.insert(number, record);
         }
         Change::Worker {
@@ -273,25 +301,35 @@
     fn remove_worker(&mut self, worker: WorkerNumber) -> Change {
         if let Some(record) = self.workers.remove(&worker) {
             self.numbers_by_id.remove(&record.id);
+            self.forget_address(worker, Some(&record.address));
         }
         self.crashes.forget_expired(worker);
-        let lost = self.runs_on(worker);
+        let lost = self.placed.on(worker).to_vec();
         for key in &lost {
             if let Some(job) = self.jobs.get_mut(&key.task.step.job) {
-                job.lose_run(key.task, key.run, worker, "");
+                job.lose_run(*key, worker, "", &mut self.placed);
             }
         }
         Change::WorkerRemoved { worker, lost }
     }
 
-    /// Counts the crash of the incarnations that this one follows, under the same id or at the same
-    /// address. A worker that was draining has ended as planned. Returns the runs concerned.
-    fn count_crashes(&mut self, record: &WorkerRecord) -> Vec<RunKey> {
-        let is_predecessor = |known: &WorkerRecord| {
-            (known.id == record.id || known.address == record.address)
-                && known.incarnation_started_ms < record.incarnation_started_ms
-                && !known.draining
+    /// Removes a worker from those at an address.
+    fn forget_address(&mut self, worker: WorkerNumber, address: Option<&str>) {
+        let Some(address) = address else {
+            return;
         };
+        if let Some(numbers) = self.numbers_by_address.get_mut(address) {
+            numbers.retain(|number| *number != worker);
+            if numbers.is_empty() {
+                self.numbers_by_address.remove(address);
+            }
+        }
+    }
+
+    /// Counts the crash of the incarnations that this one follows, under the same id or at the same
+    /// address. A worker that was draining has ended as planned. Returns the runs concerned, with
+    /// the workers that crashed.
+    fn count_crashes(&mut self, record: &WorkerRecord) -> Vec<(WorkerNumber, RunKey)> {
         let number = self.worker_by_id(&record.id);
         let known = number.and_then(|number| self.workers.get(&number));
         if known.is_some_and(|known| {
@@ -300,38 +338,34 @@
         }) {
             return Vec::new();
         }
-        let crashed = self.workers.iter();
-        let crashed = crashed.filter(|(_, known)| is_predecessor(known));
-        let crashed: Vec<WorkerNumber> = crashed.map(|(number, _)| *number).collect();
+        let mut crashed = self.workers_at(&record.address).to_vec();
+        crashed.extend(number);
+        crashed.sort_unstable();
+        crashed.dedup();
+        crashed.retain(|number| {
+            self.workers.get(number).is_some_and(|known| {
+                known.incarnation_started_ms < record.incarnation_started_ms && !known.draining
+            })
+        });
         let mut runs = Vec::new();
         for worker in crashed {
-            let placed = self.runs_on(worker);
             let jobs = &self.jobs;
             let is_gang = |run: &RunKey| {
                 let job = jobs.get(&run.task.step.job);
                 let spec = job.and_then(|job| job.step_spec(run.task.step));
                 spec.is_some_and(|spec| spec.gang)
             };
-            runs.extend(self.crashes.worker_crashed(worker, placed, is_gang));
+            let placed = self.placed.on(worker).to_vec();
+            let counted = self.crashes.worker_crashed(worker, placed, is_gang);
+            runs.extend(counted.into_iter().map(|run| (worker, run)));
         }
         runs
     }
 
-    /// Returns the runs that are placed on a worker.
-    fn runs_on(&self, worker: WorkerNumber) -> Vec<RunKey> {
-        let tasks = self.jobs.values().flat_map(|job| job.tasks());
-        let placed = tasks.filter(|(_, task)| task.state == TaskState::Placed(worker));
-        let runs = placed.map(|(key, task)| RunKey {
-            task: key,
-            run: task.run,
-        });
-        runs.collect()
-    }
-
     fn lose_runs(&mut self, worker: WorkerNumber, runs: &[(RunKey, String)]) -> Change {
         for (key, checkpoint) in runs {
             if let Some(job) = self.jobs.get_mut(&key.task.step.job) {
-                job.lose_run(key.task, key.run, worker, checkpoint);
+                job.lose_run(*key, worker, checkpoint, &mut self.placed);
             }
         }
         Change::RunsLost {
@@ -347,7 +381,8 @@
             let job = self.jobs.get_mut(&key.task.step.job);
             known
                 && job.is_some_and(|job| {
-                    !(exhausted && has_limit(job, key.task)) && job.place(key.task, key.run, worker)
+                    !(exhausted && has_limit(job, key.task))
+                        && job.place(*key, worker, &mut self.placed)
                 })
         });
         Change::Placed {
@@ -382,13 +417,29 @@
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let stored: Stored = postcard::from_bytes(bytes)?;
         let jobs = stored.jobs.into_iter().map(|job| (job.id, Box::new(job)));
+        let jobs: SortedVec<JobId, Box<Job>> = jobs.collect();
+        let mut placed = PlacedRuns::default();
+        for (task, progress) in jobs.values().flat_map(|job| job.tasks()) {
+            if let TaskState::Placed(worker) = progress.state {
+                let run = progress.run;
+                placed.add(worker, RunKey { task, run });
+            }
+        }
         let numbers_by_id = stored.workers.iter().map(|(n, w)| (w.id.clone(), *n));
+        let mut numbers_by_address = SortedVec::new();
+        for (number, record) in &stored.workers {
+            let address = record.address.clone();
+            let numbers: &mut Vec<_> = numbers_by_address.get_or_insert_with(address, Vec::new);
+            numbers.push(*number);
+        }
         Ok(Self {
             queues: stored.queues,
             numbers_by_id: numbers_by_id.collect(),
+            numbers_by_address,
             workers: stored.workers.into_iter().collect(),
             next_worker: stored.next_worker,
-            jobs: jobs.collect(),
+            jobs,
+            placed,
             crashes: stored.crashes.into(),
         })
     }
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -9,6 +9,7 @@
 mod crash_counts;
 mod crashes;
 mod faults;
+mod indexes;
 mod load;
 mod pending;
 mod recovery;
