--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -314,12 +314,8 @@
                 self.worker_crashed(state, worker, &crashed, io);
                 self.worker_changed(state, worker, io);
             }
-            Change::WorkerRemoved(number) => {
-                if let Some(view) = self.workers.remove(&number)
-                    && self.addresses.get(&view.record.address) == Some(&number)
-                {
-                    self.addresses.remove(&view.record.address);
-                }
+            Change::WorkerRemoved { worker, lost } => {
+                self.worker_removed(state, worker, &lost, io);
             }
             Change::Accepted(id) => {
                 let submit = self.pending_submits.remove(&id);
@@ -419,7 +415,7 @@
         }
         self.update_address(number, &view.record);
         self.workers.insert(number, view);
-        self.remove_predecessors(number, io);
+        self.remove_predecessors(state, number, io);
         self.renew(number, io);
         self.pass_due = true;
     }
@@ -439,22 +435,19 @@
 
     /// Marks all runs as lost on the workers whose address belongs to a later incarnation, and
     /// removes those workers.
-    fn remove_predecessors(&mut self, number: WorkerNumber, io: &mut Io<'_>) {
+    fn remove_predecessors(&mut self, state: &CellState, number: WorkerNumber, io: &mut Io<'_>) {
         let Some(view) = self.workers.get(&number) else {
             return;
         };
-        let (address, incarnation_started_ms) = (
-            view.record.address.clone(),
-            view.record.incarnation_started_ms,
-        );
-        let older: Vec<WorkerNumber> = self
-            .workers
-            .values()
+        let record = &view.record;
+        let at_address = state.workers_at(&record.address).iter().copied();
+        let older: Vec<WorkerNumber> = at_address
             .filter(|other| {
-                other.record.address == address
-                    && other.record.incarnation_started_ms < incarnation_started_ms
+                self.workers.get(other).is_some_and(|other| {
+                    other.record.address == record.address
+                        && other.record.incarnation_started_ms < record.incarnation_started_ms
+                })
             })
-            .map(|other| other.number)
             .collect();
         for older in older {
             self.remove_predecessor(older, io);
@@ -482,6 +475,36 @@
             .collect()
     }
 
+    /// Drops a removed worker, and examines the jobs of the runs that ended with it.
+    fn worker_removed(
+        &mut self,
+        state: &CellState,
+        number: WorkerNumber,
+        lost: &[RunKey],
+        io: &mut Io<'_>,
+    ) {
+        let view = self.workers.remove(&number);
+        if let Some(view) = &view
+            && self.addresses.get(&view.record.address) == Some(&number)
+        {
+            self.addresses.remove(&view.record.address);
+        }
+        let id = view.map_or_else(|| number.to_string(), |view| view.record.id);
+        for key in lost {
+            io.warn(
+                "run_lost",
+                vec![
+                    ("run", key.to_string()),
+                    ("worker", id.clone()),
+                    ("reason", "worker_removed".to_owned()),
+                ],
+            );
+        }
+        for job in crate::state::jobs_of(lost.iter().copied()) {
+            self.refresh_job(state, job, io);
+        }
+    }
+
     /// Updates the waiting steps of a job from the replicated state.
     fn refresh_job(&mut self, state: &CellState, id: JobId, io: &mut Io<'_>) {
         self.pass_due = true;
