Keep starts to the caps of tenants and order steps by class

Change: each run carries its tenant and full demand; a worker whose runs changed is counted again before the next decision, so no path that adds or removes runs has counters of its own. A pass starts single tasks as far as the cap goes, and a gang as a whole or not at all. Waiting steps are ordered by class (owed, extra, late, worthless), determined again as runs are placed. A job of which a task or gang can never start under the cap is refused with 429. Settings: quota_overage, quota_window_s, quota_tolerance.

Ruled out: counters in each function that adds or removes runs (seven places, and more to come).

--- a/crates/acaciareeld/src/cell/config.rs
+++ b/crates/acaciareeld/src/cell/config.rs
@@ -109,7 +109,14 @@
     "metrics_port",
 ];
 const CELL_KEYS: &[&str] = &["seeds", "policy_service"];
-const BOUNDS_KEYS: &[&str] = &["lease_ms", "stop_ms", "status_s"];
+const BOUNDS_KEYS: &[&str] = &[
+    "lease_ms",
+    "stop_ms",
+    "status_s",
+    "quota_overage",
+    "quota_window_s",
+    "quota_tolerance",
+];
 const LOGS_KEYS: &[&str] = &["format", "level"];
 
 /// Returns the id of the VM with this address. The address is the identity of a VM in its cell.
@@ -189,6 +196,14 @@
             lease_ms: bounds.in_range("lease_ms", 6_000, &1_000, &600_000)?,
             stop_ms: bounds.in_range("stop_ms", 1_000, &10, &60_000)?,
             status_retention_ms: bounds.in_range("status_s", 120, &1, &86_400)? * 1_000,
+            quota_overage_permille: thousandths(bounds.in_range(
+                "quota_overage",
+                0.0,
+                &0.0,
+                &10.0,
+            )?),
+            quota_window_ms: thousandths(bounds.in_range("quota_window_s", 0.0, &0.0, &3_600.0)?),
+            quota_tolerance: bounds.in_range("quota_tolerance", 0, &0, &1_000_000)?,
         };
         let mut logs = SectionReader::new(&raw, "logs", LOGS_KEYS, &mut settings)?;
         let log_format = logs.optional("format", LogFormat::KeyValue)?;
@@ -213,6 +228,16 @@
     }
 }
 
+/// Returns a checked value as a whole number of thousandths.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value is neither negative nor large"
+)]
+fn thousandths(value: f64) -> u64 {
+    (value * 1_000.0).round() as u64
+}
+
 fn read_listen(
     raw: &IniFile,
     role: Role,
--- a/crates/acaciareeld/src/cell/config/tests.rs
+++ b/crates/acaciareeld/src/cell/config/tests.rs
@@ -48,6 +48,29 @@
     assert_eq!(config.control_port, 8166);
 }
 
+/// Guards against quota settings in the wrong unit, and against refusing the empty values that the
+/// template has on deployments without tenants.
+#[test]
+fn quota_settings_may_be_empty() {
+    let with =
+        |quotas: &str| CONTROL.replace("status_s = 120", &format!("status_s = 120\n{quotas}"));
+    let full = with("quota_overage = 0.1\nquota_window_s = 5\nquota_tolerance = 20");
+    let empty = with("quota_overage =\nquota_window_s =\nquota_tolerance =");
+
+    let full = parse(&full).expect("valid settings").bounds;
+    let empty = parse(&empty).expect("valid settings").bounds;
+
+    let quotas = |bounds: acaciareel_cell::Bounds| {
+        (
+            bounds.quota_overage_permille,
+            bounds.quota_window_ms,
+            bounds.quota_tolerance,
+        )
+    };
+    assert_eq!(quotas(full), (100, 5_000, 20));
+    assert_eq!(quotas(empty), (0, 0, 0));
+}
+
 /// Guards against a control VM without a data folder, which would keep its state in memory only.
 #[test]
 fn a_control_vm_needs_a_data_folder() {
@@ -65,6 +88,7 @@
     let cases = [
         ("seeds = 10.2.0.32:8166,10.1.0.16:8166", "seeds =", "seed"),
         ("role = control", "role = both", "entry or control"),
+        ("status_s = 120", "quota_overage = -0.1", "outside"),
         ("lease_ms = 10000", "lease_ms = 10", "outside"),
         ("peers_port = 7720", "peers_prt = 7720", "peers_port"),
         ("level = info", "level = loud", "level"),
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -22,6 +22,7 @@
 mod renewal;
 mod run_times;
 mod status_queries;
+mod tenants;
 mod worker;
 mod worker_commands;
 
@@ -40,6 +41,13 @@
     pub stop_ms: u64,
     /// How long the status of an ended job stays available to callers.
     pub status_retention_ms: u64,
+    /// Share of a tenant's cap, in thousandths, by which a task or gang larger than the cap may
+    /// exceed it.
+    pub quota_overage_permille: u64,
+    /// Time over which a tenant's rate of jobs is judged; 0 if no job is beyond the rate.
+    pub quota_window_ms: u64,
+    /// Number of jobs that a tenant may submit beyond its rate.
+    pub quota_tolerance: u64,
 }
 
 /// Shortest time between two scheduling passes. Events that arrive in between are handled by one
@@ -130,6 +138,7 @@
     /// Jobs with a schedule, whose occurrences become due later.
     scheduled_jobs: Vec<JobId>,
     run_times: RunTimes,
+    tenants: tenants::Tenants,
     /// Workers reserved for gangs in the current pass, sorted.
     reserved_for_gangs: Vec<WorkerNumber>,
     /// Workers that drain for suspects, which must run alone, and the suspects' steps.
@@ -185,6 +194,7 @@
             active_jobs: Vec::new(),
             scheduled_jobs: Vec::new(),
             run_times: RunTimes::default(),
+            tenants: tenants::Tenants::default(),
             reserved_for_gangs: Vec::new(),
             draining_for: SortedVec::new(),
             given_up: Vec::new(),
@@ -242,6 +252,7 @@
                 };
                 let demand = pass::counted_demand(spec);
                 let mut inherited = RunView::new(demand, phase, None, now_ms);
+                inherited.charge = self.tenants.charge(job, spec.demand);
                 if state.must_run_alone(job, key) {
                     inherited.alone_until_ms = Some(isolation::trial_end(
                         spec,
@@ -307,6 +318,7 @@
                 self.worker_changed(state, worker, io);
             }
             Change::WorkerRemoved(number) => {
+                self.tenants.remove_worker(number);
                 if let Some(view) = self.workers.remove(&number)
                     && self.addresses.get(&view.record.address) == Some(&number)
                 {
--- a/crates/cell/src/leader/callers.rs
+++ b/crates/cell/src/leader/callers.rs
@@ -1,6 +1,6 @@
 //! Requests of callers: submissions with admission control, status queries and cancellations.
 
-use super::{Leader, reply_not_leader, worker::Phase};
+use super::{Leader, reply_not_leader, tenants::tenant_of_key, worker::Phase};
 use crate::{
     CallerReply, CallerRequest, CellState, Command, JobId, JobSpec, JobState, Origin, QueueRow,
     RefusalReason,
@@ -39,8 +39,9 @@
         let id = rest.parse::<JobId>();
         match (request.request, id) {
             (CallerRequest::Submit(spec), Ok(id)) => {
+                let tenant = tenant_of_key(state, queue, request.api_key.as_ref());
                 let queue = queue.clone();
-                self.submit(state, origin, id, queue, spec, io);
+                self.submit(state, (origin, tenant), id, queue, spec, io);
             }
             (CallerRequest::Submit(_), Err(_)) => io.reply_caller(origin, CallerReply::Invalid),
             (CallerRequest::Status, _) if rest.is_empty() => {
@@ -68,7 +69,7 @@
     fn submit(
         &mut self,
         state: &CellState,
-        origin: Origin,
+        (origin, tenant): (Origin, Option<String>),
         id: JobId,
         queue: QueueRow,
         spec: JobSpec,
@@ -86,7 +87,8 @@
             waiting.push(origin);
             return;
         }
-        if let Err(refused) = self.check_admission(state, &queue, &spec, io) {
+        let owner = tenant.as_deref();
+        if let Err(refused) = self.check_admission(state, &queue, &spec, owner, io) {
             let AdmissionRefusal {
                 reason,
                 retry_after_ms,
@@ -118,7 +120,7 @@
             id,
             queue,
             spec,
-            tenant: None,
+            tenant,
             over_rate: false,
             at_unix_ms,
         });
@@ -129,8 +131,14 @@
         state: &CellState,
         queue: &QueueRow,
         spec: &JobSpec,
+        tenant: Option<&str>,
         io: &Io<'_>,
     ) -> Result<(), AdmissionRefusal> {
+        if tenant.is_some_and(|tenant| self.is_beyond_cap(state, tenant, spec)) {
+            return Err(AdmissionRefusal::regardless_of_load(
+                RefusalReason::BeyondCap,
+            ));
+        }
         let mut capacity_millicores = 0;
         let mut fits = vec![false; spec.steps.len()];
         for view in self.workers.values() {
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -1,6 +1,8 @@
 //! The scheduling pass: serves waiting steps in order of urgency and places their tasks on workers
 //! with free capacity that the policy service allows.
 
+use std::{cmp::Reverse, collections::BinaryHeap};
+
 use acaciareel_types::{Millis, SortedVec};
 
 use super::{
@@ -13,6 +15,7 @@
     CellState, Command, Demand, Job, QueueRow, RunKey, StepKey, StepSpec, WorkerNumber,
     io::Io,
     placement::{Candidate, place_gang, place_separately},
+    tenants::{Class, Timeliness},
 };
 
 /// A request that renews tickets names the chosen workers, half as many again, and this many more,
@@ -104,38 +107,69 @@
     has_large_slack: bool,
 }
 
-/// Whether a job can still meet its objective.
+/// Sort key of waiting steps in a pass: class, then priority and age.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Timeliness {
-    OnTime,
-    Late,
-    Worthless,
+struct Rank {
+    class: Class,
+    priority: u32,
+    due_unix_ms: u64,
+    has_large_slack: bool,
+}
+
+impl Rank {
+    fn new(class: Class, urgency: &Urgency) -> Self {
+        Self {
+            class,
+            priority: urgency.priority,
+            due_unix_ms: urgency.due_unix_ms,
+            has_large_slack: urgency.has_large_slack,
+        }
+    }
 }
 
 impl Leader {
     /// Runs one scheduling pass over the waiting steps that have tasks without a proposed
     /// placement.
     pub(super) fn run_pass(&mut self, state: &CellState, io: &mut Io<'_>) {
-        let mut order: Vec<(Urgency, StepKey)> = self
+        self.refresh_tenants(state);
+        let mut order: BinaryHeap<Reverse<(Rank, StepKey, Urgency)>> = self
             .steps
             .iter()
             .filter(|(_, step)| step.waiting.len() > step.proposed.len())
-            .filter_map(|(key, _)| Some((self.urgency(state.job(key.job)?, *key, io), *key)))
+            .filter_map(|(key, _)| {
+                let job = state.job(key.job)?;
+                let urgency = self.urgency(job, *key, io);
+                let class = self.class_of(state, job, urgency.timeliness);
+                Some(Reverse((Rank::new(class, &urgency), *key, urgency)))
+            })
             .collect();
-        order.sort_unstable();
         self.steps_examined += order.len() as u64;
         let mut free_capacity = self.free_capacity(io.now_ms);
         self.release_drained(state, &free_capacity);
         let mut reserving = 0;
         let reserved = std::mem::take(&mut self.reserved_for_gangs);
         self.previously_reserved = reserved;
-        for (urgency, key) in order {
+        while let Some(Reverse((rank, key, urgency))) = order.pop() {
             let job = state.job(key.job);
             let Some((job, spec)) = job.and_then(|job| Some((job, job.step_spec(key)?))) else {
                 self.steps.remove(&key);
                 continue;
             };
-            for group in self.task_groups(state, key, spec) {
+            // Usage only grows during a pass, so a class only gets worse.
+            let class = self.class_of(state, job, urgency.timeliness);
+            if class != rank.class {
+                order.push(Reverse((Rank::new(class, &urgency), key, urgency)));
+                continue;
+            }
+            let times = (class, urgency.timeliness);
+            let most = self.tasks_until_class_changes(state, job, spec, times);
+            let proposed_before = self.proposed_tasks(key);
+            for mut group in self.task_groups(state, key, spec) {
+                let proposed = self.proposed_tasks(key) - proposed_before;
+                group.tasks.truncate(most - proposed.min(most));
+                if group.tasks.is_empty() {
+                    continue;
+                }
                 self.place_group(
                     (state, job, spec),
                     (key, urgency, group),
@@ -144,6 +178,13 @@
                     io,
                 );
             }
+            let proposed = self.proposed_tasks(key) - proposed_before;
+            let waits = self.steps.get(&key);
+            let waits = waits.is_some_and(|step| step.waiting.len() > step.proposed.len());
+            if proposed == most && waits {
+                // The tenant has reached its entitlement; the class of the rest has changed.
+                order.push(Reverse((rank, key, urgency)));
+            }
         }
     }
 
@@ -198,12 +239,20 @@
     fn place_group(
         &mut self,
         (state, job, spec): (&CellState, &Job, &StepSpec),
-        (key, urgency, group): (StepKey, Urgency, TaskGroup),
+        (key, urgency, mut group): (StepKey, Urgency, TaskGroup),
         free_capacity: &mut FreeCapacityByWorker,
         reserving: &mut usize,
         io: &mut Io<'_>,
     ) {
         let queue = &job.queue;
+        let startable = self.startable_under_cap(state, job, spec, group.tasks.len());
+        if startable == 0 {
+            if spec.gang && urgency.timeliness == Timeliness::OnTime {
+                self.hold_room_for_gang(state, job, spec, group.tasks.len());
+            }
+            return;
+        }
+        group.tasks.truncate(startable);
         let free_tasks = group.tasks;
         let tasks = u32::try_from(free_tasks.len()).unwrap_or(u32::MAX);
         let demand = counted_demand(spec);
@@ -251,6 +300,7 @@
             if on_time || *reserving < MAX_LATE_RESERVING_GANGS {
                 *reserving += usize::from(!on_time);
                 self.reserve(&demand, tasks, &candidates, free_capacity);
+                self.count_reserved(job, spec, free_tasks.len());
             }
             return;
         };
@@ -283,6 +333,9 @@
         if !spec.gang {
             let ready: Vec<WorkerNumber> = chosen.iter().filter(|w| valid(w)).copied().collect();
             self.propose(job, (key, alone_until_ms), &free_tasks, &ready, io);
+            self.count_reserved(job, spec, missing.len());
+        } else {
+            self.count_reserved(job, spec, chosen.len());
         }
         let mut requested = if spec.gang { chosen } else { missing };
         requested.sort_unstable();
@@ -444,6 +497,7 @@
             let ticket = ticket.map(|ticket| ticket.text.clone());
             let mut view = RunView::new(demand, Phase::Proposed, ticket, io.now_ms);
             view.alone_until_ms = alone_until_ms;
+            view.charge = self.tenants.charge(job, spec.demand);
             if let Some(worker) = self.workers.get_mut(worker) {
                 worker.add_run(run, view);
             }
@@ -457,6 +511,9 @@
             placements.get_or_insert_with(*worker, Vec::new).push(run);
         }
         for (worker, runs) in placements {
+            if job.tenant.is_some() {
+                self.recount_worker(worker);
+            }
             let id = self.workers.get(&worker).map(|view| view.record.id.clone());
             let waited_ms = io.unix_ms.saturating_sub(job.due_unix_ms(key.occurrence));
             io.log(
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -355,6 +355,11 @@
             let demand = demand.map_or(view.record.capacity, pass::counted_demand);
             let mut run = RunView::new(demand, Phase::Unexpected, None, io.now_ms);
             run.stopping = true;
+            run.charge = job.and_then(|job| {
+                let spec = job.step_spec(key.step);
+                let demand = spec.map_or(view.record.capacity, |spec| spec.demand);
+                self.tenants.charge(job, demand)
+            });
             view.runs.insert(reported.run, run);
             io.effects.push(Effect::Log {
                 level: crate::LogLevel::Warn,
--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -3,6 +3,7 @@
 
 use acaciareel_types::{Millis, SortedVec};
 
+use super::tenants::Charge;
 use crate::{Demand, RunKey, WorkerNumber, WorkerRecord};
 
 /// A worker's clock may run slower than this VM's by this share, in thousandths (2%, bound of the
@@ -93,6 +94,8 @@
     pub stopping: bool,
     /// Time until which the worker takes no other runs, if this run must be alone.
     pub alone_until_ms: Option<Millis>,
+    /// What the run counts for its tenant.
+    pub charge: Option<Charge>,
 }
 
 impl RunView {
@@ -108,6 +111,7 @@
             stop_sent_ms: None,
             stopping: false,
             alone_until_ms: None,
+            charge: None,
         }
     }
 }
@@ -192,6 +196,8 @@
     pub completions_acknowledged: u64,
     pub runs: SortedVec<RunKey, RunView>,
     pub free: Demand,
+    /// Whether the runs may have changed since they were last counted for their tenants.
+    pub usage_changed: bool,
     /// Time until which the worker takes no further runs, because one must be alone.
     pub isolated_until_ms: Option<Millis>,
     pub health: Health,
@@ -227,6 +233,7 @@
             completions_acknowledged: 0,
             runs: SortedVec::new(),
             free,
+            usage_changed: true,
             isolated_until_ms: None,
             health: Health::default(),
             deregistered_ms: None,
@@ -305,8 +312,10 @@
         self.recompute_free();
     }
 
-    /// Recomputes the free capacity from the runs, and until when one of them must be alone.
+    /// Recomputes the free capacity from the runs, and until when one of them must be alone. Called
+    /// after each change of the runs.
     pub fn recompute_free(&mut self) {
+        self.usage_changed = true;
         let ends = self.runs.values().filter_map(|run| run.alone_until_ms);
         self.isolated_until_ms = ends.max();
         self.free = self.free_beside(|_, _| true);
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -19,6 +19,7 @@
 mod model;
 mod placement;
 mod state;
+mod tenants;
 
 pub use crate::{
     admission::{AdmissionRefusal, Load, admit},
@@ -44,4 +45,8 @@
     },
     placement::{Candidate, place_gang, place_separately},
     state::{CellState, Change},
+    tenants::{
+        Cap, Class, RateWindow, Standing, Timeliness, TokenBucket, Totals, class,
+        dominant_share_ppm, entitlement_ppm, tasks_below_share,
+    },
 };
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -57,6 +57,10 @@
     NoLeader,
     /// The entry VM has as many open requests as it may have.
     Busy,
+    /// A task or gang of the job can never start under its tenant's cap.
+    BeyondCap,
+    /// The job is beyond its tenant's rate and would have to wait.
+    OverRate,
 }
 
 /// Reply to a caller's request.
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -17,4 +17,5 @@
 mod services;
 mod sim;
 mod suspects;
+mod tenants;
 mod worker;
