Admit jobs by their tenant's rate, cap and share

Cause: a tenant at many times its rate filled the queues, and jobs of others were refused for its backlog; jobs of a tenant with a lowered cap were accepted though they could not be in time.

Change: a token bucket for each tenant marks jobs beyond its rate; such a job is accepted only if its first steps start at once, and refused otherwise (429, OverRate) with a retry time from the tenant's own backlog. Work that runs after a job does not count against it; a tenant below its entitlement waits at most for its own work at that share, and never less than its cap takes. Usage, entitlement, cap, waiting tasks and refused jobs of each tenant are metrics, and log lines for at most 20 tenants every 5 s.

--- a/crates/acaciareeld/src/cell/run.rs
+++ b/crates/acaciareeld/src/cell/run.rs
@@ -618,6 +618,11 @@
                 #[allow(clippy::cast_precision_loss, reason = "counts are small")]
                 gauge!(format!("acaciareel_cell_{name}")).set(value as f64);
             }
+            Effect::LabeledGauge { name, label, value } => {
+                let name = format!("acaciareel_cell_{name}");
+                #[allow(clippy::cast_precision_loss, reason = "counts are small")]
+                gauge!(name, "tenant" => label).set(value as f64);
+            }
             Effect::Stopped => self.stopped = true,
         }
     }
--- a/crates/cell/src/admission.rs
+++ b/crates/cell/src/admission.rs
@@ -1,7 +1,8 @@
 //! Admission control: refuses a job at once if it would wait longer than its objective allows.
 //!
 //! The load it is built for: bursts of one or all kinds of jobs at 1.5 to 2.2 times the usual rate,
-//! on workers that were four fifths full before.
+//! on workers that were four fifths full before; and single tenants at 6 to 7 times their rate for 5
+//! to 7 s, on workers that the others fill to four fifths.
 
 use crate::RefusalReason;
 
@@ -48,7 +49,23 @@
     }
 }
 
-/// Decides whether a job is accepted.
+/// Load of a tenant when one of its jobs arrives.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TenantLoad {
+    /// Whether the job is beyond the tenant's rate.
+    pub over_rate: bool,
+    /// Whether the job's first tasks could start at once, without waiting behind others.
+    pub starts_at_once: bool,
+    /// Time in which the tenant's own waiting work that runs before the job is done under its cap.
+    pub cap_wait_ms: u64,
+    /// The same with the capacity that the tenant is entitled to; `None` if the tenant already holds
+    /// that much, so that others go first.
+    pub share_wait_ms: Option<u64>,
+    /// Time until the tenant's own backlog is done and its rate allows a further job.
+    pub own_backlog_ms: u64,
+}
+
+/// Decides whether a job without a tenant is accepted.
 ///
 /// # Errors
 ///
@@ -61,7 +78,41 @@
             RefusalReason::NotReady,
         ));
     }
+    check_wait(
+        load,
+        load.queued_ahead_millicore_ms / load.capacity_millicores,
+    )
+}
+
+/// Decides whether a job of a tenant is accepted.
+///
+/// A tenant below its entitlement gets at least that share of the capacity that becomes free, so its
+/// job waits no longer than for the tenant's own work at that share. Under its cap it never waits
+/// less than the cap allows.
+///
+/// # Errors
+///
+/// Returns the refusal as [`admit`] does, or if the job is beyond the tenant's rate and would have
+/// to wait.
+pub fn admit_for_tenant(load: &Load, tenant: &TenantLoad) -> Result<(), AdmissionRefusal> {
+    if load.capacity_millicores == 0 {
+        return admit(load);
+    }
+    if tenant.over_rate && !tenant.starts_at_once {
+        let retry_ms = tenant.own_backlog_ms;
+        return Err(AdmissionRefusal {
+            reason: RefusalReason::OverRate,
+            retry_after_ms: retry_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS),
+            wait_ms: retry_ms,
+            wait_budget_ms: 0,
+        });
+    }
     let wait_ms = load.queued_ahead_millicore_ms / load.capacity_millicores;
+    let wait_ms = tenant.share_wait_ms.map_or(wait_ms, |own| own.min(wait_ms));
+    check_wait(load, wait_ms.max(tenant.cap_wait_ms))
+}
+
+fn check_wait(load: &Load, wait_ms: u64) -> Result<(), AdmissionRefusal> {
     let wait_budget_ms = load.wait_budget_ms;
     if wait_ms <= wait_budget_ms {
         return Ok(());
--- a/crates/cell/src/io.rs
+++ b/crates/cell/src/io.rs
@@ -348,6 +348,15 @@
         /// Value that replaces the gauge's previous one.
         value: u64,
     },
+    /// Sets a gauge of one tenant.
+    LabeledGauge {
+        /// Name of the gauge, as in [`Effect::Gauge`].
+        name: &'static str,
+        /// Name of the tenant.
+        label: String,
+        /// Value that replaces the gauge's previous one.
+        value: u64,
+    },
     /// The VM has stopped and its process may end.
     Stopped,
 }
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -330,14 +330,16 @@
                     io.reply_caller(origin, CallerReply::Accepted);
                 }
                 if let Some(job) = state.job(id) {
-                    io.log(
-                        "job_accepted",
-                        vec![
-                            ("job", id.to_string()),
-                            ("queue", job.queue.name.clone()),
-                            ("queues_version", state.queues().version.to_string()),
-                        ],
-                    );
+                    let mut fields = vec![
+                        ("job", id.to_string()),
+                        ("queue", job.queue.name.clone()),
+                        ("queues_version", state.queues().version.to_string()),
+                    ];
+                    if let Some(tenant) = &job.tenant {
+                        fields.push(("tenant", tenant.clone()));
+                        fields.push(("over_rate", job.over_rate.to_string()));
+                    }
+                    io.log("job_accepted", fields);
                 }
                 self.refresh_job(state, id, io);
             }
@@ -696,6 +698,7 @@
         if !expired.is_empty() {
             io.commands.push(Command::RemoveJobs(expired));
         }
+        self.report_tenants(state, io);
         io.effect(Effect::Gauge {
             name: "jobs_known",
             value: state.jobs().len() as u64,
--- a/crates/cell/src/leader/callers.rs
+++ b/crates/cell/src/leader/callers.rs
@@ -1,12 +1,17 @@
 //! Requests of callers: submissions with admission control, status queries and cancellations.
 
-use super::{Leader, reply_not_leader, tenants::tenant_of_key, worker::Phase};
+use super::{
+    Leader, reply_not_leader,
+    tenants::{are_in_force, tenant_of_key},
+    worker::Phase,
+};
 use crate::{
     CallerReply, CallerRequest, CellState, Command, JobId, JobSpec, JobState, Origin, QueueRow,
     RefusalReason,
-    admission::{AdmissionRefusal, Load, admit},
+    admission::{AdmissionRefusal, Load, admit, admit_for_tenant},
     io::Io,
     message::AddressedRequest,
+    tenants::Class,
 };
 
 /// Time after which a caller should retry while there is no queue table.
@@ -88,25 +93,29 @@
             return;
         }
         let owner = tenant.as_deref();
-        if let Err(refused) = self.check_admission(state, &queue, &spec, owner, io) {
+        let over_rate = owner.is_some_and(|owner| self.is_over_rate(state, owner, io.now_ms));
+        let admitted = self.check_admission(state, &queue, &spec, (owner, over_rate), io);
+        if let Err(refused) = admitted {
             let AdmissionRefusal {
                 reason,
                 retry_after_ms,
                 wait_ms,
                 wait_budget_ms,
             } = refused;
-            io.log(
-                "job_refused",
-                vec![
-                    ("job", id.to_string()),
-                    ("queue", queue.name),
-                    ("reason", format!("{reason:?}")),
-                    ("wait_ms", wait_ms.to_string()),
-                    ("wait_budget_ms", wait_budget_ms.to_string()),
-                    ("retry_after_ms", retry_after_ms.to_string()),
-                    ("queues_version", state.queues().version.to_string()),
-                ],
-            );
+            let mut fields = vec![
+                ("job", id.to_string()),
+                ("queue", queue.name),
+                ("reason", format!("{reason:?}")),
+                ("wait_ms", wait_ms.to_string()),
+                ("wait_budget_ms", wait_budget_ms.to_string()),
+                ("retry_after_ms", retry_after_ms.to_string()),
+                ("queues_version", state.queues().version.to_string()),
+            ];
+            if let Some(tenant) = tenant {
+                self.count_refused(&tenant);
+                fields.extend([("tenant", tenant), ("over_rate", over_rate.to_string())]);
+            }
+            io.log("job_refused", fields);
             let reply = CallerReply::Refused {
                 reason,
                 retry_after_ms,
@@ -114,24 +123,31 @@
             return io.reply_caller(origin, reply);
         }
         self.pending_submits.insert(id, vec![origin]);
-        self.request_advice_early(id, &queue, &spec, io);
+        if let Some(owner) = owner
+            && !over_rate
+        {
+            self.take_rate_token(owner);
+        }
+        if owner.is_none_or(|owner| self.may_start_under_cap(state, owner, &spec)) {
+            self.request_advice_early(id, &queue, &spec, io);
+        }
         let at_unix_ms = io.unix_ms;
         io.commands.push(Command::Accept {
             id,
             queue,
             spec,
             tenant,
-            over_rate: false,
+            over_rate,
             at_unix_ms,
         });
     }
 
     fn check_admission(
-        &self,
+        &mut self,
         state: &CellState,
         queue: &QueueRow,
         spec: &JobSpec,
-        tenant: Option<&str>,
+        (tenant, over_rate): (Option<&str>, bool),
         io: &Io<'_>,
     ) -> Result<(), AdmissionRefusal> {
         if tenant.is_some_and(|tenant| self.is_beyond_cap(state, tenant, spec)) {
@@ -157,22 +173,40 @@
         }
         let chain_ms = self.run_times.chain_ms(queue, spec.steps.len());
         let slack_ms = chain_ms.saturating_mul(queue.slack_permille.saturating_sub(1_000)) / 1_000;
-        admit(&Load {
+        let tenant = tenant.filter(|_| are_in_force(state));
+        let class = tenant.map_or(Class::Owed, |tenant| {
+            self.recount_changed_workers();
+            self.class_of_new_job(state, queue, tenant, over_rate)
+        });
+        let load = Load {
             capacity_millicores: capacity_millicores * USABLE_CAPACITY_PERMILLE / 1_000,
-            queued_ahead_millicore_ms: self.queued_work_ahead(state, queue, io),
+            queued_ahead_millicore_ms: self.queued_work_ahead(state, queue, class, io),
             wait_budget_ms: slack_ms.saturating_add(queue.target_ms),
-        })
+        };
+        let Some(tenant) = tenant else {
+            return admit(&load);
+        };
+        let job = (tenant, queue, spec);
+        let tenant_load = self.tenant_load(state, job, (class, over_rate), &load, io);
+        admit_for_tenant(&load, &tenant_load)
     }
 
     /// Returns the waiting work that runs before a new job of a queue, in millicores times
-    /// milliseconds. Late work is not counted because it runs after new jobs.
-    fn queued_work_ahead(&self, state: &CellState, queue: &QueueRow, io: &Io<'_>) -> u64 {
+    /// milliseconds. Late work, and work of a later class, is not counted because it runs after new
+    /// jobs.
+    fn queued_work_ahead(
+        &self,
+        state: &CellState,
+        queue: &QueueRow,
+        class: Class,
+        io: &Io<'_>,
+    ) -> u64 {
         let steps = self.steps.iter().filter_map(|(key, step)| {
             let job = state.job(key.job)?;
             let spec = job.step_spec(*key)?;
-            let goes_first = job.queue.priority <= queue.priority
-                && job.queue.service == queue.service
-                && self.is_on_time(job, *key, io);
+            let own_class = self.class_of(state, job, self.timeliness(job, *key, io));
+            let order = (own_class, job.queue.priority);
+            let goes_first = job.queue.service == queue.service && order <= (class, queue.priority);
             let run_ms = self.run_times.expect(&job.queue, spec).median_ms;
             let tasks = step.waiting.len() as u64;
             let millicores = u64::from(spec.demand.cpu_millicores);
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -167,6 +167,7 @@
             for mut group in self.task_groups(state, key, spec) {
                 let proposed = self.proposed_tasks(key) - proposed_before;
                 group.tasks.truncate(most - proposed.min(most));
+                self.keep_to_cap((state, job, spec), urgency.timeliness, &mut group.tasks);
                 if group.tasks.is_empty() {
                     continue;
                 }
@@ -206,8 +207,8 @@
 
     /// Returns whether a waiting step can still finish within the objective of its job, or is to
     /// run for as long as the job exists.
-    pub(super) fn is_on_time(&self, job: &Job, key: StepKey, io: &Io<'_>) -> bool {
-        self.urgency(job, key, io).timeliness == Timeliness::OnTime
+    pub(super) fn timeliness(&self, job: &Job, key: StepKey, io: &Io<'_>) -> Timeliness {
+        self.urgency(job, key, io).timeliness
     }
 
     fn urgency(&self, job: &Job, key: StepKey, io: &Io<'_>) -> Urgency {
@@ -239,20 +240,12 @@
     fn place_group(
         &mut self,
         (state, job, spec): (&CellState, &Job, &StepSpec),
-        (key, urgency, mut group): (StepKey, Urgency, TaskGroup),
+        (key, urgency, group): (StepKey, Urgency, TaskGroup),
         free_capacity: &mut FreeCapacityByWorker,
         reserving: &mut usize,
         io: &mut Io<'_>,
     ) {
         let queue = &job.queue;
-        let startable = self.startable_under_cap(state, job, spec, group.tasks.len());
-        if startable == 0 {
-            if spec.gang && urgency.timeliness == Timeliness::OnTime {
-                self.hold_room_for_gang(state, job, spec, group.tasks.len());
-            }
-            return;
-        }
-        group.tasks.truncate(startable);
         let free_tasks = group.tasks;
         let tasks = u32::try_from(free_tasks.len()).unwrap_or(u32::MAX);
         let demand = counted_demand(spec);
@@ -333,10 +326,9 @@
         if !spec.gang {
             let ready: Vec<WorkerNumber> = chosen.iter().filter(|w| valid(w)).copied().collect();
             self.propose(job, (key, alone_until_ms), &free_tasks, &ready, io);
-            self.count_reserved(job, spec, missing.len());
-        } else {
-            self.count_reserved(job, spec, chosen.len());
         }
+        let set_aside = if spec.gang { &chosen } else { &missing };
+        self.count_reserved(job, spec, set_aside.len());
         let mut requested = if spec.gang { chosen } else { missing };
         requested.sort_unstable();
         requested.dedup();
--- a/crates/cell/src/leader/tenants.rs
+++ b/crates/cell/src/leader/tenants.rs
@@ -4,18 +4,23 @@
 //! ([`WorkerView::usage_changed`]) and counted again before the next decision, so that no path that
 //! adds or removes runs has counters of its own.
 
-use acaciareel_types::SortedVec;
+use acaciareel_types::{Millis, SortedVec};
 
-use super::{Leader, worker::WorkerView};
+use super::{Leader, pass::counted_demand, worker::WorkerView};
 use crate::{
-    ApiKeyDigest, CellState, Demand, Job, JobSpec, QueueRow, StepKey, StepSpec, TenantRow,
+    ApiKeyDigest, CellState, Demand, Effect, Job, JobSpec, QueueRow, StepKey, StepSpec, TenantRow,
     WorkerNumber,
+    admission::{Load, TenantLoad},
+    io::Io,
     tenants::{
-        Cap, Class, Standing, Timeliness, Totals, class, dominant_share_ppm, entitlement_ppm,
-        tasks_below_share,
+        Cap, Class, RateWindow, Standing, Timeliness, TokenBucket, Totals, class,
+        dominant_share_ppm, entitlement_ppm, tasks_below_share,
     },
 };
 
+/// Most tenants of one report in the log. Metrics have all.
+const MAX_LOGGED_TENANTS: usize = 20;
+
 /// Number of a tenant name in one leader's memory. Numbers are not reused.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct TenantNumber(u32);
@@ -45,6 +50,12 @@
     waiting: bool,
 }
 
+impl ServiceUsage {
+    fn is_active(&self) -> bool {
+        self.waiting || self.running.tasks > 0
+    }
+}
+
 /// State of one tenant.
 #[derive(Debug, Default)]
 struct TenantState {
@@ -52,6 +63,12 @@
     services: Vec<ServiceUsage>,
     /// Gang that waits for room under the cap in this pass.
     waiting_gang: Totals,
+    /// Rate of the tenant's jobs; `None` before the first one.
+    bucket: Option<TokenBucket>,
+    /// Jobs refused by this leader.
+    refused: u64,
+    /// Value of `refused` at the last report.
+    refused_reported: u64,
 }
 
 impl TenantState {
@@ -84,7 +101,7 @@
 pub(super) struct Tenants {
     numbers: SortedVec<String, TenantNumber>,
     services: Vec<String>,
-    tenants: Vec<TenantState>,
+    states: Vec<TenantState>,
     by_worker: SortedVec<WorkerNumber, WorkerUsage>,
     /// By position of the service; computed at the start of each pass.
     shares: Vec<ServiceShares>,
@@ -101,9 +118,9 @@
         if let Some(number) = self.numbers.get(name) {
             return *number;
         }
-        let number = TenantNumber(u32::try_from(self.tenants.len()).unwrap_or(u32::MAX));
+        let number = TenantNumber(u32::try_from(self.states.len()).unwrap_or(u32::MAX));
         self.numbers.insert(name.to_owned(), number);
-        self.tenants.push(TenantState::default());
+        self.states.push(TenantState::default());
         number
     }
 
@@ -117,11 +134,11 @@
 
     fn tenant(&self, name: &str) -> Option<&TenantState> {
         let number = self.numbers.get(name)?;
-        self.tenants.get(number.0 as usize)
+        self.states.get(number.0 as usize)
     }
 
     fn tenant_mut(&mut self, number: TenantNumber) -> Option<&mut TenantState> {
-        self.tenants.get_mut(number.0 as usize)
+        self.states.get_mut(number.0 as usize)
     }
 
     /// Counts the runs of a worker again.
@@ -209,7 +226,7 @@
             return;
         }
         self.recount_changed_workers();
-        for tenant in &mut self.tenants.tenants {
+        for tenant in &mut self.tenants.states {
             tenant.waiting_gang = Totals::default();
             for usage in &mut tenant.services {
                 usage.reserved = Totals::default();
@@ -258,11 +275,11 @@
             let Some(number) = tenants.numbers.get(&row.name) else {
                 continue;
             };
-            let Some(tenant) = tenants.tenants.get(number.0 as usize) else {
+            let Some(tenant) = tenants.states.get(number.0 as usize) else {
                 continue;
             };
             for (usage, shares) in tenant.services.iter().zip(&mut tenants.shares) {
-                if usage.waiting || usage.running.tasks > 0 {
+                if usage.is_active() {
                     shares.weight_sum_permille += row.weight_permille;
                 }
             }
@@ -286,7 +303,7 @@
     }
 
     /// Returns how many waiting tasks of a step may start under the cap of the job's tenant.
-    pub(super) fn startable_under_cap(
+    fn startable_under_cap(
         &self,
         state: &CellState,
         job: &Job,
@@ -308,15 +325,23 @@
         cap.startable(&usage, &spec.demand, tasks, spec.gang) as usize
     }
 
-    /// Keeps later steps of a pass from taking the room under the cap for which a gang waits. They
-    /// may still use half of the cap, so that a tenant that holds less is not left idle.
-    pub(super) fn hold_room_for_gang(
+    /// Leaves only those tasks of a group that may start under the cap of the job's tenant.
+    pub(super) fn keep_to_cap(
         &mut self,
-        state: &CellState,
-        job: &Job,
-        spec: &StepSpec,
-        tasks: usize,
+        (state, job, spec): (&CellState, &Job, &StepSpec),
+        timeliness: Timeliness,
+        tasks: &mut Vec<u32>,
     ) {
+        let startable = self.startable_under_cap(state, job, spec, tasks.len());
+        if startable == 0 && spec.gang && timeliness == Timeliness::OnTime {
+            self.hold_room_for_gang(state, job, spec, tasks.len());
+        }
+        tasks.truncate(startable);
+    }
+
+    /// Keeps later steps of a pass from taking the room under the cap for which a gang waits. They
+    /// may still use half of the cap, so that a tenant that holds less is not left idle.
+    fn hold_room_for_gang(&mut self, state: &CellState, job: &Job, spec: &StepSpec, tasks: usize) {
         let Some(name) = &job.tenant else {
             return;
         };
@@ -345,26 +370,41 @@
         }
     }
 
-    /// Returns the standing of a job's tenant in the job's service; `None` if the job has no tenant
-    /// or none are in force.
-    fn standing(&self, state: &CellState, job: &Job) -> Option<(Standing, Totals, Totals)> {
-        let name = job.tenant.as_ref().filter(|_| are_in_force(state))?;
+    /// Returns the standing of a tenant in a service, with its usage and the service's capacity.
+    fn standing_of(
+        &self,
+        state: &CellState,
+        (tenant, service): (&str, &str),
+        over_rate: bool,
+    ) -> (Standing, Totals, Totals) {
         let services = &self.tenants.services;
-        let service = services.iter().position(|s| *s == job.queue.service);
+        let service = services.iter().position(|known| known == service);
         let shares = service.and_then(|at| self.tenants.shares.get(at));
         let shares = shares.cloned().unwrap_or_default();
-        let tenant = self.tenants.tenant(name);
-        let usage = tenant.and_then(|tenant| tenant.services.get(service?));
-        let usage = usage.cloned().unwrap_or_default();
-        let usage = usage.running.plus(&usage.reserved);
-        let weight_permille = row(state, name).map_or(0, |row| row.weight_permille);
-        let weight_sum_permille = shares.weight_sum_permille.max(weight_permille);
+        let usage = self.tenants.tenant(tenant);
+        let usage = usage.and_then(|tenant| tenant.services.get(service?));
+        let is_active = usage.is_some_and(ServiceUsage::is_active);
+        let usage = usage.map_or_else(Totals::default, |u| u.running.plus(&u.reserved));
+        let weight_permille = row(state, tenant).map_or(0, |row| row.weight_permille);
+        let weight_sum_permille = if is_active {
+            shares.weight_sum_permille.max(weight_permille)
+        } else {
+            shares.weight_sum_permille + weight_permille
+        };
         let standing = Standing {
             share_ppm: dominant_share_ppm(&usage, &shares.capacity),
             entitlement_ppm: entitlement_ppm(weight_permille, weight_sum_permille),
-            over_rate: job.over_rate,
+            over_rate,
         };
-        Some((standing, usage, shares.capacity))
+        (standing, usage, shares.capacity)
+    }
+
+    /// Returns the standing of a job's tenant in the job's service; `None` if the job has no tenant
+    /// or none are in force.
+    fn standing(&self, state: &CellState, job: &Job) -> Option<(Standing, Totals, Totals)> {
+        let name = job.tenant.as_ref().filter(|_| are_in_force(state))?;
+        let tenant = (name.as_str(), job.queue.service.as_str());
+        Some(self.standing_of(state, tenant, job.over_rate))
     }
 
     /// Returns the class of a waiting step.
@@ -398,4 +438,276 @@
     pub(super) fn proposed_tasks(&self, key: StepKey) -> usize {
         self.steps.get(&key).map_or(0, |step| step.proposed.len())
     }
+
+    /// Returns the class that a new job of a tenant has while it is on time.
+    pub(super) fn class_of_new_job(
+        &self,
+        state: &CellState,
+        queue: &QueueRow,
+        tenant: &str,
+        over_rate: bool,
+    ) -> Class {
+        let (standing, _, _) = self.standing_of(state, (tenant, &queue.service), over_rate);
+        class(Timeliness::OnTime, Some(&standing))
+    }
+
+    /// Returns whether a new job of a tenant is beyond the tenant's rate.
+    pub(super) fn is_over_rate(&mut self, state: &CellState, tenant: &str, now_ms: Millis) -> bool {
+        let window = RateWindow {
+            window_ms: self.bounds.quota_window_ms,
+            tolerance: self.bounds.quota_tolerance,
+        };
+        let Some(row) = row(state, tenant).filter(|_| window.window_ms > 0) else {
+            return false;
+        };
+        let number = self.tenants.intern(tenant);
+        let Some(tenant) = self.tenants.tenant_mut(number) else {
+            return false;
+        };
+        let full = || TokenBucket::full(row, window, now_ms);
+        let bucket = tenant.bucket.get_or_insert_with(full);
+        bucket.refill(row, window, now_ms);
+        !bucket.has_token()
+    }
+
+    /// Takes the token of an accepted job from its tenant's bucket.
+    pub(super) fn take_rate_token(&mut self, tenant: &str) {
+        let number = self.tenants.intern(tenant);
+        let tenant = self.tenants.tenant_mut(number);
+        if let Some(bucket) = tenant.and_then(|tenant| tenant.bucket.as_mut()) {
+            bucket.take();
+        }
+    }
+
+    /// Counts a refused job of a tenant.
+    pub(super) fn count_refused(&mut self, tenant: &str) {
+        let number = self.tenants.intern(tenant);
+        if let Some(tenant) = self.tenants.tenant_mut(number) {
+            tenant.refused += 1;
+        }
+    }
+
+    /// Returns whether a first step of a new job may start now under its tenant's cap.
+    pub(super) fn may_start_under_cap(
+        &self,
+        state: &CellState,
+        tenant: &str,
+        spec: &JobSpec,
+    ) -> bool {
+        let usage = self.tenants.tenant(tenant);
+        let usage = usage.map_or_else(Totals::default, TenantState::total);
+        let cap = self.cap(state, tenant);
+        let first = spec.steps.iter().filter(|step| step.depends_on.is_empty());
+        let mut startable =
+            first.map(|step| cap.startable(&usage, &step.demand, step.tasks, step.gang));
+        startable.any(|tasks| tasks > 0)
+    }
+
+    /// Returns the load of a tenant when one of its jobs arrives.
+    pub(super) fn tenant_load(
+        &self,
+        state: &CellState,
+        (tenant, queue, spec): (&str, &QueueRow, &JobSpec),
+        (class, over_rate): (Class, bool),
+        load: &Load,
+        io: &Io<'_>,
+    ) -> TenantLoad {
+        let (standing, _, _) = self.standing_of(state, (tenant, &queue.service), over_rate);
+        let own = self.own_work_ahead(state, (tenant, queue), class, io);
+        let entitled = u128::from(load.capacity_millicores) * u128::from(standing.entitlement_ppm);
+        let share_wait_ms = u128::from(own.cpu_millicores) * 1_000_000;
+        let share_wait_ms = share_wait_ms.checked_div(entitled);
+        let share_wait_ms =
+            share_wait_ms.map_or(u64::MAX, |wait| u64::try_from(wait).unwrap_or(u64::MAX));
+        let cap_wait_ms = self.cap(state, tenant).duration_ms(&own);
+        let bucket = self.tenants.tenant(tenant).and_then(|tenant| tenant.bucket);
+        let token_ms = bucket.zip(row(state, tenant)).map_or(0, |(bucket, row)| {
+            bucket.next_token_ms(row).unwrap_or(u64::MAX)
+        });
+        TenantLoad {
+            over_rate,
+            starts_at_once: over_rate && self.starts_at_once(state, (tenant, queue, spec), io),
+            cap_wait_ms,
+            share_wait_ms: (class == Class::Owed).then_some(share_wait_ms),
+            own_backlog_ms: share_wait_ms.max(cap_wait_ms).max(token_ms),
+        }
+    }
+
+    /// Returns the waiting work of a tenant that runs before a new job of it, as resources times
+    /// milliseconds.
+    fn own_work_ahead(
+        &self,
+        state: &CellState,
+        (tenant, queue): (&str, &QueueRow),
+        class: Class,
+        io: &Io<'_>,
+    ) -> Totals {
+        let mut work = Totals::default();
+        for (key, step) in self.steps.iter() {
+            let Some(job) = state.job(key.job) else {
+                continue;
+            };
+            if job.tenant.as_deref() != Some(tenant) || job.queue.priority > queue.priority {
+                continue;
+            }
+            let timeliness = self.timeliness(job, *key, io);
+            let goes_first = self.class_of(state, job, timeliness) <= class;
+            if let Some(spec) = job.step_spec(*key).filter(|_| goes_first) {
+                let run_ms = self.run_times.expect(&job.queue, spec).median_ms;
+                let tasks = u64::try_from(step.waiting.len()).unwrap_or(u64::MAX);
+                let amount =
+                    |each: u32| u64::from(each).saturating_mul(tasks).saturating_mul(run_ms);
+                work.add(&Totals {
+                    cpu_millicores: amount(spec.demand.cpu_millicores),
+                    memory_mib: amount(spec.demand.memory_mib),
+                    accelerators: amount(spec.demand.accelerators),
+                    tasks,
+                });
+            }
+        }
+        work
+    }
+
+    /// Returns whether the first steps of a new job could start beside all on-time work that waits
+    /// already.
+    fn starts_at_once(
+        &self,
+        state: &CellState,
+        (tenant, queue, spec): (&str, &QueueRow, &JobSpec),
+        io: &Io<'_>,
+    ) -> bool {
+        let first = || spec.steps.iter().filter(|step| step.depends_on.is_empty());
+        let (mut waiting, mut own_waiting) = (Totals::default(), Totals::default());
+        for (key, step) in self.steps.iter() {
+            let Some(job) = state.job(key.job) else {
+                continue;
+            };
+            let tasks = step.waiting.len().saturating_sub(step.proposed.len());
+            let tasks = u32::try_from(tasks).unwrap_or(u32::MAX);
+            let class = self.class_of(state, job, self.timeliness(job, *key, io));
+            let Some(spec) = job.step_spec(*key).filter(|_| class <= Class::Extra) else {
+                continue;
+            };
+            if job.queue.service == queue.service {
+                waiting.add(&Totals::of(&counted_demand(spec), tasks));
+            }
+            if job.tenant.as_deref() == Some(tenant) {
+                own_waiting.add(&Totals::of(&spec.demand, tasks));
+            }
+        }
+        let free_capacity = self.free_capacity(io.now_ms);
+        let mut free = Totals::default();
+        let mut slots = vec![0_u64; spec.steps.len()];
+        for (number, available) in free_capacity.iter() {
+            let Some(view) = self.workers.get(number) else {
+                continue;
+            };
+            if view.record.service != queue.service {
+                continue;
+            }
+            free.add(&Totals::of(&available.free, 1));
+            for (slots, step) in slots.iter_mut().zip(&spec.steps) {
+                if view.suits(step, queue) {
+                    let here = counted_demand(step).times_in(&available.free);
+                    *slots += u64::from(here.min(step.max_per_worker.unwrap_or(u32::MAX)));
+                }
+            }
+        }
+        let usage = self.tenants.tenant(tenant);
+        let mut held = usage.map_or_else(Totals::default, TenantState::total);
+        held.add(&own_waiting);
+        let cap = self.cap(state, tenant);
+        let fits = spec.steps.iter().zip(&slots).all(|(step, slots)| {
+            let is_first = step.depends_on.is_empty();
+            !is_first || u64::from(step.tasks) <= *slots
+        });
+        let fits_under_cap = first().all(|step| {
+            let startable = cap.startable(&held, &step.demand, step.tasks, step.gang);
+            held.add(&Totals::of(&step.demand, step.tasks));
+            startable == step.tasks
+        });
+        for step in first() {
+            waiting.add(&Totals::of(&counted_demand(step), step.tasks));
+        }
+        fits && fits_under_cap && waiting.fits_in(&free)
+    }
+
+    /// Reports usage, entitlement, cap, waiting tasks and refused jobs of each tenant as metrics,
+    /// and in the log those of the tenants with the most waiting tasks.
+    pub(super) fn report_tenants(&mut self, state: &CellState, io: &mut Io<'_>) {
+        if !are_in_force(state) {
+            return;
+        }
+        self.recount_changed_workers();
+        let mut waiting: SortedVec<TenantNumber, u64> = SortedVec::new();
+        for (key, step) in self.steps.iter() {
+            if let Some(job) = state.job(key.job)
+                && let Some(number) = job
+                    .tenant
+                    .as_ref()
+                    .and_then(|t| self.tenants.numbers.get(t))
+            {
+                *waiting.get_or_insert_with(*number, || 0) += step.waiting.len() as u64;
+            }
+        }
+        let mut lines = Vec::new();
+        for row in &state.queues().tenants {
+            let Some(number) = self.tenants.numbers.get(&row.name).copied() else {
+                continue;
+            };
+            let Some(tenant) = self.tenants.states.get_mut(number.0 as usize) else {
+                continue;
+            };
+            let running = tenant.services.iter();
+            let running = running.fold(Totals::default(), |sum, u| sum.plus(&u.running));
+            let entitled = tenant.services.iter().zip(&self.tenants.shares);
+            let entitled = entitled.filter(|(usage, _)| usage.is_active());
+            let entitled: u64 = entitled
+                .map(|(_, shares)| {
+                    let sum = shares.weight_sum_permille;
+                    let ppm = entitlement_ppm(row.weight_permille, sum);
+                    shares.capacity.cpu_millicores.saturating_mul(ppm) / 1_000_000
+                })
+                .sum();
+            let waiting = waiting.get(&number).copied().unwrap_or(0);
+            let newly_refused = tenant.refused - tenant.refused_reported;
+            tenant.refused_reported = tenant.refused;
+            let figures = [
+                ("tenant_usage_millicores", running.cpu_millicores),
+                ("tenant_entitlement_millicores", entitled),
+                ("tenant_cap_millicores", u64::from(row.cap.cpu_millicores)),
+                ("tenant_tasks_waiting", waiting),
+                ("tenant_jobs_refused", tenant.refused),
+            ];
+            for (name, value) in figures {
+                io.effect(Effect::LabeledGauge {
+                    name,
+                    label: row.name.clone(),
+                    value,
+                });
+            }
+            if waiting > 0 || newly_refused > 0 {
+                lines.push((waiting, newly_refused, row, running, entitled));
+            }
+        }
+        lines.sort_by_key(|(waiting, refused, ..)| std::cmp::Reverse((*waiting, *refused)));
+        for (waiting, refused, row, running, entitled) in lines.into_iter().take(MAX_LOGGED_TENANTS)
+        {
+            io.log(
+                "tenant_load",
+                vec![
+                    ("tenant", row.name.clone()),
+                    ("usage_millicores", running.cpu_millicores.to_string()),
+                    ("usage_mib", running.memory_mib.to_string()),
+                    ("runs", running.tasks.to_string()),
+                    ("entitlement_millicores", entitled.to_string()),
+                    ("cap_millicores", row.cap.cpu_millicores.to_string()),
+                    ("cap_mib", row.cap.memory_mib.to_string()),
+                    ("tasks_waiting", waiting.to_string()),
+                    ("refused", refused.to_string()),
+                    ("queues_version", state.queues().version.to_string()),
+                ],
+            );
+        }
+    }
 }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -22,7 +22,7 @@
 mod tenants;
 
 pub use crate::{
-    admission::{AdmissionRefusal, Load, admit},
+    admission::{AdmissionRefusal, Load, TenantLoad, admit, admit_for_tenant},
     api_key::ApiKeyDigest,
     command::{Command, RunCompletion, RunOutcome},
     control::{Control, ControlSettings},
--- a/crates/cell/src/tenants.rs
+++ b/crates/cell/src/tenants.rs
@@ -54,6 +54,13 @@
         self
     }
 
+    /// Returns whether another total has at least as much of each resource.
+    #[must_use]
+    pub fn fits_in(&self, other: &Self) -> bool {
+        let pairs = self.resources().into_iter().zip(other.resources());
+        pairs.into_iter().all(|(own, other)| own <= other)
+    }
+
     fn combine(&mut self, other: &Self, combine: impl Fn(u64, u64) -> u64) {
         self.cpu_millicores = combine(self.cpu_millicores, other.cpu_millicores);
         self.memory_mib = combine(self.memory_mib, other.memory_mib);
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -17,5 +17,7 @@
 mod services;
 mod sim;
 mod suspects;
+mod tenant_decisions;
+mod tenant_shares;
 mod tenants;
 mod worker;
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -97,6 +97,8 @@
     pub advice_requests_sent: u64,
     /// Latest value of each gauge of each VM.
     pub gauges: BTreeMap<(VmId, &'static str), u64>,
+    /// Latest value of each gauge of each VM and tenant.
+    pub tenant_gauges: BTreeMap<(VmId, &'static str, String), u64>,
     /// Time that the policy service takes for one call.
     pub advice_ms: u64,
     advice_busy_ms: BTreeMap<VmId, u64>,
@@ -253,6 +255,7 @@
             max_open_advice_requests: 0,
             advice_requests_sent: 0,
             gauges: BTreeMap::new(),
+            tenant_gauges: BTreeMap::new(),
             advice_ms: 30,
             advice_busy_ms: BTreeMap::new(),
             rng_state: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1,
@@ -537,6 +540,9 @@
             Effect::Gauge { name, value } => {
                 self.gauges.insert((vm, name), value);
             }
+            Effect::LabeledGauge { name, label, value } => {
+                self.tenant_gauges.insert((vm, name, label), value);
+            }
             Effect::Measure { .. } => {}
         }
     }
--- a/crates/cell/tests/cell/tenants.rs
+++ b/crates/cell/tests/cell/tenants.rs
@@ -1,7 +1,7 @@
 //! Tenants in a whole cell: caps and fair shares. The simulation checks after each start that its
 //! tenant holds at most the cap, the overage and one task.
 
-use acaciareel_cell::{CallerReply, Demand, JobId, JobSpec, RefusalReason, StepSpec, TenantRow};
+use acaciareel_cell::{CallerReply, Demand, RefusalReason, StepSpec, TenantRow};
 use proptest::prelude::*;
 
 use crate::sim::{Sim, control, gang, job, queue, step, tenant, tenant_name};
@@ -252,13 +252,3 @@
         prop_assert!(sim.most_of_cap_permille > 0 || sim.starts == 0);
     }
 }
-
-#[allow(dead_code, reason = "used by the tests of admission")]
-fn is_accepted(sim: &Sim, connection: u64) -> bool {
-    sim.replies.get(&connection) == Some(&CallerReply::Accepted)
-}
-
-#[allow(dead_code, reason = "used by the tests of admission")]
-fn job_of(id: u64, spec: &JobSpec) -> (JobId, JobSpec) {
-    (JobId(id), spec.clone())
-}
