--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -24,6 +24,7 @@
 mod run_times;
 mod stalls;
 mod status_queries;
+mod tenants;
 mod worker;
 mod worker_commands;
 
@@ -44,6 +45,13 @@
     pub stop_ms: u64,
     /// How long the status of an ended job stays available to callers.
     pub status_retention_ms: u64,
+    /// Share of a tenant's cap, in thousandths, by which a task or gang larger than the cap may
+    /// exceed it.
+    pub quota_overage_permille: u64,
+    /// Time over which a tenant's rate of jobs is judged; 0 if no job is beyond the rate.
+    pub quota_window_ms: u64,
+    /// Number of jobs that a tenant may submit beyond its rate.
+    pub quota_tolerance: u64,
 }
 
 /// Shortest time between two scheduling passes. Events that arrive in between are handled by one
@@ -135,6 +143,7 @@
     /// Jobs with a schedule, whose occurrences become due later.
     scheduled_jobs: Vec<JobId>,
     run_times: RunTimes,
+    tenants: tenants::Tenants,
     /// Workers reserved for gangs in the current pass, sorted.
     reserved_for_gangs: Vec<WorkerNumber>,
     /// Workers that drain for suspects, which must run alone, and the suspects' steps.
@@ -191,6 +200,7 @@
             active_jobs: Vec::new(),
             scheduled_jobs: Vec::new(),
             run_times: RunTimes::default(),
+            tenants: tenants::Tenants::default(),
             reserved_for_gangs: Vec::new(),
             draining_for: SortedVec::new(),
             given_up: Vec::new(),
@@ -248,6 +258,7 @@
                 };
                 let demand = pass::counted_demand(spec);
                 let mut inherited = RunView::new(demand, phase, None, now_ms);
+                inherited.charge = self.tenants.charge(job, spec.demand);
                 if state.must_run_alone(job, key) {
                     inherited.alone_until_ms = Some(isolation::trial_end(
                         spec,
@@ -315,6 +326,7 @@
                 self.worker_changed(state, worker, io);
             }
             Change::WorkerRemoved { worker, lost } => {
+                self.tenants.remove_worker(worker);
                 self.worker_removed(state, worker, &lost, io);
             }
             Change::Accepted(id) => {
@@ -323,14 +335,16 @@
                     io.reply_caller(origin, CallerReply::Accepted);
                 }
                 if let Some(job) = state.job(id) {
-                    io.log(
-                        "job_accepted",
-                        vec![
-                            ("job", id.to_string()),
-                            ("queue", job.queue.name.clone()),
-                            ("queues_version", state.queues().version.to_string()),
-                        ],
-                    );
+                    let mut fields = vec![
+                        ("job", id.to_string()),
+                        ("queue", job.queue.name.clone()),
+                        ("queues_version", state.queues().version.to_string()),
+                    ];
+                    if let Some(tenant) = &job.tenant {
+                        fields.push(("tenant", tenant.clone()));
+                        fields.push(("over_rate", job.over_rate.to_string()));
+                    }
+                    io.log("job_accepted", fields);
                 }
                 self.refresh_job(state, id, io);
             }
@@ -716,6 +730,7 @@
         if !expired.is_empty() {
             io.commands.push(Command::RemoveJobs(expired));
         }
+        self.report_tenants(state, io);
         io.effect(Effect::Gauge {
             name: "jobs_known",
             value: state.jobs().len() as u64,
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -20,9 +20,10 @@
 mod placed_runs;
 mod placement;
 mod state;
+mod tenants;
 
 pub use crate::{
-    admission::{AdmissionRefusal, Load, admit},
+    admission::{AdmissionRefusal, Load, TenantLoad, admit, admit_for_tenant},
     api_key::ApiKeyDigest,
     command::{Command, RunCompletion, RunOutcome},
     control::{Control, ControlSettings},
@@ -45,4 +46,8 @@
     },
     placement::{Candidate, place_gang, place_separately},
     state::{CellState, Change},
+    tenants::{
+        Cap, Class, RateWindow, Standing, Timeliness, TokenBucket, Totals, class,
+        dominant_share_ppm, entitlement_ppm, tasks_below_share,
+    },
 };
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -20,4 +20,7 @@
 mod sim;
 mod stalls;
 mod suspects;
+mod tenant_decisions;
+mod tenant_shares;
+mod tenants;
 mod worker;
