--- a/crates/cell/src/leader/tenants.rs
+++ b/crates/cell/src/leader/tenants.rs
@@ -91,12 +91,16 @@
         &mut self.services[service]
     }
 
-    /// Returns the usage in all services, with what this pass has reserved.
-    fn total(&self) -> Totals {
+    /// Returns the usage in all services.
+    fn running(&self) -> Totals {
         let services = self.services.iter();
-        services.fold(Totals::default(), |sum, usage| {
-            sum.plus(&usage.running).plus(&usage.reserved)
-        })
+        services.fold(Totals::default(), |sum, usage| sum.plus(&usage.running))
+    }
+
+    /// Returns what this pass has set aside in all services without placing a run.
+    fn set_aside(&self) -> Totals {
+        let services = self.services.iter();
+        services.fold(self.waiting_gang, |sum, usage| sum.plus(&usage.reserved))
     }
 }
 
@@ -304,6 +308,20 @@
         }
     }
 
+    /// Returns whether the usage of each tenant is the sum over the runs on all workers.
+    fn usage_is_exact(&self) -> bool {
+        let mut sums = vec![Totals::default(); self.tenants.states.len()];
+        for run in self.workers.values().flat_map(|view| view.runs.values()) {
+            if let Some(charge) = run.charge {
+                let mut usage = Totals::of(&run.demand, 1);
+                usage.cpu_millicores += u64::from(charge.spare_cpu_millicores);
+                sums[charge.tenant.0 as usize].add(&usage);
+            }
+        }
+        let states = self.tenants.states.iter();
+        states.map(TenantState::running).eq(sums)
+    }
+
     /// Counts the runs of one worker.
     pub(super) fn recount_worker(&mut self, number: WorkerNumber) {
         if let Some(view) = self.workers.get_mut(&number) {
@@ -318,6 +336,7 @@
             return;
         }
         self.recount_changed_workers();
+        debug_assert!(self.usage_is_exact(), "usage differs from the runs");
         for tenant in &mut self.tenants.states {
             tenant.waiting_gang = Totals::default();
             for usage in &mut tenant.services {
@@ -377,6 +396,9 @@
     }
 
     /// Returns how many waiting tasks of a step may start under the cap of the job's tenant.
+    ///
+    /// What the pass has set aside for earlier steps counts, but leaves half of the cap: a tenant
+    /// that holds less must not be left idle while a gang waits.
     fn startable_under_cap(
         &self,
         state: &CellState,
@@ -388,13 +410,10 @@
             return tasks;
         };
         let tenant = self.tenants.tenant(name);
-        let (usage, waiting_gang) = tenant.map_or_else(Default::default, |tenant| {
-            (tenant.total(), tenant.waiting_gang)
+        let (usage, set_aside) = tenant.map_or_else(Default::default, |tenant| {
+            (tenant.running(), tenant.set_aside())
         });
-        let mut cap = self.cap(state, name);
-        if waiting_gang.tasks > 0 {
-            cap = cap.beside(&waiting_gang);
-        }
+        let cap = self.cap(state, name).beside(&set_aside);
         let tasks = u32::try_from(tasks).unwrap_or(u32::MAX);
         cap.startable(&usage, &spec.demand, tasks, spec.gang) as usize
     }
@@ -413,8 +432,7 @@
         tasks.truncate(startable);
     }
 
-    /// Keeps later steps of a pass from taking the room under the cap for which a gang waits. They
-    /// may still use half of the cap, so that a tenant that holds less is not left idle.
+    /// Keeps later steps of a pass from taking the room under the cap for which a gang waits.
     fn hold_room_for_gang(&mut self, state: &CellState, job: &Job, spec: &StepSpec, tasks: usize) {
         let Some(name) = &job.tenant else {
             return;
@@ -569,7 +587,7 @@
         spec: &JobSpec,
     ) -> bool {
         let usage = self.tenants.tenant(tenant);
-        let usage = usage.map_or_else(Totals::default, TenantState::total);
+        let usage = usage.map_or_else(Totals::default, TenantState::running);
         let cap = self.cap(state, tenant);
         let first = spec.steps.iter().filter(|step| step.depends_on.is_empty());
         let mut startable =
@@ -688,7 +706,7 @@
             }
         }
         let usage = self.tenants.tenant(tenant);
-        let mut held = usage.map_or_else(Totals::default, TenantState::total);
+        let mut held = usage.map_or_else(Totals::default, TenantState::running);
         held.add(&own_waiting);
         let cap = self.cap(state, tenant);
         let fits = spec.steps.iter().zip(&slots).all(|(step, slots)| {
@@ -732,8 +750,7 @@
             let Some(tenant) = self.tenants.states.get_mut(number.0 as usize) else {
                 continue;
             };
-            let running = tenant.services.iter();
-            let running = running.fold(Totals::default(), |sum, u| sum.plus(&u.running));
+            let running = tenant.running();
             let entitled = tenant.services.iter().zip(&self.tenants.shares);
             let entitled = entitled.filter(|(usage, _)| usage.is_active());
             let entitled: u64 = entitled
--- a/crates/cell/src/tenants.rs
+++ b/crates/cell/src/tenants.rs
@@ -140,17 +140,17 @@
         u32::try_from(fitting).unwrap_or(u32::MAX)
     }
 
-    /// Returns the cap that applies beside a waiting gang: what the gang leaves, and at least half.
+    /// Returns the cap that applies beside tasks that wait: what they leave, and at least half.
     #[must_use]
-    pub fn beside(&self, gang: &Totals) -> Self {
+    pub fn beside(&self, waiting: &Totals) -> Self {
         let left = |limit: u32, held: u64| {
             let held = u32::try_from(held).unwrap_or(u32::MAX);
             limit.saturating_sub(held).max(limit.div_ceil(2))
         };
         let limit = Demand {
-            cpu_millicores: left(self.limit.cpu_millicores, gang.cpu_millicores),
-            memory_mib: left(self.limit.memory_mib, gang.memory_mib),
-            accelerators: left(self.limit.accelerators, gang.accelerators),
+            cpu_millicores: left(self.limit.cpu_millicores, waiting.cpu_millicores),
+            memory_mib: left(self.limit.memory_mib, waiting.memory_mib),
+            accelerators: left(self.limit.accelerators, waiting.accelerators),
         };
         Self { limit, ..*self }
     }
