Learn distributions of run times by class

The mean by queue tells nothing about the tail, and an estimate that is wrong or biased misleads where no run is known. The new model keeps a distribution for queue, image, estimate by factor of two, and tenant; a class with few runs falls back to the level above it. How far a difference between estimates is believed is learned by regression. Stopped and lost runs are censored samples.

Ruled out: the marginal distribution of the queue as tail of rare classes (p99 of 2,000 ms for a tenant whose tasks always took 1,000 ms), and a slope prior of 0.5 in each class (critical path of single tasks worse than by the mean).

--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -18,6 +18,7 @@
 mod message;
 mod model;
 mod placement;
+mod run_times;
 mod state;
 
 pub use crate::{
