Use learned run times in order and admission, and save them

Objective, expected finish and admission used the mean run time of the queue times the number of steps. They now use the critical path of the job: the longest chain through depends_on, each step with its slowest task and a call for advice. Waiting steps cache their forecast for a second. Work ahead counts with mean run times of the classes.

The leader saves the classes in the replicated state at most every 10 s, at most 32 KiB, and a new leader restores them. Inherited and resumed runs, which today count from the change of leader or from the checkpoint, are left out. The ratio of predicted to real time is a metric by queue.

--- a/crates/acaciareeld/src/cell/run.rs
+++ b/crates/acaciareeld/src/cell/run.rs
@@ -608,9 +608,11 @@
                 label,
                 value_ms,
             } => {
-                // Histograms of durations are in seconds.
-                let name = name.trim_end_matches("_ms");
-                let name = format!("acaciareel_cell_{name}_seconds");
+                // Histograms of durations are in seconds; thousandths become a plain ratio.
+                let name = match name.strip_suffix("_permille") {
+                    Some(name) => format!("acaciareel_cell_{name}_ratio"),
+                    None => format!("acaciareel_cell_{}_seconds", name.trim_end_matches("_ms")),
+                };
                 let value = Duration::from_millis(value_ms);
                 histogram!(name, "label" => label).record(value);
             }
--- a/crates/acaciareeld/src/metering.rs
+++ b/crates/acaciareeld/src/metering.rs
@@ -16,7 +16,7 @@
 use acaciareel_types::{Class, Millis, TenantName};
 use error_stack::{Report, ResultExt};
 use metrics::{counter, describe_counter, describe_gauge, describe_histogram, gauge, histogram};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 
 use crate::{error::DaemonError, logging};
 
@@ -25,6 +25,11 @@
     0.001, 0.002_5, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.4, 5.0, 10.0, 30.0, 60.0,
     300.0, 1_800.0,
 ];
+/// Upper bounds of the histogram buckets of ratios; finest around 1.
+const BUCKETS_OF_RATIOS: &[f64] = &[
+    0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 0.8, 0.9, 0.95, 1.0, 1.05, 1.1, 1.25, 1.4, 2.0, 3.0, 5.0,
+    10.0, 20.0, 50.0,
+];
 /// Most tenants with histograms of their own; the target is 700. Further tenants share the label
 /// `other`, so that invented tenant names cannot exhaust the memory.
 const MAX_TENANTS: usize = 1_000;
@@ -97,8 +102,10 @@
 ///
 /// Fails if a recorder was installed before.
 pub fn start() -> Result<PrometheusHandle, Report<DaemonError>> {
+    let ratios = Matcher::Suffix("_ratio".to_owned());
     let handle = PrometheusBuilder::new()
         .set_buckets(BUCKETS_S)
+        .and_then(|builder| builder.set_buckets_for_metric(ratios, BUCKETS_OF_RATIOS))
         .and_then(PrometheusBuilder::install_recorder)
         .change_context(DaemonError::Start)?;
     for (name, text) in HISTOGRAMS {
--- a/crates/cell/src/command.rs
+++ b/crates/cell/src/command.rs
@@ -109,4 +109,6 @@
         /// Time on the leader's clock, in Unix milliseconds.
         at_unix_ms: u64,
     },
+    /// Replaces the saved run times. Only leaders decode them.
+    SaveRunTimes(Vec<u8>),
 }
--- a/crates/cell/src/io.rs
+++ b/crates/cell/src/io.rs
@@ -334,11 +334,11 @@
     },
     /// Adds a value to a latency histogram.
     Measure {
-        /// Name of the histogram, ending in `_ms`.
+        /// Name of the histogram, ending in `_ms`, or in `_permille` for a ratio.
         name: &'static str,
         /// Value of the histogram's label, such as a queue name; may be empty.
         label: String,
-        /// Measured duration; the daemon exports it in seconds.
+        /// Measured duration, exported in seconds, or ratio in thousandths, exported as a fraction.
         value_ms: u64,
     },
     /// Sets a gauge.
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -94,6 +94,8 @@
     proposed: Vec<u32>,
     /// Time since which suspects of the step have waited for a worker of their own.
     suspects_since_ms: Option<Millis>,
+    /// Latest forecast of the step.
+    forecast: Option<run_times::StepForecast>,
 }
 
 /// State of the leader; lost when it steps down.
@@ -130,6 +132,9 @@
     /// Jobs with a schedule, whose occurrences become due later.
     scheduled_jobs: Vec<JobId>,
     run_times: RunTimes,
+    run_times_saved_ms: Millis,
+    /// Lost runs that are not recorded in `run_times` yet, with the times for which they ran at least.
+    lost_runs: Vec<(RunKey, u64)>,
     /// Workers reserved for gangs in the current pass, sorted.
     reserved_for_gangs: Vec<WorkerNumber>,
     /// Workers that drain for suspects, which must run alone, and the suspects' steps.
@@ -184,7 +189,9 @@
             pending_tables: Vec::new(),
             active_jobs: Vec::new(),
             scheduled_jobs: Vec::new(),
-            run_times: RunTimes::default(),
+            run_times: RunTimes::from_saved(state.run_times()),
+            run_times_saved_ms: io.now_ms,
+            lost_runs: Vec::new(),
             reserved_for_gangs: Vec::new(),
             draining_for: SortedVec::new(),
             given_up: Vec::new(),
@@ -220,6 +227,7 @@
                 ("workers", leader.workers.len().to_string()),
                 ("jobs", state.jobs().len().to_string()),
                 ("queues_version", state.queues().version.to_string()),
+                ("run_time_classes", leader.run_times.len().to_string()),
             ],
         );
         leader
@@ -612,6 +620,8 @@
         for number in numbers {
             self.check_worker(state, number, io);
         }
+        self.record_lost_runs(state);
+        self.save_run_times(io);
         self.expire_advice_calls(io);
         self.expire_relay_calls(state, io);
         self.expire_status_queries(state, io);
--- a/crates/cell/src/leader/callers.rs
+++ b/crates/cell/src/leader/callers.rs
@@ -147,8 +147,11 @@
                 RefusalReason::NoWorkerFits,
             ));
         }
-        let chain_ms = self.run_times.chain_ms(queue, spec.steps.len());
-        let slack_ms = chain_ms.saturating_mul(queue.slack_permille.saturating_sub(1_000)) / 1_000;
+        let path = self.run_times.critical_path(queue, spec, None);
+        let slack_ms = path
+            .total_ms
+            .saturating_mul(queue.slack_permille.saturating_sub(1_000))
+            / 1_000;
         admit(&Load {
             capacity_millicores: capacity_millicores * USABLE_CAPACITY_PERMILLE / 1_000,
             queued_ahead_millicore_ms: self.queued_work_ahead(state, queue, io),
@@ -165,7 +168,7 @@
             let goes_first = job.queue.priority <= queue.priority
                 && job.queue.service == queue.service
                 && self.is_on_time(job, *key, io);
-            let run_ms = self.run_times.expect(&job.queue, spec).median_ms;
+            let run_ms = self.forecast(job, *key, io.now_ms).task_ms;
             let tasks = step.waiting.len() as u64;
             let millicores = u64::from(spec.demand.cpu_millicores);
             goes_first.then_some((tasks * millicores).saturating_mul(run_ms))
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -116,6 +116,7 @@
     /// Runs one scheduling pass over the waiting steps that have tasks without a proposed
     /// placement.
     pub(super) fn run_pass(&mut self, state: &CellState, io: &mut Io<'_>) {
+        self.update_forecasts(state, io.now_ms);
         let mut order: Vec<(Urgency, StepKey)> = self
             .steps
             .iter()
@@ -170,13 +171,12 @@
     }
 
     fn urgency(&self, job: &Job, key: StepKey, io: &Io<'_>) -> Urgency {
-        let chain_ms = self.run_times.chain_ms(&job.queue, job.spec.steps.len());
-        let objective_ms = (chain_ms.saturating_mul(job.queue.slack_permille) / 1_000)
+        let forecast = self.forecast(job, key, io.now_ms);
+        let objective_ms = (forecast.job_ms.saturating_mul(job.queue.slack_permille) / 1_000)
             .saturating_add(job.queue.target_ms);
         let due_ms = job.due_unix_ms(key.occurrence);
         let age_ms = io.unix_ms.saturating_sub(due_ms);
-        let left = job.spec.steps.len().saturating_sub(key.step as usize);
-        let finish_ms = age_ms.saturating_add(self.run_times.chain_ms(&job.queue, left));
+        let finish_ms = age_ms.saturating_add(forecast.left_ms);
         let long_running = job.step_spec(key).is_some_and(|spec| spec.long_running);
         let timeliness = if finish_ms <= objective_ms || long_running {
             Timeliness::OnTime
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -269,7 +269,8 @@
         let mut failed_job = None;
         for (_, completion) in new {
             let run = view.runs.remove(&completion.run);
-            let took_ms = run.map(|run| io.now_ms.saturating_sub(run.started_ms).0);
+            let took_ms = run.as_ref();
+            let took_ms = took_ms.map(|run| io.now_ms.saturating_sub(run.started_ms).0);
             io.effects.push(Effect::Log {
                 level: crate::LogLevel::Info,
                 event: "run_ended",
@@ -291,17 +292,12 @@
                 RunOutcome::Done => view.health.add_result(io.now_ms, false),
                 RunOutcome::Interrupted => {}
             }
-            completions.push((completion, took_ms));
+            completions.push((completion, run));
         }
         view.recompute_free();
-        for (completion, took_ms) in &completions {
-            let step = completion.run.task.step;
-            if completion.outcome == RunOutcome::Done
-                && let Some(took_ms) = *took_ms
-                && let Some(job) = state.job(step.job)
-                && job.step_spec(step).is_some_and(|spec| !spec.long_running)
-            {
-                self.run_times.add(&job.queue.name, took_ms);
+        for (completion, run) in &completions {
+            if let Some(run) = run {
+                self.record_completion(state, (completion.run, run), completion.outcome, io);
             }
         }
         self.status_queries.completions_proposed(jobs_of(
@@ -390,6 +386,10 @@
             if is_lost && run.phase != Phase::Unexpected {
                 let confirmed = matches!(run.phase, Phase::Confirmed { .. });
                 lost.push((*key, run.checkpoint.clone(), confirmed));
+                if confirmed && run.began_afresh {
+                    let ran_ms = view.last_contact_ms.saturating_sub(run.started_ms).0;
+                    self.lost_runs.push((*key, ran_ms));
+                }
             }
             !is_lost
         });
--- a/crates/cell/src/leader/run_times.rs
+++ b/crates/cell/src/leader/run_times.rs
@@ -1,61 +1,159 @@
-//! Measured run times of the tasks of each queue. Callers' estimates are off by up to a factor of
-//! two.
+//! Expected times of waiting steps, and the records of runs that have ended.
 
-use acaciareel_types::SortedVec;
+use acaciareel_types::Millis;
 
-use crate::{QueueRow, StepSpec};
+use super::{Leader, worker::RunView};
+pub(super) use crate::run_times::RunTimes;
+use crate::{
+    CellState, Command, Effect, Job, RunKey, RunOutcome, StepKey, StepSpec, io::Io,
+    run_times::RunEnd,
+};
 
-/// Weight of the latest run in the mean run time of a queue, in thousandths.
-const RUN_TIME_WEIGHT_PERMILLE: u64 = 50;
+/// Time for which the forecast of a waiting step is used. A pass examines hundreds of steps every
+/// few milliseconds, and the distributions change slowly.
+const FORECAST_VALID_MS: u64 = 1_000;
+/// Time between two saves of the run times in the replicated state. A new leader lacks at most what
+/// was learned in this time.
+const SAVE_INTERVAL_MS: u64 = 10_000;
+/// Largest size of saved run times, about 400 classes; 3.3 KB/s to each control VM.
+const MAX_SAVED_BYTES: usize = 32 * 1_024;
+/// Speed of a usual worker.
+const USUAL_SPEED_PERMILLE: u64 = 1_000;
 
-/// Distribution of the run time to expect of a task, on a worker of usual speed.
+/// Expected times of a waiting step and its job. Objective and finish come from one forecast, so
+/// that an error in it does not make a new job late.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-#[allow(
-    dead_code,
-    reason = "stall detection and placement read the other fields"
-)]
-pub(super) struct Expectation {
-    pub median_ms: u64,
-    pub p90_ms: u64,
-    pub p99_ms: u64,
-    /// Number of finished runs that it rests on; 0 if it is the caller's estimate.
-    pub runs: u64,
+pub(super) struct StepForecast {
+    made_ms: Millis,
+    /// Number of waiting tasks on which it rests.
+    waiting: u32,
+    /// Duration of the longest chain of steps of the job.
+    pub job_ms: u64,
+    /// Duration of the longest chain that begins with the waiting tasks.
+    pub left_ms: u64,
+    /// Mean run time of a task of the step.
+    pub task_ms: u64,
 }
 
-/// Moving mean of the run times of each queue.
-#[derive(Debug, Default)]
-pub(super) struct RunTimes {
-    means_ms: SortedVec<String, u64>,
-}
+impl Leader {
+    /// Returns the forecast of a step, from the latest one if it is still valid.
+    pub(super) fn forecast(&self, job: &Job, key: StepKey, now_ms: Millis) -> StepForecast {
+        let step = self.steps.get(&key);
+        let waiting = step.map_or(0, |step| step.waiting.len());
+        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+        let known = step.and_then(|step| step.forecast);
+        let is_valid = |known: &StepForecast| {
+            known.waiting == waiting && now_ms.saturating_sub(known.made_ms).0 < FORECAST_VALID_MS
+        };
+        known
+            .filter(is_valid)
+            .unwrap_or_else(|| self.make_forecast(job, key, waiting, now_ms))
+    }
+
+    fn make_forecast(&self, job: &Job, key: StepKey, waiting: u32, now_ms: Millis) -> StepForecast {
+        let tenant = job.tenant.as_deref();
+        let path = self.run_times.critical_path(&job.queue, &job.spec, tenant);
+        let mut forecast = StepForecast {
+            made_ms: now_ms,
+            waiting,
+            job_ms: path.total_ms,
+            left_ms: 0,
+            task_ms: 0,
+        };
+        if let Some(spec) = job.step_spec(key) {
+            let kind = (&job.queue, spec, tenant);
+            let all = self.run_times.step_times(kind, spec.tasks);
+            let left = self.run_times.step_times(kind, waiting);
+            let chain_ms = path.from_step_ms.get(key.step as usize);
+            let after_ms = chain_ms.copied().unwrap_or(0).saturating_sub(all.total_ms);
+            forecast.left_ms = after_ms.saturating_add(left.total_ms);
+            forecast.task_ms = all.mean_ms;
+        }
+        forecast
+    }
+
+    /// Makes forecasts of all steps that have no valid one.
+    pub(super) fn update_forecasts(&mut self, state: &CellState, now_ms: Millis) {
+        let keys: Vec<StepKey> = self.steps.keys().copied().collect();
+        for key in keys {
+            if let Some(job) = state.job(key.job) {
+                let forecast = self.forecast(job, key, now_ms);
+                if let Some(step) = self.steps.get_mut(&key) {
+                    step.forecast = Some(forecast);
+                }
+            }
+        }
+    }
 
-impl RunTimes {
-    /// Adds a run time to the mean of its queue.
-    pub fn add(&mut self, queue: &str, took_ms: u64) {
-        let weight = RUN_TIME_WEIGHT_PERMILLE;
-        let mean_ms = self
-            .means_ms
-            .get_or_insert_with(queue.to_owned(), || took_ms);
-        *mean_ms = (*mean_ms * (1_000 - weight) + took_ms * weight) / 1_000;
+    /// Records a run that its worker reports as ended, and how well its time was predicted. Failed
+    /// runs say nothing about the run time.
+    pub(super) fn record_completion(
+        &mut self,
+        state: &CellState,
+        (key, run): (RunKey, &RunView),
+        outcome: RunOutcome,
+        io: &mut Io<'_>,
+    ) {
+        let took_ms = io.now_ms.saturating_sub(run.started_ms).0;
+        let end = match outcome {
+            RunOutcome::Failed => return,
+            RunOutcome::Done => RunEnd::Finished,
+            RunOutcome::Interrupted => RunEnd::Censored,
+        };
+        let Some((job, spec)) = comparable(state, key) else {
+            return;
+        };
+        if !run.began_afresh {
+            return;
+        }
+        let tenant = job.tenant.as_deref();
+        let speed_permille = USUAL_SPEED_PERMILLE;
+        if end == RunEnd::Finished {
+            let expected = self.run_times.expect_of(&job.queue, spec, tenant);
+            let usual_ms = took_ms.saturating_mul(speed_permille) / 1_000;
+            io.effect(Effect::Measure {
+                name: "run_time_prediction_permille",
+                label: job.queue.name.clone(),
+                value_ms: expected.median_ms.saturating_mul(1_000) / usual_ms.max(1),
+            });
+        }
+        let kind = (&job.queue, spec, tenant);
+        self.run_times.record(kind, took_ms, speed_permille, end);
     }
 
-    /// Returns the run time to expect of a step's tasks.
-    pub fn expect(&self, queue: &QueueRow, spec: &StepSpec) -> Expectation {
-        let known = self.means_ms.get(&queue.name);
-        let mean_ms = known.copied().unwrap_or(spec.estimate_ms);
-        Expectation {
-            median_ms: mean_ms,
-            p90_ms: mean_ms,
-            p99_ms: mean_ms,
-            runs: u64::from(known.is_some()),
+    /// Records the confirmed runs that were lost since the last call as longer than the time for
+    /// which their workers were known to run them.
+    pub(super) fn record_lost_runs(&mut self, state: &CellState) {
+        for (key, ran_ms) in std::mem::take(&mut self.lost_runs) {
+            if let Some((job, spec)) = comparable(state, key) {
+                let kind = (&job.queue, spec, job.tenant.as_deref());
+                let speed_permille = USUAL_SPEED_PERMILLE;
+                self.run_times
+                    .record(kind, ran_ms, speed_permille, RunEnd::Censored);
+            }
         }
     }
 
-    /// Returns the expected duration of a chain of steps. Until a run of the queue has been
-    /// measured, each step counts with the queue's `target_ms`.
-    pub fn chain_ms(&self, queue: &QueueRow, steps: usize) -> u64 {
-        let steps = u64::try_from(steps.max(1)).unwrap_or(1);
-        let mean_ms = self.means_ms.get(&queue.name);
-        let mean_ms = mean_ms.copied().unwrap_or(queue.target_ms);
-        mean_ms.saturating_mul(steps)
+    /// Proposes to save the run times if the last save is long enough ago.
+    pub(super) fn save_run_times(&mut self, io: &mut Io<'_>) {
+        let next_ms = self
+            .run_times_saved_ms
+            .saturating_add(Millis(SAVE_INTERVAL_MS));
+        if !io.holds_lease || io.now_ms < next_ms {
+            return;
+        }
+        self.run_times_saved_ms = io.now_ms;
+        if let Some(bytes) = self.run_times.save(MAX_SAVED_BYTES) {
+            io.commands.push(Command::SaveRunTimes(bytes));
+        }
     }
 }
+
+/// Returns the job and declaration of a run whose time counts: that of a task that ends by itself.
+/// The tasks of a gang end together, so the first one counts for all.
+fn comparable(state: &CellState, key: RunKey) -> Option<(&Job, &StepSpec)> {
+    let job = state.job(key.task.step.job)?;
+    let spec = job.step_spec(key.task.step)?;
+    let counts = !spec.long_running && (!spec.gang || key.task.index == 0);
+    counts.then_some((job, spec))
+}
--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -88,6 +88,9 @@
     /// Time of the last change of the progress, or of the first start.
     pub last_progress_ms: Millis,
     pub started_ms: Millis,
+    /// Whether this leader has sent the start, and without a checkpoint, so that the run time can be
+    /// compared with others.
+    pub began_afresh: bool,
     /// Time at which the latest stop was sent; `None` if none was sent or the latest one failed.
     pub stop_sent_ms: Option<Millis>,
     pub stopping: bool,
@@ -105,6 +108,7 @@
             percent: 0,
             last_progress_ms: now_ms,
             started_ms: now_ms,
+            began_afresh: false,
             stop_sent_ms: None,
             stopping: false,
             alone_until_ms: None,
--- a/crates/cell/src/leader/worker_commands.rs
+++ b/crates/cell/src/leader/worker_commands.rs
@@ -141,6 +141,7 @@
         if tries == 1 {
             run.started_ms = io.now_ms;
             run.last_progress_ms = io.now_ms;
+            run.began_afresh = checkpoint.is_empty();
         }
         let ticket = run.ticket.clone();
         let incarnation_started_ms = view.record.incarnation_started_ms;
--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -67,6 +67,8 @@
     next_worker: u32,
     jobs: SortedVec<JobId, Box<Job>>,
     crashes: Crashes,
+    /// Run times that a leader learned, in its encoding; empty before the first save.
+    run_times: Vec<u8>,
 }
 
 /// Serialised form of the state in a snapshot. Its fields are encoded by position.
@@ -77,6 +79,7 @@
     next_worker: u32,
     jobs: Vec<Job>,
     crashes: StoredCrashes,
+    run_times: Vec<u8>,
 }
 
 impl CellState {
@@ -110,6 +113,12 @@
         self.numbers_by_id.get(id).copied()
     }
 
+    /// Returns the saved run times, as a leader encoded them; empty before the first save.
+    #[must_use]
+    pub fn run_times(&self) -> &[u8] {
+        &self.run_times
+    }
+
     /// Returns the crashes of workers under a task.
     #[must_use]
     pub fn crash_count(&self, key: TaskKey) -> CrashCount {
@@ -240,6 +249,10 @@
                 }
                 Change::RunsLost { jobs: vec![id] }
             }
+            Command::SaveRunTimes(run_times) => {
+                self.run_times = run_times;
+                Change::RunsLost { jobs: Vec::new() }
+            }
         }
     }
 
@@ -354,6 +367,7 @@
             next_worker: self.next_worker,
             jobs: self.jobs.values().map(|job| Job::clone(job)).collect(),
             crashes: self.crashes.to_stored(),
+            run_times: self.run_times.clone(),
         };
         postcard::to_allocvec(&stored).expect("plain data can be encoded")
     }
@@ -374,6 +388,7 @@
             next_worker: stored.next_worker,
             jobs: jobs.collect(),
             crashes: stored.crashes.into(),
+            run_times: stored.run_times,
         })
     }
 }
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -13,6 +13,7 @@
 mod pending;
 mod recovery;
 mod returns;
+mod run_times;
 mod scale;
 mod services;
 mod sim;
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -113,6 +113,10 @@
     pub clock_behind_ms: u64,
     /// Number of failure domains, over which control VMs and workers are spread in turn.
     domains: u32,
+    /// Number of values of each histogram, by name and label.
+    pub measures: BTreeMap<(&'static str, String), u64>,
+    /// Returns how long a task runs.
+    pub run_ms: fn(&StepSpec) -> u64,
     /// Whether the log lines of the VMs are printed.
     pub verbose: bool,
 }
@@ -234,6 +238,8 @@
             done: BTreeSet::new(),
             clock_behind_ms: 0,
             domains,
+            measures: BTreeMap::new(),
+            run_ms: |spec| spec.estimate_ms,
             verbose: std::env::var_os("CELL_SIM_LOG").is_some(),
         };
         for number in 1..=controls {
@@ -497,7 +503,9 @@
             Effect::Gauge { name, value } => {
                 self.gauges.insert((vm, name), value);
             }
-            Effect::Measure { .. } => {}
+            Effect::Measure { name, label, .. } => {
+                *self.measures.entry((name, label)).or_default() += 1;
+            }
         }
     }
 
@@ -594,8 +602,9 @@
                 let spec = &self.jobs[&run.task.step.job].steps[run.task.step.step as usize];
                 Some(Running {
                     demand: spec.demand,
-                    remaining_ms: spec.estimate_ms,
-                    total_ms: spec.estimate_ms,
+                    remaining_ms: (self.run_ms)(spec),
+                    total_ms: (self.run_ms)(spec),
+                    checkpoint: if spec.checkpointing { "saved" } else { "" }.to_owned(),
                     gang_size: if spec.gang { spec.tasks } else { 1 },
                     is_service: spec.long_running,
                 })
--- a/crates/cell/tests/cell/worker.rs
+++ b/crates/cell/tests/cell/worker.rs
@@ -19,6 +19,8 @@
     /// Number of members that must run at the same time to make progress; 1 for a task without a
     /// gang.
     pub gang_size: u32,
+    /// Checkpoint that the run reports; empty if it saves none.
+    pub checkpoint: String,
     /// Whether the run goes on at 100 percent after its work, the startup, is done.
     pub is_service: bool,
 }
@@ -267,7 +269,7 @@
     pub fn report(&self, now_ms: u64) -> RenewalReport {
         let running = self.running.iter().map(|(run, state)| ReportedRun {
             run: *run,
-            checkpoint: String::new(),
+            checkpoint: state.checkpoint.clone(),
             percent: u32::try_from(
                 100 - 100 * u128::from(state.remaining_ms) / u128::from(state.total_ms.max(1)),
             )
