--- a/crates/cell/tests/cell/run_times.rs
+++ b/crates/cell/tests/cell/run_times.rs
@@ -188,6 +188,26 @@
     assert_eq!(recorded, Some(4));
 }
 
+/// Guards against lost runs that tell nothing: where long tasks are lost before their end, only
+/// short ones would be known.
+#[test]
+fn lost_runs_are_recorded() {
+    let mut sim = Sim::new(24, 3, 4);
+    sim.set_up(vec![tight_queue()]);
+    sim.submit("batch", 1, job(vec![step(1, 4_000, 60_000)]));
+    sim.run(3_000);
+    for id in sim.hosts(1) {
+        sim.workers.get_mut(&id).expect("known").alive = false;
+    }
+
+    sim.run(25_000);
+
+    let leader = sim.leader().expect("leader");
+    let state = sim.control_of(leader).expect("up").state();
+    assert_eq!(sim.unfinished(1..2), [1]);
+    assert!(!state.run_times().is_empty());
+}
+
 /// Guards against a snapshot without the saved run times.
 #[test]
 fn snapshot_keeps_saved_run_times() {
