List the admission of jobs behind running work as known red

A test with the bound of the promise (all accepted jobs in time) fails: 16 of 19 accepted jobs are in time, because admission does not count the rest of the running work.

--- a/crates/cell/tests/cell/run_times.rs
+++ b/crates/cell/tests/cell/run_times.rs
@@ -89,6 +89,18 @@
     }
 }
 
+/// Guards against accepting any job that cannot be served in time, as
+/// `long_jobs_that_would_be_late_are_refused`, with the bound of the promise itself.
+#[test]
+#[ignore = "known red, see KNOWN-RED.txt"]
+fn accepted_long_jobs_are_all_in_time() {
+    for seed in 1..=4 {
+        let (accepted, in_time) = burst(seed, "short", "long", 7_000);
+
+        assert_eq!(in_time, accepted);
+    }
+}
+
 /// Guards against refusing jobs that can be served in time, where the mean run time of the queue is
 /// far above that of the image. Seven times eight jobs can be in time.
 #[test]
