Let the clock of a simulated worker start anew with each incarnation

Workers of the users' platform that start again under their id have a clock that starts anew, so the end of a lease on the earlier clock refuses no late start. The simulation kept the clock.

--- a/crates/cell/tests/cell/worker.rs
+++ b/crates/cell/tests/cell/worker.rs
@@ -35,6 +35,8 @@
     /// Fault: starts are refused with this reason and have no effect.
     pub refusal: Option<StartRefusal>,
     clock_offset_ms: u64,
+    /// Time of the last restart, from which the clock counts.
+    clock_started_ms: u64,
     token: u64,
     pub lease_until_ms: u64,
     pub running: BTreeMap<RunKey, Running>,
@@ -55,6 +57,7 @@
     pub fn new(record: WorkerRecord) -> Self {
         Self {
             clock_offset_ms: 1_000 + record.incarnation_started_ms % 977,
+            clock_started_ms: 0,
             record,
             alive: true,
             fails: false,
@@ -91,14 +94,17 @@
     }
 
     pub fn clock_ms(&self, now_ms: u64) -> u64 {
-        now_ms + self.clock_offset_ms
+        now_ms - self.clock_started_ms + self.clock_offset_ms
     }
 
-    /// Starts a new incarnation under the same id.
+    /// Starts a new incarnation under the same id, with a clock that starts anew.
     pub fn restart(&mut self, now_ms: u64) {
         let mut record = self.record.clone();
         record.incarnation_started_ms += now_ms + 1;
-        *self = Self::new(record);
+        *self = Self {
+            clock_started_ms: now_ms,
+            ..Self::new(record)
+        };
     }
 
     fn complete(&mut self, run: RunKey, outcome: RunOutcome) {
