--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -1,5 +1,7 @@
 //! The replicated state machine of a cell.
 
+use std::collections::BTreeMap;
+
 use acaciareel_types::SortedVec;
 use serde::{Deserialize, Serialize};
 
@@ -69,10 +71,12 @@
 pub struct CellState {
     queues: QueueTable,
     workers: SortedVec<WorkerNumber, WorkerRecord>,
-    /// Number of the worker with each id. Thousands of announcements per second need this lookup.
-    numbers_by_id: SortedVec<String, WorkerNumber>,
+    /// Number of the worker with each id. Thousands of announcements per second need this lookup, and
+    /// thousands of workers may come back under new ids at once: a tree, because each insert into a
+    /// sorted vector moves half of the entries.
+    numbers_by_id: BTreeMap<String, WorkerNumber>,
     /// Sorted numbers of the workers at each address.
-    numbers_by_address: SortedVec<String, Vec<WorkerNumber>>,
+    numbers_by_address: BTreeMap<String, Vec<WorkerNumber>>,
     next_worker: u32,
     jobs: SortedVec<JobId, Box<Job>>,
     placed: PlacedRuns,
@@ -280,9 +284,7 @@
                 let address = known.map(|known| known.address.clone());
                 self.forget_address(number, address.as_deref());
                 let address = record.address.clone();
-                let at_address = self
-                    .numbers_by_address
-                    .get_or_insert_with(address, Vec::new);
+                let at_address = self.numbers_by_address.entry(address).or_default();
                 if let Err(at) = at_address.binary_search(&number) {
                     at_address.insert(at, number);
                 }
@@ -426,11 +428,10 @@
             }
         }
         let numbers_by_id = stored.workers.iter().map(|(n, w)| (w.id.clone(), *n));
-        let mut numbers_by_address = SortedVec::new();
+        let mut numbers_by_address = BTreeMap::<_, Vec<_>>::new();
         for (number, record) in &stored.workers {
             let address = record.address.clone();
-            let numbers: &mut Vec<_> = numbers_by_address.get_or_insert_with(address, Vec::new);
-            numbers.push(*number);
+            numbers_by_address.entry(address).or_default().push(*number);
         }
         Ok(Self {
             queues: stored.queues,
