Learn the speeds of workers and place work by them

Cause: in svlx two thirds of the workers run at 0.7 and one third at 1.7, and no one reports it. Urgent work with little slack lands on slow workers.

Change: speeds.rs compares run times within a step across workers, with medians, bounded steps and a window that notices a worker that turns slow. Steps with little time to spare prefer fast workers, steps with much time slow ones, and gangs workers of one speed. Advice requests name preferred workers first. Where no speed differs, placement is as before.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -8,8 +8,8 @@
 
 use crate::{
     CallerReply, CellState, Change, Command, ControlReply, Effect, Job, JobId, JobState, Origin,
-    PeerMessage, RunKey, StepKey, TaskState, WorkerNumber, WorkerRecord, ids::calls_of_epoch,
-    io::Io,
+    PeerMessage, RunKey, Speeds, StepKey, TaskState, WorkerNumber, WorkerRecord,
+    ids::calls_of_epoch, io::Io,
 };
 
 mod advice;
@@ -21,6 +21,7 @@
 mod relay;
 mod renewal;
 mod run_times;
+mod speeds;
 mod stalls;
 mod status_queries;
 mod worker;
@@ -131,6 +132,7 @@
     /// Jobs with a schedule, whose occurrences become due later.
     scheduled_jobs: Vec<JobId>,
     run_times: RunTimes,
+    speeds: Speeds,
     /// Workers reserved for gangs in the current pass, sorted.
     reserved_for_gangs: Vec<WorkerNumber>,
     /// Workers that drain for suspects, which must run alone, and the suspects' steps.
@@ -186,6 +188,7 @@
             active_jobs: Vec::new(),
             scheduled_jobs: Vec::new(),
             run_times: RunTimes::default(),
+            speeds: Speeds::default(),
             reserved_for_gangs: Vec::new(),
             draining_for: SortedVec::new(),
             given_up: Vec::new(),
@@ -308,6 +311,7 @@
                 self.worker_changed(state, worker, io);
             }
             Change::WorkerRemoved(number) => {
+                self.speeds.remove(number);
                 if let Some(view) = self.workers.remove(&number)
                     && self.addresses.get(&view.record.address) == Some(&number)
                 {
@@ -685,6 +689,7 @@
         if !expired.is_empty() {
             io.commands.push(Command::RemoveJobs(expired));
         }
+        self.measure_speeds(io);
         io.effect(Effect::Gauge {
             name: "jobs_known",
             value: state.jobs().len() as u64,
--- a/crates/cell/src/leader/advice_requests.rs
+++ b/crates/cell/src/leader/advice_requests.rs
@@ -9,7 +9,7 @@
 };
 use crate::{
     AdviceCost, AdviceRequest, AdviceResponse, Effect, JobId, JobSpec, PeerMessage, QueueRow,
-    StepKey, StepSpec, WorkerNumber, io::Io,
+    SpeedPreference, StepKey, StepSpec, WorkerNumber, io::Io,
 };
 
 /// Workers named in one request. Each worker makes the call longer.
@@ -19,6 +19,8 @@
 /// Workers named for each task of a gang: the service allows a third of them, and few of these have
 /// free capacity for a task.
 const WORKERS_PER_GANG_TASK: usize = 5;
+/// Share of the workers of a request that are chosen by their speed, in thousandths.
+const PREFERRED_SPEED_PERMILLE: usize = 667;
 /// Pause before a step requests advice about further workers, because capacity is more likely to
 /// become free on known ones. A gang makes no such pause: it needs capacity on many workers at once
 /// and has too few allowed workers.
@@ -59,6 +61,7 @@
         key: StepKey,
         queue: &QueueRow,
         free_capacity: &FreeCapacityByWorker,
+        preference: SpeedPreference,
     ) -> Vec<WorkerNumber> {
         self.requests_composed += 1;
         let demand = counted_demand(spec);
@@ -69,6 +72,7 @@
         let mut unrequested: Vec<(bool, u64, WorkerNumber)> = free_capacity
             .iter()
             .filter(|(number, _)| requested.binary_search(number).is_err())
+            .filter(|(number, _)| !self.speeds.is_closed(**number))
             .filter(|(number, _)| {
                 self.workers
                     .get(number)
@@ -86,7 +90,14 @@
             WORKERS_PER_REQUEST
         };
         if unrequested.len() > max_workers {
-            unrequested.select_nth_unstable(max_workers);
+            // Most of the workers are of the preferred speed. The others are named as well, because a
+            // step that finds no room on the preferred ones must not wait for them.
+            let preferred = max_workers * PREFERRED_SPEED_PERMILLE / 1_000;
+            unrequested.select_nth_unstable_by_key(preferred, |(full, place, number)| {
+                let rank = preference.rank(self.speeds.class(*number));
+                (*full, rank, *place, *number)
+            });
+            unrequested[preferred..].select_nth_unstable(max_workers - preferred);
             unrequested.truncate(max_workers);
         }
         unrequested.sort_unstable();
@@ -109,14 +120,14 @@
         &mut self,
         id: JobId,
         queue: &QueueRow,
-        spec: &JobSpec,
+        job: &JobSpec,
         io: &mut Io<'_>,
     ) {
-        if queue.advice.is_none() || spec.schedule.is_some() {
+        if queue.advice.is_none() || job.schedule.is_some() {
             return;
         }
         let free_capacity = self.free_capacity(io.now_ms);
-        for (step, spec) in (0..).zip(&spec.steps) {
+        for (step, spec) in (0..).zip(&job.steps) {
             if !spec.depends_on.is_empty() {
                 continue;
             }
@@ -125,7 +136,8 @@
                 occurrence: 0,
                 step,
             };
-            let workers = self.unrequested_workers(spec, key, queue, &free_capacity);
+            let preference = self.preference_at_age(queue, job, step, 0);
+            let workers = self.unrequested_workers(spec, key, queue, &free_capacity, preference);
             self.request_advice(key, queue, workers, spec.gang, io);
         }
     }
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -116,6 +116,7 @@
     /// Runs one scheduling pass over the waiting steps that have tasks without a proposed
     /// placement.
     pub(super) fn run_pass(&mut self, state: &CellState, io: &mut Io<'_>) {
+        self.refresh_speeds(io);
         let mut order: Vec<(Urgency, StepKey)> = self
             .steps
             .iter()
@@ -207,6 +208,7 @@
         let free_tasks = group.tasks;
         let tasks = u32::try_from(free_tasks.len()).unwrap_or(u32::MAX);
         let demand = counted_demand(spec);
+        let preference = self.speed_preference(job, key, io.unix_ms);
         let suspects_of = group.suspects.then_some(key);
         let candidates = self.candidates(
             job,
@@ -228,16 +230,21 @@
             }
         };
         let chosen = if spec.gang {
-            place_gang(&demand, tasks, &candidates, spec.rack_local)
+            place_gang(&demand, tasks, &candidates, spec.rack_local, preference)
         } else {
-            Some(place_separately(&demand, tasks, candidates.clone()))
+            Some(place_separately(
+                &demand,
+                tasks,
+                candidates.clone(),
+                preference,
+            ))
         };
         let placed = chosen.as_ref().map_or(0, Vec::len);
         if let Some(cost) = &queue.advice
             && placed < free_tasks.len()
             && self.may_request_advice(key, cost, io.now_ms)
         {
-            let unrequested = self.unrequested_workers(spec, key, queue, free_capacity);
+            let unrequested = self.unrequested_workers(spec, key, queue, free_capacity, preference);
             if unrequested.is_empty() {
                 self.pause_widening(key, io.now_ms);
             }
@@ -316,7 +323,10 @@
         // arrive, it would never start.
         let candidate = |number: WorkerNumber, available: &FreeCapacity| {
             let view = self.workers.get(&number)?;
-            if !view.suits(spec, &job.queue) || self.drains_for_others(number, suspects_of) {
+            if !view.suits(spec, &job.queue)
+                || self.drains_for_others(number, suspects_of)
+                || self.speeds.is_closed(number)
+            {
                 return None;
             }
             let mut max_tasks = spec.max_per_worker.map_or(u32::MAX, |max| {
@@ -345,6 +355,7 @@
                     + u32::from(previously_reserved)
                     + u32::from(lacks_ticket)
                     + view.health.failing_permille / 300,
+                speed: self.speeds.class(number),
             })
         };
         if job.queue.advice.is_none() {
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -305,6 +305,7 @@
                 && job.step_spec(step).is_some_and(|spec| !spec.long_running)
             {
                 self.run_times.add(&job.queue.name, took_ms);
+                self.add_to_speeds(state, completion.run, number, took_ms, io.now_ms);
             }
         }
         self.status_queries.completions_proposed(jobs_of(
--- a/crates/cell/src/leader/stalls.rs
+++ b/crates/cell/src/leader/stalls.rs
@@ -345,7 +345,8 @@
                 checkpoint_age_ms: run.last_checkpoint_ms.map(since),
                 overrun_ms: declared.map_or(MIN_OVERRUN_MS, |(job, spec)| {
                     let expected = self.run_times.expect(&job.queue, spec);
-                    overrun_ms(expected, spec.estimate_ms)
+                    let limit_ms = overrun_ms(expected, spec.estimate_ms);
+                    limit_ms.max(self.speeds.run_ms(view.number, limit_ms))
                 }),
             }
         });
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -18,6 +18,7 @@
 mod message;
 mod model;
 mod placement;
+mod speeds;
 mod state;
 
 pub use crate::{
@@ -42,6 +43,7 @@
         AdviceCost, Demand, JobSpec, JobSpecError, QueueRow, QueueTable, Schedule, StepSpec,
         TenantRow, WorkerRecord,
     },
-    placement::{Candidate, place_gang, place_separately},
+    placement::{Candidate, SpeedPreference, place_gang, place_separately},
+    speeds::{FinishedRun, SpeedClass, Speeds},
     state::{CellState, Change},
 };
