--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -8,8 +8,8 @@
 
 use crate::{
     CallerReply, CellState, Change, Command, ControlReply, Effect, Job, JobId, JobState, Origin,
-    PeerMessage, RunKey, StepKey, TaskState, WorkerNumber, WorkerRecord, ids::calls_of_epoch,
-    io::Io,
+    PeerMessage, RunKey, Speeds, StepKey, TaskState, WorkerNumber, WorkerRecord,
+    ids::calls_of_epoch, io::Io,
 };
 
 mod advice;
@@ -22,6 +22,7 @@
 mod relay;
 mod renewal;
 mod run_times;
+mod speeds;
 mod stalls;
 mod status_queries;
 mod tenants;
@@ -149,8 +150,10 @@
     run_times: RunTimes,
     tenants: tenants::Tenants,
     run_times_saved_ms: Millis,
-    /// Lost runs that are not recorded in `run_times` yet, with the times for which they ran at least.
-    lost_runs: Vec<(RunKey, u64)>,
+    /// Lost runs that are not recorded in `run_times` yet, with their workers and the times for which
+    /// they ran at least.
+    lost_runs: Vec<(RunKey, WorkerNumber, u64)>,
+    speeds: Speeds,
     /// Workers reserved for gangs in the current pass, sorted.
     reserved_for_gangs: Vec<WorkerNumber>,
     /// Workers that drain for suspects, which must run alone, and the suspects' steps.
@@ -209,6 +212,7 @@
             run_times: RunTimes::from_saved(state.run_times()),
             run_times_saved_ms: io.now_ms,
             lost_runs: Vec::new(),
+            speeds: Speeds::default(),
             tenants: tenants::Tenants::default(),
             reserved_for_gangs: Vec::new(),
             draining_for: SortedVec::new(),
@@ -337,6 +341,7 @@
             }
             Change::WorkerRemoved { worker, lost } => {
                 self.tenants.remove_worker(worker);
+                self.speeds.remove(worker);
                 self.worker_removed(state, worker, &lost, io);
             }
             Change::Accepted(id) => {
@@ -745,6 +750,7 @@
             io.commands.push(Command::RemoveJobs(expired));
         }
         self.report_tenants(state, io);
+        self.measure_speeds(io);
         io.effect(Effect::Gauge {
             name: "jobs_known",
             value: state.jobs().len() as u64,
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -12,7 +12,8 @@
     worker::WorkerView,
 };
 use crate::{
-    CellState, Command, Demand, Job, QueueRow, RunKey, StepKey, StepSpec, WorkerNumber,
+    CellState, Command, Demand, Job, QueueRow, RunKey, SpeedPreference, StepKey, StepSpec,
+    WorkerNumber,
     io::Io,
     placement::{Candidate, place_gang, place_separately},
     tenants::{Class, Timeliness},
@@ -131,6 +132,7 @@
     /// Runs one scheduling pass over the waiting steps that have tasks without a proposed
     /// placement.
     pub(super) fn run_pass(&mut self, state: &CellState, io: &mut Io<'_>) {
+        self.refresh_speeds(io);
         self.update_forecasts(state, io.now_ms);
         self.refresh_tenants(state);
         let mut order: BinaryHeap<Reverse<(Rank, StepKey, Urgency)>> = self
@@ -249,6 +251,7 @@
         let free_tasks = group.tasks;
         let tasks = u32::try_from(free_tasks.len()).unwrap_or(u32::MAX);
         let demand = counted_demand(spec);
+        let preference = self.speed_preference(job, key, io.unix_ms);
         let suspects_of = group.suspects.then_some(key);
         let candidates = self.candidates(
             job,
@@ -270,20 +273,18 @@
             }
         };
         let chosen = if spec.gang {
-            place_gang(&demand, tasks, &candidates, spec.rack_local)
+            place_gang(&demand, tasks, &candidates, spec.rack_local, preference)
         } else {
-            Some(place_separately(&demand, tasks, candidates.clone()))
+            Some(place_separately(
+                &demand,
+                tasks,
+                candidates.clone(),
+                preference,
+            ))
         };
         let placed = chosen.as_ref().map_or(0, Vec::len);
-        if let Some(cost) = &queue.advice
-            && placed < free_tasks.len()
-            && self.may_request_advice(key, cost, io.now_ms)
-        {
-            let unrequested = self.unrequested_workers(spec, key, queue, free_capacity);
-            if unrequested.is_empty() {
-                self.pause_widening(key, io.now_ms);
-            }
-            self.request_advice(key, queue, unrequested, spec.gang, io);
+        if placed < free_tasks.len() {
+            self.widen_advice((spec, key, queue), free_capacity, preference, io);
         }
         let Some(chosen) = chosen else {
             if alone_until_ms.is_some() {
@@ -344,6 +345,27 @@
         self.request_advice(key, queue, requested, spec.gang, io);
     }
 
+    /// Requests advice about further workers for a step that found too few, if it may.
+    fn widen_advice(
+        &mut self,
+        (spec, key, queue): (&StepSpec, StepKey, &QueueRow),
+        free_capacity: &FreeCapacityByWorker,
+        preference: SpeedPreference,
+        io: &mut Io<'_>,
+    ) {
+        let Some(cost) = &queue.advice else {
+            return;
+        };
+        if !self.may_request_advice(key, cost, io.now_ms) {
+            return;
+        }
+        let unrequested = self.unrequested_workers(spec, key, queue, free_capacity, preference);
+        if unrequested.is_empty() {
+            self.pause_widening(key, io.now_ms);
+        }
+        self.request_advice(key, queue, unrequested, spec.gang, io);
+    }
+
     /// Returns the workers that may run tasks of the step: the usable workers, or, if the queue has
     /// a policy service, those among them that the service allows.
     fn candidates(
@@ -361,7 +383,10 @@
         // arrive, it would never start.
         let candidate = |number: WorkerNumber, available: &FreeCapacity| {
             let view = self.workers.get(&number)?;
-            if !view.suits(spec, &job.queue) || self.drains_for_others(number, suspects_of) {
+            if !view.suits(spec, &job.queue)
+                || self.drains_for_others(number, suspects_of)
+                || self.speeds.is_closed(number)
+            {
                 return None;
             }
             let mut max_tasks = spec.max_per_worker.map_or(u32::MAX, |max| {
@@ -390,6 +415,7 @@
                     + u32::from(previously_reserved)
                     + u32::from(lacks_ticket)
                     + view.health.failing_permille / 300,
+                speed: self.speeds.class(number),
             })
         };
         if job.queue.advice.is_none() {
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -300,7 +300,8 @@
         view.recompute_free();
         for (completion, run) in &completions {
             if let Some(run) = run {
-                self.record_completion(state, (completion.run, run), completion.outcome, io);
+                let ended = (completion.run, run);
+                self.record_completion(state, number, ended, completion.outcome, io);
             }
         }
         self.status_queries.completions_proposed(jobs_of(
@@ -399,7 +400,7 @@
                 lost.push((*key, run.checkpoint.clone(), confirmed));
                 if confirmed && run.began_afresh {
                     let ran_ms = view.last_contact_ms.saturating_sub(run.started_ms).0;
-                    self.lost_runs.push((*key, ran_ms));
+                    self.lost_runs.push((*key, number, ran_ms));
                 }
             }
             !is_lost
--- a/crates/cell/src/leader/run_times.rs
+++ b/crates/cell/src/leader/run_times.rs
@@ -5,7 +5,7 @@
 use super::{Leader, worker::RunView};
 pub(super) use crate::run_times::RunTimes;
 use crate::{
-    CellState, Command, Effect, Job, RunKey, RunOutcome, StepKey, StepSpec, io::Io,
+    CellState, Command, Effect, Job, RunKey, RunOutcome, StepKey, StepSpec, WorkerNumber, io::Io,
     run_times::RunEnd,
 };
 
@@ -90,6 +90,7 @@
     pub(super) fn record_completion(
         &mut self,
         state: &CellState,
+        worker: WorkerNumber,
         (key, run): (RunKey, &RunView),
         outcome: RunOutcome,
         io: &mut Io<'_>,
@@ -107,8 +108,9 @@
             return;
         }
         let tenant = job.tenant.as_deref();
-        let speed_permille = USUAL_SPEED_PERMILLE;
+        let speed_permille = self.speed_of_run(spec, worker);
         if end == RunEnd::Finished {
+            self.add_to_speeds(state, key, worker, took_ms, io.now_ms);
             let expected = self.run_times.expect_of(&job.queue, spec, tenant);
             let usual_ms = took_ms.saturating_mul(speed_permille) / 1_000;
             io.effect(Effect::Measure {
@@ -124,16 +126,26 @@
     /// Records the confirmed runs that were lost since the last call as longer than the time for
     /// which their workers were known to run them.
     pub(super) fn record_lost_runs(&mut self, state: &CellState) {
-        for (key, ran_ms) in std::mem::take(&mut self.lost_runs) {
+        for (key, worker, ran_ms) in std::mem::take(&mut self.lost_runs) {
             if let Some((job, spec)) = comparable(state, key) {
                 let kind = (&job.queue, spec, job.tenant.as_deref());
-                let speed_permille = USUAL_SPEED_PERMILLE;
+                let speed_permille = self.speed_of_run(spec, worker);
                 self.run_times
                     .record(kind, ran_ms, speed_permille, RunEnd::Censored);
             }
         }
     }
 
+    /// Returns the speed by which the time of a run is corrected. A gang ends with its slowest member,
+    /// so the speed of one of its workers says little.
+    fn speed_of_run(&self, spec: &StepSpec, worker: WorkerNumber) -> u64 {
+        if spec.gang {
+            USUAL_SPEED_PERMILLE
+        } else {
+            self.speeds.permille(worker)
+        }
+    }
+
     /// Proposes to save the run times if the last save is long enough ago.
     pub(super) fn save_run_times(&mut self, io: &mut Io<'_>) {
         let next_ms = self
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -20,6 +20,7 @@
 mod placed_runs;
 mod placement;
 mod run_times;
+mod speeds;
 mod state;
 mod tenants;
 
@@ -45,7 +46,8 @@
         AdviceCost, Demand, JobSpec, JobSpecError, QueueRow, QueueTable, Schedule, StepSpec,
         TenantRow, WorkerRecord,
     },
-    placement::{Candidate, place_gang, place_separately},
+    placement::{Candidate, SpeedPreference, place_gang, place_separately},
+    speeds::{FinishedRun, SpeedClass, Speeds},
     state::{CellState, Change},
     tenants::{
         Cap, Class, RateWindow, Standing, Timeliness, TokenBucket, Totals, class,
