--- a/crates/cell/tests/cell/tenant_shares.rs
+++ b/crates/cell/tests/cell/tenant_shares.rs
@@ -285,3 +285,38 @@
     assert_eq!(gauge("tenant_jobs_refused", 1), Some(&1));
     assert_eq!(gauge("tenant_jobs_refused", 2), Some(&0));
 }
+
+/// Guards against one wide step that takes the whole capacity because its tenant held nothing
+/// before. Load: two equal tenants, each with one step as wide as the free capacity, in one pass.
+#[test]
+fn wide_step_takes_only_its_tenants_share_at_first() {
+    let mut sim = cell(29, vec![tenant(1, 100, 0), tenant(2, 100, 0)]);
+
+    sim.submit_as(1, "batch", 2, job(vec![step(256, 1_000, 2_000)]));
+    sim.submit_as(2, "batch", 4, job(vec![step(256, 1_000, 2_000)]));
+    sim.run(1_000);
+
+    assert_eq!((held_cores(&sim, 1), held_cores(&sim, 2)), (128, 128));
+}
+
+/// Guards against refusing a job for the backlog of a tenant above its entitlement, which runs after
+/// it. Load: one tenant within its rate, whose urgent work takes longer than jobs may wait.
+#[test]
+fn backlog_that_runs_later_does_not_refuse_a_job() {
+    let mut sim = cell(30, vec![tenant(1, 1_000, 0), tenant(2, 1_000, 0)]);
+    let mut hot = Vec::new();
+    for id in 0..120 {
+        hot.push(sim.submit_as(1, "urgent", 1_000 + id, job(vec![step(16, 2_000, 1_000)])));
+        sim.run(20);
+    }
+
+    let quiet = sim.submit_as(2, "batch", 1, job(vec![step(4, 2_000, 500)]));
+    sim.run(2_500);
+
+    let refused = hot.iter();
+    let refused =
+        refused.filter(|connection| retry_ms(&sim, **connection, RefusalReason::Backlog).is_some());
+    assert!(refused.count() > 0, "the backlog is too small for the test");
+    assert!(is_accepted(&sim, quiet));
+    assert!(total_ms(&sim, 1).is_some_and(|ms| ms < 2_500));
+}
