Test and document the speeds of workers

Change: gangs prefer fast workers only once they have waited (2.3 instead of 2.6 times the expected rest), and no preference is computed while all workers are equal. Tests of placement by speed, a load of mixed speeds and a worker that turns slow and back in the simulation.

Without learning, all three tests fail.

--- a/crates/cell/src/leader/speeds.rs
+++ b/crates/cell/src/leader/speeds.rs
@@ -9,9 +9,10 @@
 };
 
 /// A step prefers fast workers while the time to its objective is less than this many thousandths
-/// of the expected time of the rest of its job. A slow worker may take 1.4 times as long, and
-/// advice, waiting and the slowest of several tasks take the rest.
-const FAST_BELOW_PERMILLE: u64 = 2_600;
+/// of the expected time of the rest of its job. Urgent jobs start at about 1,900; gangs, at 2,500,
+/// prefer fast workers once they have waited. With 2,600, gangs take the fast workers from each other
+/// and from urgent work, and fewer gangs are in time (0.40 instead of 0.63 in `cell` `speeds`).
+const FAST_BELOW_PERMILLE: u64 = 2_300;
 /// A step prefers slow workers from this value on.
 const SLOW_FROM_PERMILLE: u64 = 3_500;
 /// Below this value no worker is fast enough, and the step gets no preference.
@@ -80,6 +81,10 @@
         step: u32,
         age_ms: u64,
     ) -> SpeedPreference {
+        // Among equal workers the preference changes nothing.
+        if self.speeds.different().next().is_none() {
+            return SpeedPreference::None;
+        }
         let steps = spec.steps.get(step as usize..).unwrap_or_default();
         if steps.first().is_none_or(|step| step.long_running) {
             return SpeedPreference::None;
--- a/crates/cell/src/placement.rs
+++ b/crates/cell/src/placement.rs
@@ -198,3 +198,6 @@
     }
     Some(placed)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -16,6 +16,7 @@
 mod scale;
 mod services;
 mod sim;
+mod speeds;
 mod stalls;
 mod suspects;
 mod worker;
