--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -19,6 +19,7 @@
 mod scale;
 mod services;
 mod sim;
+mod speeds;
 mod stalls;
 mod suspects;
 mod tenant_decisions;
