Sum the waiting work once for many submissions

Cause: admission examined each waiting step up to three times for each submission. Change: sums by service, tenant, class and priority, made again after a time that grows with the backlog. Forecasts are looked up only where they are outdated.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -16,6 +16,7 @@
 mod advice_requests;
 mod announcements;
 mod authentication;
+mod backlog;
 mod callers;
 mod isolation;
 mod pass;
@@ -149,6 +150,7 @@
     scheduled_jobs: Vec<JobId>,
     run_times: RunTimes,
     tenants: tenants::Tenants,
+    backlog: backlog::Backlog,
     run_times_saved_ms: Millis,
     /// Lost runs that are not recorded in `run_times` yet, with their workers and the times for which
     /// they ran at least.
@@ -214,6 +216,7 @@
             lost_runs: Vec::new(),
             speeds: Speeds::default(),
             tenants: tenants::Tenants::default(),
+            backlog: backlog::Backlog::default(),
             reserved_for_gangs: Vec::new(),
             draining_for: SortedVec::new(),
             given_up: Vec::new(),
--- a/crates/cell/src/leader/callers.rs
+++ b/crates/cell/src/leader/callers.rs
@@ -197,9 +197,10 @@
             self.recount_changed_workers();
             self.class_of_new_job(state, queue, tenant, over_rate)
         });
+        self.refresh_backlog(state, io);
         let load = Load {
             capacity_millicores: capacity_millicores * USABLE_CAPACITY_PERMILLE / 1_000,
-            queued_ahead_millicore_ms: self.queued_work_ahead(state, queue, class, io),
+            queued_ahead_millicore_ms: self.backlog.work_ahead(queue, class),
             wait_budget_ms: slack_ms.saturating_add(queue.target_ms),
         };
         let Some(tenant) = tenant else {
@@ -210,30 +211,6 @@
         admit_for_tenant(&load, &tenant_load)
     }
 
-    /// Returns the waiting work that runs before a new job of a queue, in millicores times
-    /// milliseconds. Late work, and work of a later class, is not counted because it runs after new
-    /// jobs.
-    fn queued_work_ahead(
-        &self,
-        state: &CellState,
-        queue: &QueueRow,
-        class: Class,
-        io: &Io<'_>,
-    ) -> u64 {
-        let steps = self.steps.iter().filter_map(|(key, step)| {
-            let job = state.job(key.job)?;
-            let spec = job.step_spec(*key)?;
-            let own_class = self.class_of(state, job, self.timeliness(job, *key, io));
-            let order = (own_class, job.queue.priority);
-            let goes_first = job.queue.service == queue.service && order <= (class, queue.priority);
-            let run_ms = self.forecast(job, *key, io.now_ms).task_ms;
-            let tasks = step.waiting.len() as u64;
-            let millicores = u64::from(spec.demand.cpu_millicores);
-            goes_first.then_some((tasks * millicores).saturating_mul(run_ms))
-        });
-        steps.fold(0, u64::saturating_add)
-    }
-
     /// Returns the number of runs of a queue whose start was sent and not confirmed by the worker.
     fn count_unconfirmed_runs(&self, state: &CellState, queue: &QueueRow) -> usize {
         let runs = self.workers.values().flat_map(|view| view.runs.iter());
--- a/crates/cell/src/leader/run_times.rs
+++ b/crates/cell/src/leader/run_times.rs
@@ -2,7 +2,7 @@
 
 use acaciareel_types::Millis;
 
-use super::{Leader, worker::RunView};
+use super::{Leader, WaitingStep, worker::RunView};
 pub(super) use crate::run_times::RunTimes;
 use crate::{
     CellState, Command, Effect, Job, RunKey, RunOutcome, StepKey, StepSpec, WorkerNumber, io::Io,
@@ -33,6 +33,8 @@
     pub left_ms: u64,
     /// Mean run time of a task of the step.
     pub task_ms: u64,
+    /// Median run time of a task of the step.
+    pub median_ms: u64,
 }
 
 impl Leader {
@@ -41,12 +43,7 @@
         let step = self.steps.get(&key);
         let waiting = step.map_or(0, |step| step.waiting.len());
         let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
-        let known = step.and_then(|step| step.forecast);
-        let is_valid = |known: &StepForecast| {
-            known.waiting == waiting && now_ms.saturating_sub(known.made_ms).0 < FORECAST_VALID_MS
-        };
-        known
-            .filter(is_valid)
+        step.and_then(|step| valid_forecast(step, now_ms))
             .unwrap_or_else(|| self.make_forecast(job, key, waiting, now_ms))
     }
 
@@ -59,6 +56,7 @@
             job_ms: path.total_ms,
             left_ms: 0,
             task_ms: 0,
+            median_ms: 0,
         };
         if let Some(spec) = job.step_spec(key) {
             let kind = (&job.queue, spec, tenant);
@@ -68,14 +66,17 @@
             let after_ms = chain_ms.copied().unwrap_or(0).saturating_sub(all.total_ms);
             forecast.left_ms = after_ms.saturating_add(left.total_ms);
             forecast.task_ms = all.mean_ms;
+            forecast.median_ms = self.run_times.expect_of(&job.queue, spec, tenant).median_ms;
         }
         forecast
     }
 
     /// Makes forecasts of all steps that have no valid one.
     pub(super) fn update_forecasts(&mut self, state: &CellState, now_ms: Millis) {
-        let keys: Vec<StepKey> = self.steps.keys().copied().collect();
-        for key in keys {
+        let outdated = self.steps.iter();
+        let outdated = outdated.filter(|(_, step)| valid_forecast(step, now_ms).is_none());
+        let outdated: Vec<StepKey> = outdated.map(|(key, _)| *key).collect();
+        for key in outdated {
             if let Some(job) = state.job(key.job) {
                 let forecast = self.forecast(job, key, now_ms);
                 if let Some(step) = self.steps.get_mut(&key) {
@@ -161,6 +162,14 @@
     }
 }
 
+/// Returns the latest forecast of a step if it still holds.
+fn valid_forecast(step: &WaitingStep, now_ms: Millis) -> Option<StepForecast> {
+    let waiting = u32::try_from(step.waiting.len()).unwrap_or(u32::MAX);
+    step.forecast.filter(|known| {
+        known.waiting == waiting && now_ms.saturating_sub(known.made_ms).0 < FORECAST_VALID_MS
+    })
+}
+
 /// Returns the job and declaration of a run whose time counts: that of a task that ends by itself.
 /// The tasks of a gang end together, so the first one counts for all.
 fn comparable(state: &CellState, key: RunKey) -> Option<(&Job, &StepSpec)> {
--- a/crates/cell/src/leader/tenants.rs
+++ b/crates/cell/src/leader/tenants.rs
@@ -590,7 +590,7 @@
         io: &Io<'_>,
     ) -> TenantLoad {
         let (standing, _, _) = self.standing_of(state, (tenant, &queue.service), over_rate);
-        let own = self.own_work_ahead(state, (tenant, queue), class, io);
+        let own = self.backlog.own_work_ahead(tenant, queue, class);
         let entitled = u128::from(load.capacity_millicores) * u128::from(standing.entitlement_ppm);
         let share_wait_ms = u128::from(own.cpu_millicores) * 1_000_000;
         let share_wait_ms = share_wait_ms.checked_div(entitled);
@@ -610,41 +610,6 @@
         }
     }
 
-    /// Returns the waiting work of a tenant that runs before a new job of it, as resources times
-    /// milliseconds.
-    fn own_work_ahead(
-        &self,
-        state: &CellState,
-        (tenant, queue): (&str, &QueueRow),
-        class: Class,
-        io: &Io<'_>,
-    ) -> Totals {
-        let mut work = Totals::default();
-        for (key, step) in self.steps.iter() {
-            let Some(job) = state.job(key.job) else {
-                continue;
-            };
-            if job.tenant.as_deref() != Some(tenant) || job.queue.priority > queue.priority {
-                continue;
-            }
-            let timeliness = self.timeliness(job, *key, io);
-            let goes_first = self.class_of(state, job, timeliness) <= class;
-            if let Some(spec) = job.step_spec(*key).filter(|_| goes_first) {
-                let run_ms = self.run_times.expect(&job.queue, spec).median_ms;
-                let tasks = u64::try_from(step.waiting.len()).unwrap_or(u64::MAX);
-                let amount =
-                    |each: u32| u64::from(each).saturating_mul(tasks).saturating_mul(run_ms);
-                work.add(&Totals {
-                    cpu_millicores: amount(spec.demand.cpu_millicores),
-                    memory_mib: amount(spec.demand.memory_mib),
-                    accelerators: amount(spec.demand.accelerators),
-                    tasks,
-                });
-            }
-        }
-        work
-    }
-
     /// Returns whether the first steps of a new job could start beside all on-time work that waits
     /// already.
     fn starts_at_once(
@@ -654,24 +619,7 @@
         io: &Io<'_>,
     ) -> bool {
         let first = || spec.steps.iter().filter(|step| step.depends_on.is_empty());
-        let (mut waiting, mut own_waiting) = (Totals::default(), Totals::default());
-        for (key, step) in self.steps.iter() {
-            let Some(job) = state.job(key.job) else {
-                continue;
-            };
-            let tasks = step.waiting.len().saturating_sub(step.proposed.len());
-            let tasks = u32::try_from(tasks).unwrap_or(u32::MAX);
-            let class = self.class_of(state, job, self.timeliness(job, *key, io));
-            let Some(spec) = job.step_spec(*key).filter(|_| class <= Class::Extra) else {
-                continue;
-            };
-            if job.queue.service == queue.service {
-                waiting.add(&Totals::of(&counted_demand(spec), tasks));
-            }
-            if job.tenant.as_deref() == Some(tenant) {
-                own_waiting.add(&Totals::of(&spec.demand, tasks));
-            }
-        }
+        let (mut waiting, own_waiting) = self.backlog.unplaced(&queue.service, tenant);
         let free_capacity = self.free_capacity(io.now_ms);
         let mut free = Totals::default();
         let mut slots = vec![0_u64; spec.steps.len()];
