Accept jobs beyond a tenant's rate behind a short backlog

Cause: such a job was refused whenever it would have to wait. Gangs that wait for tickets count as waiting work, so most were refused while workers were free. Change: the job may wait a quarter of the time that it may wait by its objective, behind everything that is owed.

--- a/crates/cell/src/admission.rs
+++ b/crates/cell/src/admission.rs
@@ -22,6 +22,11 @@
 /// Longest retry time after a refusal; the estimate of the backlog is too rough for longer times.
 const MAX_RETRY_AFTER_MS: u64 = 10_000;
 
+/// A job beyond its tenant's rate may wait for this part of the time that the job may wait. While the
+/// backlog is short, it takes capacity that others do not need; behind a longer one, what it starts
+/// would keep them waiting.
+const EXTRA_WAIT_DIVISOR: u64 = 4;
+
 /// Refusal of a job with the figures that led to it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct AdmissionRefusal {
@@ -98,16 +103,17 @@
     if load.capacity_millicores == 0 {
         return admit(load);
     }
-    if tenant.over_rate && !tenant.starts_at_once {
+    let wait_ms = load.queued_ahead_millicore_ms / load.capacity_millicores;
+    let extra_budget_ms = load.wait_budget_ms / EXTRA_WAIT_DIVISOR;
+    if tenant.over_rate && !tenant.starts_at_once && wait_ms > extra_budget_ms {
         let retry_ms = tenant.own_backlog_ms;
         return Err(AdmissionRefusal {
             reason: RefusalReason::OverRate,
             retry_after_ms: retry_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS),
-            wait_ms: retry_ms,
-            wait_budget_ms: 0,
+            wait_ms,
+            wait_budget_ms: extra_budget_ms,
         });
     }
-    let wait_ms = load.queued_ahead_millicore_ms / load.capacity_millicores;
     let wait_ms = tenant.share_wait_ms.map_or(wait_ms, |own| own.min(wait_ms));
     check_wait(load, wait_ms.max(tenant.cap_wait_ms))
 }
--- a/crates/cell/tests/cell/tenant_decisions.rs
+++ b/crates/cell/tests/cell/tenant_decisions.rs
@@ -179,8 +179,20 @@
         over_rate: true,
         ..tenant
     });
+    let behind = |wait_ms: u64| {
+        let load = Load {
+            queued_ahead_millicore_ms: 100_000 * wait_ms,
+            ..load
+        };
+        let tenant = TenantLoad {
+            over_rate: true,
+            ..tenant
+        };
+        admit_for_tenant(&load, &tenant).is_ok()
+    };
 
     assert_eq!(below_entitlement, Ok(()));
+    assert_eq!([behind(750), behind(751)], [true, false]);
     assert_eq!(above_entitlement, Err((RefusalReason::Backlog, 10_000)));
     assert_eq!(at_cap, Err((RefusalReason::Backlog, 2_000)));
     assert_eq!(over_rate, Err((RefusalReason::OverRate, 4_500)));
