Check refusals of a tenant above its entitlement

The tenant has to hold more than its entitlement for the work of others to go first; below half of it, a job beyond the rate is placed first and is rightly accepted.

--- a/crates/cell/tests/cell/tenant_shares.rs
+++ b/crates/cell/tests/cell/tenant_shares.rs
@@ -170,7 +170,7 @@
 
 /// Guards against refusing jobs beyond the rate while workers are free, and against accepting them
 /// behind a long backlog. Load: 60 jobs of a tenant of weight 1 at once, then more on workers that
-/// another tenant fills for more than 20 s.
+/// another tenant fills with 40 jobs of 30 tasks.
 #[test]
 fn job_beyond_the_rate_is_accepted_only_behind_a_short_backlog() {
     let mut sim = cell(25, vec![tenant(1, 1, 0), tenant(2, 100, 0)]);
@@ -184,9 +184,14 @@
         })
         .collect();
     sim.run(1_000);
-    sim.submit_as(2, "batch", 100, job(vec![step(1_500, 1_000, 4_000)]));
+    // The tenant holds more than its entitlement of 2.5 cores, so that the work of others goes first.
+    sim.submit_as(1, "batch", 90, job(vec![step(8, 1_000, 30_000)]));
+    sim.run(200);
+    for id in 100..140 {
+        sim.submit_as(2, "batch", id, job(vec![step(30, 1_000, 4_000)]));
+    }
     sim.run(500);
-    // The rate has allowed two or three jobs since the first of them.
+    // The rate allows one of them; it meets the same backlog.
     let while_full: Vec<u64> = (200..206)
         .map(|id| {
             let connection = sim.submit_as(1, "batch", id, small());
@@ -202,11 +207,12 @@
             .iter()
             .all(|connection| is_accepted(&sim, *connection))
     );
-    let retry_ms = retry_ms(&sim, while_full[5], RefusalReason::OverRate);
+    let retry_ms = retry_ms(&sim, while_full[4], RefusalReason::OverRate);
     assert!(retry_ms.is_some_and(|ms| ms >= 1_000), "{retry_ms:?}");
     assert_eq!(sim.unfinished(0..60), Vec::<u64>::new());
     let state = sim.control_of(sim.leader().expect("leader"));
-    assert!(state.is_some_and(|control| control.state().job(JobId(205)).is_none()));
+    let state = state.expect("leader").state();
+    assert!((201..206).all(|id| state.job(JobId(id)).is_none()));
 }
 
 /// Guards against accepting jobs of a tenant whose own waiting work takes longer under its cap than
