Check a cell's configuration before it is sent

Operators learned of a faulty configuration only from the leader's 400, and not at all of entries that never match, limits that contradict each other, or numbers that are rounded.

acaciareel queues check decodes a file with the leader's own decoder, so its errors are the leader's. The findings come from one pure function in the cell package, the differences from the version in force from another. Exit code 6 stands for a valid configuration with warnings. API keys are counted and not shown, also where one stands in the place of another value.

A longer prefix takes all paths of a shorter one only in one case, the empty prefix beside the slash, so other pairs of prefixes are not reported.

--- a/crates/acaciareel/src/cli.rs
+++ b/crates/acaciareel/src/cli.rs
@@ -17,7 +17,8 @@
     error_code(2, "wrong arguments"),
     error_code(3, "not run"),
     error_code(4, "may have run"),
-    error_code(5, "conflict with another change or request")
+    error_code(5, "conflict with another change or request"),
+    error_code(6, "the configuration is valid, with warnings")
 )]
 pub struct Cli {
     /// address of an entry VM, such as 10.0.0.1:7000; may be repeated, addresses are tried in order
@@ -40,6 +41,7 @@
 #[argh(subcommand)]
 pub enum Command {
     Tables(Tables),
+    Queues(Queues),
     Workers(Workers),
     Vms(Vms),
     Request(RequestArgs),
@@ -114,6 +116,42 @@
     pub timeout_ms: Millis,
 }
 
+/// check a configuration of a cell's queues
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "queues")]
+pub struct Queues {
+    #[argh(subcommand)]
+    pub command: QueuesCommand,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum QueuesCommand {
+    Check(CheckQueues),
+}
+
+/// check a configuration as the leader does, without a server; report warnings and differences
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "check",
+    example = "Check a new configuration against the one in force, as Config.Get returned it:\n\
+               acaciareel queues check new.json --in-force current.json",
+    note = "Nothing is sent. API keys are not printed, only their number.",
+    error_code(0, "valid, without warnings"),
+    error_code(1, "invalid, or a file cannot be read"),
+    error_code(2, "wrong arguments"),
+    error_code(6, "valid, with warnings")
+)]
+pub struct CheckQueues {
+    /// JSON file in the form of Config.Replace
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// JSON file with the configuration in force, to list the differences
+    #[argh(option)]
+    pub in_force: Option<PathBuf>,
+}
+
 /// list the workers
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "workers")]
--- a/crates/acaciareel/src/commands.rs
+++ b/crates/acaciareel/src/commands.rs
@@ -12,6 +12,7 @@
 mod histogram;
 mod keys;
 pub mod overview;
+mod queues;
 mod requests;
 mod submit;
 mod tables;
@@ -23,6 +24,7 @@
     let session = || Config::try_from(cli).map(Session::new);
     match &cli.command {
         Command::Tables(args) => tables::run(&args.command, session, cli.json).await,
+        Command::Queues(args) => queues::run(&args.command, cli.json),
         Command::Workers(_) => fleet::workers(&session()?, cli.json).await,
         Command::Vms(_) => fleet::vms(&session()?, cli.json).await,
         Command::Request(args) => requests::run(&args.command, &session()?, cli.json).await,
--- a/crates/acaciareel/src/exit_codes.rs
+++ b/crates/acaciareel/src/exit_codes.rs
@@ -18,6 +18,8 @@
     /// Another change of the tables was applied first, or the idempotency key belongs to another
     /// request.
     Conflict,
+    /// The checked configuration is valid, and there are warnings.
+    Warnings,
 }
 
 impl ExitCode {
@@ -31,6 +33,7 @@
             Self::NotRun => 3,
             Self::MayHaveRun => 4,
             Self::Conflict => 5,
+            Self::Warnings => 6,
         }
     }
 }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -19,6 +19,7 @@
 mod model;
 mod placed_runs;
 mod placement;
+mod queue_check;
 mod run_times;
 mod speeds;
 mod state;
@@ -47,6 +48,10 @@
         TenantRow, WorkerRecord,
     },
     placement::{Candidate, SpeedPreference, place_gang, place_separately},
+    queue_check::{
+        ChangeKind, DeclaredTable, Difference, Field, FieldChange, FieldName, Finding, OtherValue,
+        Problem, RoundedNumber, TableEntry, check_table, differences, format_thousandths,
+    },
     speeds::{FinishedRun, SpeedClass, Speeds},
     state::{CellState, Change},
     tenants::{
--- a/crates/cell/src/run_times.rs
+++ b/crates/cell/src/run_times.rs
@@ -48,7 +48,7 @@
 /// Saved octaves are multiples of one part in this many.
 const SAVED_OCTAVE_UNITS: f32 = 1_024.0;
 /// Workers named in the call for advice that the users' objective includes for each step.
-const ADVICE_WORKERS: u64 = 30;
+pub(crate) const ADVICE_WORKERS: u64 = 30;
 
 /// Distribution of the run time to expect of a task, on a worker of usual speed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -579,11 +579,16 @@
     })
 }
 
-/// Returns the time of the call for advice that a step needs.
+/// Returns the time of the call for advice that a step needs, in whole milliseconds.
 fn advice_ms(queue: &QueueRow) -> u64 {
+    advice_us(queue).div_ceil(1_000)
+}
+
+/// Returns the time of the call for advice that a step needs, in microseconds.
+pub(crate) fn advice_us(queue: &QueueRow) -> u64 {
     queue.advice.as_ref().map_or(0, |cost| {
         let workers_us = cost.per_worker_us.saturating_mul(ADVICE_WORKERS);
-        cost.call_us.saturating_add(workers_us).div_ceil(1_000)
+        cost.call_us.saturating_add(workers_us)
     })
 }
 
