--- a/crates/cell/src/leader/speeds.rs
+++ b/crates/cell/src/leader/speeds.rs
@@ -10,8 +10,8 @@
 
 /// A step prefers fast workers while the time to its objective is less than this many thousandths
 /// of the expected time of the rest of its job. Urgent jobs start at about 1,900; gangs, at 2,500,
-/// prefer fast workers once they have waited. With 2,600, gangs take the fast workers from each other
-/// and from urgent work, and fewer gangs are in time (0.40 instead of 0.63 in `cell` `speeds`).
+/// prefer fast workers once they have waited; otherwise they take them from each other and from
+/// urgent work.
 const FAST_BELOW_PERMILLE: u64 = 2_300;
 /// A step prefers slow workers from this value on.
 const SLOW_FROM_PERMILLE: u64 = 3_500;
--- a/crates/cell/src/run_times.rs
+++ b/crates/cell/src/run_times.rs
@@ -358,7 +358,6 @@
     }
 
     /// Returns the run time to expect of a step's tasks, for any tenant.
-    #[allow(dead_code, reason = "for stall detection and placement")]
     pub fn expect(&self, queue: &QueueRow, spec: &StepSpec) -> Expectation {
         self.expect_of(queue, spec, None)
     }
