Order waiting steps by the mean run time of their queue again

Change: order and timeliness rest on the mean of the queue along the longest chain of steps. Admission, work ahead, stall detection and speeds keep the learned times.

--- a/crates/cell/src/leader/run_times.rs
+++ b/crates/cell/src/leader/run_times.rs
@@ -49,7 +49,7 @@
 
     fn make_forecast(&self, job: &Job, key: StepKey, waiting: u32, now_ms: Millis) -> StepForecast {
         let tenant = job.tenant.as_deref();
-        let path = self.run_times.critical_path(&job.queue, &job.spec, tenant);
+        let path = self.run_times.usual_path(&job.queue, &job.spec);
         let mut forecast = StepForecast {
             made_ms: now_ms,
             waiting,
--- a/crates/cell/src/run_times.rs
+++ b/crates/cell/src/run_times.rs
@@ -285,6 +285,28 @@
     pub from_step_ms: Vec<u64>,
 }
 
+/// Weight of the latest run in the mean run time of a queue, in thousandths.
+const QUEUE_MEAN_WEIGHT_PERMILLE: u64 = 50;
+
+/// Returns the longest chain through the steps of a job, and the longest from each step on.
+fn longest_chain(job: &JobSpec, step_ms: impl Fn(&StepSpec) -> u64) -> CriticalPath {
+    // Chains begin as those after each step; the steps themselves are added from the last on.
+    let mut from_step_ms = vec![0_u64; job.steps.len()];
+    for (at, step) in job.steps.iter().enumerate().rev() {
+        let chain_ms = from_step_ms[at].saturating_add(step_ms(step));
+        from_step_ms[at] = chain_ms;
+        for earlier in &step.depends_on {
+            if let Some(after_ms) = from_step_ms.get_mut(*earlier as usize) {
+                *after_ms = chain_ms.max(*after_ms);
+            }
+        }
+    }
+    CriticalPath {
+        total_ms: from_step_ms.iter().copied().max().unwrap_or(0),
+        from_step_ms,
+    }
+}
+
 /// Number of levels of classes.
 const LEVELS: usize = 4;
 
@@ -296,6 +318,8 @@
     records: u64,
     /// Value of `records` when the classes were last saved.
     saved_records: u64,
+    /// Moving mean of the run times of each queue, for the order of waiting steps.
+    queue_means_ms: SortedVec<String, u64>,
 }
 
 impl RunTimes {
@@ -307,6 +331,12 @@
         speed_permille: u64,
         end: RunEnd,
     ) {
+        if end == RunEnd::Finished {
+            let weight = QUEUE_MEAN_WEIGHT_PERMILLE;
+            let name = queue.name.clone();
+            let mean_ms = self.queue_means_ms.get_or_insert_with(name, || took_ms);
+            *mean_ms = (*mean_ms * (1_000 - weight) + took_ms * weight) / 1_000;
+        }
         let usual_ms = took_ms.saturating_mul(speed_permille) / 1_000;
         let (estimate, octaves) = (estimate_octaves(queue, spec), octaves(usual_ms));
         let residual = octaves - self.lookup(queue, spec, tenant).median() + RESIDUAL_ZERO;
@@ -404,22 +434,16 @@
         job: &JobSpec,
         tenant: Option<&str>,
     ) -> CriticalPath {
-        // Chains begin as those after each step; the steps themselves are added from the last on.
-        let mut from_step_ms = vec![0_u64; job.steps.len()];
-        for (at, step) in job.steps.iter().enumerate().rev() {
-            let times = self.step_times((queue, step, tenant));
-            let chain_ms = from_step_ms[at].saturating_add(times.total_ms);
-            from_step_ms[at] = chain_ms;
-            for earlier in &step.depends_on {
-                if let Some(after_ms) = from_step_ms.get_mut(*earlier as usize) {
-                    *after_ms = chain_ms.max(*after_ms);
-                }
-            }
-        }
-        CriticalPath {
-            total_ms: from_step_ms.iter().copied().max().unwrap_or(0),
-            from_step_ms,
-        }
+        longest_chain(job, |step| self.step_times((queue, step, tenant)).total_ms)
+    }
+
+    /// Returns the duration of a job by the mean run time of its queue, which the order of waiting
+    /// steps rests on: a job that is longer than the others of its queue then counts as late early,
+    /// and does not keep those waiting that can still meet their objectives.
+    pub fn usual_path(&self, queue: &QueueRow, job: &JobSpec) -> CriticalPath {
+        let mean_ms = self.queue_means_ms.get(&queue.name).copied();
+        let mean_ms = mean_ms.unwrap_or(queue.target_ms);
+        longest_chain(job, |_| mean_ms)
     }
 
     /// Returns the number of classes.
