--- a/crates/cell/tests/cell/speeds.rs
+++ b/crates/cell/tests/cell/speeds.rs
@@ -222,7 +222,7 @@
 /// median of 859 ms for urgent ones. About 90 percent of the urgent jobs have no task of the heavy
 /// tail, so their share in time cannot grow much.
 #[test]
-#[ignore = "KNOWN-RED 11: fewer gangs and batch jobs in time since run times are learned"]
+#[ignore = "KNOWN-RED 11: fewer gangs in time since run times are learned"]
 fn urgent_jobs_get_the_fast_workers() {
     let results = results(false);
 
@@ -234,7 +234,7 @@
 /// Guards against requests to the policy service that name workers of any speed. Without speeds 896,
 /// 177 and 280 thousandths were in time, with a median of 873 ms for urgent jobs.
 #[test]
-#[ignore = "KNOWN-RED 11: fewer gangs and batch jobs in time since run times are learned"]
+#[ignore = "KNOWN-RED 11: fewer gangs in time since run times are learned"]
 fn advice_requests_name_fast_workers_for_urgent_jobs() {
     let results = results(true);
 
