--- a/crates/cell/tests/cell/speeds.rs
+++ b/crates/cell/tests/cell/speeds.rs
@@ -234,7 +234,6 @@
 /// Guards against requests to the policy service that name workers of any speed. Without speeds 896,
 /// 177 and 280 thousandths were in time, with a median of 873 ms for urgent jobs.
 #[test]
-#[ignore = "KNOWN-RED 11: fewer gangs in time since run times are learned"]
 fn advice_requests_name_fast_workers_for_urgent_jobs() {
     let results = results(true);
 
