Share the objective of a job, a hash and two test fixtures

Three places computed slack times chain plus target, two had FNV-1a of their own, and two test programs the same records of workers and runs.

--- a/crates/cell/src/leader/advice_requests.rs
+++ b/crates/cell/src/leader/advice_requests.rs
@@ -9,7 +9,7 @@
 };
 use crate::{
     AdviceCost, AdviceRequest, AdviceResponse, Effect, JobId, JobSpec, PeerMessage, QueueRow,
-    SpeedPreference, StepKey, StepSpec, WorkerNumber, io::Io,
+    SpeedPreference, StepKey, StepSpec, WorkerNumber, hash, io::Io,
 };
 
 /// Workers named in one request. Each worker makes the call longer.
@@ -26,12 +26,10 @@
 /// and has too few allowed workers.
 const WIDEN_PAUSE_MS: u64 = 1_500;
 
-/// Returns a number that orders workers differently for each step (FNV-1a over both).
+/// Returns a number that orders workers differently for each step.
 fn scatter(key: StepKey, worker: WorkerNumber) -> u64 {
-    let bytes = [key.job.0, u64::from(key.step), u64::from(worker.0)];
-    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, part| {
-        (hash ^ part).wrapping_mul(0x0100_0000_01b3)
-    })
+    let parts = [key.job.0, u64::from(key.step), u64::from(worker.0)];
+    hash::extend(hash::START, parts)
 }
 
 impl Leader {
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -216,8 +216,7 @@
 
     fn urgency(&self, job: &Job, key: StepKey, io: &Io<'_>) -> Urgency {
         let forecast = self.forecast(job, key, io.now_ms);
-        let objective_ms = (forecast.job_ms.saturating_mul(job.queue.slack_permille) / 1_000)
-            .saturating_add(job.queue.target_ms);
+        let objective_ms = job.queue.objective_ms(forecast.job_ms);
         let due_ms = job.due_unix_ms(key.occurrence);
         let age_ms = io.unix_ms.saturating_sub(due_ms);
         let finish_ms = age_ms.saturating_add(forecast.left_ms);
--- a/crates/cell/src/leader/run_times.rs
+++ b/crates/cell/src/leader/run_times.rs
@@ -25,11 +25,11 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct StepForecast {
     made_ms: Millis,
-    /// Number of waiting tasks on which it rests.
+    /// Number of waiting tasks when it was made; another number makes it outdated.
     waiting: u32,
     /// Duration of the longest chain of steps of the job.
     pub job_ms: u64,
-    /// Duration of the longest chain that begins with the waiting tasks.
+    /// Duration of the longest chain that begins with the step.
     pub left_ms: u64,
     /// Mean run time of a task of the step.
     pub task_ms: u64,
--- a/crates/cell/src/leader/speeds.rs
+++ b/crates/cell/src/leader/speeds.rs
@@ -70,8 +70,7 @@
             return SpeedPreference::None;
         }
         let forecast = self.forecast(job, key, io.now_ms);
-        let objective_ms = (forecast.job_ms.saturating_mul(job.queue.slack_permille) / 1_000)
-            .saturating_add(job.queue.target_ms);
+        let objective_ms = job.queue.objective_ms(forecast.job_ms);
         let age_ms = io.unix_ms.saturating_sub(job.due_unix_ms(key.occurrence));
         preference_of(objective_ms.saturating_sub(age_ms), forecast.left_ms)
     }
@@ -98,8 +97,7 @@
                 .map(|step| self.run_times.expect(queue, step).median_ms);
             medians.fold(0, u64::saturating_add)
         };
-        let objective_ms = (expected_ms(&spec.steps).saturating_mul(queue.slack_permille) / 1_000)
-            .saturating_add(queue.target_ms);
+        let objective_ms = queue.objective_ms(expected_ms(&spec.steps));
         preference_of(objective_ms.saturating_sub(age_ms), expected_ms(steps))
     }
 
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -11,6 +11,7 @@
 mod control;
 mod crashes;
 mod entry;
+mod hash;
 mod ids;
 mod io;
 mod job;
--- a/crates/cell/src/model.rs
+++ b/crates/cell/src/model.rs
@@ -213,6 +213,12 @@
 }
 
 impl QueueRow {
+    /// Returns the objective of a job whose longest chain of work takes `chain_ms`.
+    #[must_use]
+    pub fn objective_ms(&self, chain_ms: u64) -> u64 {
+        (chain_ms.saturating_mul(self.slack_permille) / 1_000).saturating_add(self.target_ms)
+    }
+
     /// Returns whether two rows of different tables stand for one queue: a later table may change
     /// its name or its address.
     #[must_use]
--- a/crates/cell/src/placement.rs
+++ b/crates/cell/src/placement.rs
@@ -65,8 +65,7 @@
 /// Places tasks one by one. Of the workers with the lowest risk, on the preferred rack if possible,
 /// and of the preferred speed, each task gets the one with the least processor capacity left
 /// afterwards, so that large gaps remain for large tasks. No task waits for a preferred worker.
-/// Returns one worker for each placed task; fewer than `tasks` if the
-/// capacity does not suffice.
+/// Returns one worker for each placed task; fewer than `tasks` if the capacity does not suffice.
 #[must_use]
 pub fn place_separately(
     demand: &Demand,
--- a/crates/cell/src/run_times.rs
+++ b/crates/cell/src/run_times.rs
@@ -7,11 +7,15 @@
 use acaciareel_types::SortedVec;
 use serde::{Deserialize, Serialize};
 
-use crate::{JobSpec, QueueRow, StepSpec};
+use crate::{JobSpec, QueueRow, StepSpec, hash};
 
 #[cfg(test)]
 mod tests;
 
+/// Number of levels of classes.
+const LEVELS: usize = 4;
+/// Weight of the latest run in the mean run time of a queue, in thousandths.
+const QUEUE_MEAN_WEIGHT_PERMILLE: u64 = 50;
 /// Resolution of a distribution; neighbouring buckets differ by 9%.
 const BUCKETS_PER_OCTAVE: f64 = 8.0;
 /// Longest time that is told from longer ones, in octaves (4.6 hours).
@@ -285,9 +289,6 @@
     pub from_step_ms: Vec<u64>,
 }
 
-/// Weight of the latest run in the mean run time of a queue, in thousandths.
-const QUEUE_MEAN_WEIGHT_PERMILLE: u64 = 50;
-
 /// Returns the longest chain through the steps of a job, and the longest from each step on.
 fn longest_chain(job: &JobSpec, step_ms: impl Fn(&StepSpec) -> u64) -> CriticalPath {
     // Chains begin as those after each step; the steps themselves are added from the last on.
@@ -307,9 +308,6 @@
     }
 }
 
-/// Number of levels of classes.
-const LEVELS: usize = 4;
-
 /// Run times of all classes.
 #[derive(Debug, Default)]
 pub(crate) struct RunTimes {
@@ -564,11 +562,11 @@
     residuals: u64,
 }
 
-/// Returns the numbers of a task's classes. Gangs and separate
-/// tasks differ because the tasks of a gang take as long as its slowest.
+/// Returns the numbers of a task's classes. Gangs and separate tasks differ because the tasks of a
+/// gang take as long as its slowest.
 fn class_ids(queue: &QueueRow, spec: &StepSpec, tenant: Option<&str>) -> ClassIds {
     let octave = [whole(estimate_octaves(queue, spec))];
-    let of_queue = extend_hash(HASH_START, queue.name.as_bytes());
+    let of_queue = extend_hash(hash::START, queue.name.as_bytes());
     let of_queue = extend_hash(of_queue, &[u8::from(spec.gang)]);
     let image = spec.image.as_deref().unwrap_or_default();
     let of_image = extend_hash(of_queue, image.as_bytes());
@@ -581,16 +579,10 @@
     }
 }
 
-/// Start value and factor of the hash FNV-1a with 64 bits.
-const HASH_START: u64 = 0xcbf2_9ce4_8422_2325;
-const HASH_FACTOR: u64 = 0x0000_0100_0000_01b3;
-
 /// Extends a hash by a field. The byte 255, which no text contains, ends the field.
 fn extend_hash(hash: u64, field: &[u8]) -> u64 {
     let bytes = field.iter().chain(&[u8::MAX]);
-    bytes.fold(hash, |hash, byte| {
-        (hash ^ u64::from(*byte)).wrapping_mul(HASH_FACTOR)
-    })
+    hash::extend(hash, bytes.copied().map(u64::from))
 }
 
 /// Returns the caller's estimate in octaves; without one, the constant part of the objective.
--- a/crates/cell/tests/cell/indexes.rs
+++ b/crates/cell/tests/cell/indexes.rs
@@ -1,32 +1,14 @@
 //! Indexes of the replicated state agree with what they are derived from.
 
 use acaciareel_cell::{
-    CellState, Command, JobId, RunCompletion, RunKey, RunOutcome, StepKey, TaskKey, TaskState,
-    WorkerNumber, WorkerRecord,
+    CellState, Command, JobId, RunCompletion, RunOutcome, TaskState, WorkerNumber, WorkerRecord,
 };
 use proptest::prelude::*;
 
-use crate::sim::{gang, job, queue, step};
-
-fn worker(number: u32, life: u64) -> WorkerRecord {
-    WorkerRecord {
-        id: format!("worker-{number}"),
-        incarnation_started_ms: life,
-        address: format!("10.0.{}.{}:80", number / 250, number % 250),
-        service: "service".to_owned(),
-        ..WorkerRecord::default()
-    }
-}
-
-fn run(job: u64, index: u32, run: u32) -> RunKey {
-    let step = StepKey {
-        job: JobId(job),
-        occurrence: 0,
-        step: 0,
-    };
-    let task = TaskKey { step, index };
-    RunKey { task, run }
-}
+use crate::{
+    records::{run, worker},
+    sim::{gang, job, queue, step},
+};
 
 fn accept(state: &mut CellState, id: u64, tasks: acaciareel_cell::StepSpec) {
     state.apply(Command::Accept {
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -13,6 +13,8 @@
 mod keys;
 mod load;
 mod pending;
+#[path = "../fixtures/records.rs"]
+mod records;
 mod recovery;
 mod returns;
 mod run_times;
--- a/crates/cell/tests/restarts.rs
+++ b/crates/cell/tests/restarts.rs
@@ -4,35 +4,19 @@
 use std::time::{Duration, Instant};
 
 use acaciareel_cell::{
-    CellState, Change, Command, JobId, JobSpec, QueueRow, RunKey, StepKey, StepSpec, TaskKey,
-    WorkerNumber, WorkerRecord,
+    CellState, Change, Command, JobId, JobSpec, QueueRow, StepSpec, WorkerNumber, WorkerRecord,
 };
 
+#[path = "fixtures/records.rs"]
+mod records;
+
+use records::{run, worker};
+
 /// Largest size of a cell, and the target for all crashes together in a release build.
 const WORKERS: u32 = 3_700;
 const RUNNING: u32 = 23_000;
 const ALL_CRASHES: Duration = Duration::from_millis(50);
 
-fn worker(number: u32, life: u64) -> WorkerRecord {
-    WorkerRecord {
-        id: format!("worker-{number}"),
-        incarnation_started_ms: life,
-        address: format!("10.0.{}.{}:80", number / 250, number % 250),
-        service: "service".to_owned(),
-        ..WorkerRecord::default()
-    }
-}
-
-fn run(job: u64, index: u32, run: u32) -> RunKey {
-    let step = StepKey {
-        job: JobId(job),
-        occurrence: 0,
-        step: 0,
-    };
-    let task = TaskKey { step, index };
-    RunKey { task, run }
-}
-
 fn accept(state: &mut CellState, id: u64, tasks: StepSpec) {
     state.apply(Command::Accept {
         id: JobId(id),
