Tell what waiting steps wait for

The leader notes the outcome of each examination, and every 2 s writes counts by reason and the ten steps that have waited longest. Gauges show the same.

No decision changes.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -27,6 +27,7 @@
 mod stalls;
 mod status_queries;
 mod tenants;
+mod waits;
 mod worker;
 mod worker_commands;
 
@@ -113,6 +114,8 @@
     account: Option<tenants::Account>,
     /// Latest forecast of the step.
     forecast: Option<run_times::StepForecast>,
+    /// Why the step was not placed when it was last examined.
+    wait: Option<waits::StepWait>,
 }
 
 /// State of the leader; lost when it steps down.
@@ -183,6 +186,7 @@
     steps_examined: u64,
     /// Number of times that workers were selected for an advice request so far.
     requests_composed: u64,
+    waits: waits::WaitReports,
     last_job_removal_ms: Millis,
 }
 
@@ -241,6 +245,7 @@
             pass_cursor: None,
             steps_examined: 0,
             requests_composed: 0,
+            waits: waits::WaitReports::default(),
             last_job_removal_ms: io.now_ms,
         };
         let inherited_ms = worker::longest_lease(bounds.lease_ms);
@@ -693,6 +698,7 @@
         self.forget_overdue_renewals(io.now_ms);
         self.expire_status_queries(state, io);
         self.remove_expired_jobs(state, io);
+        self.report_waits(state, io);
         self.pass_due = true;
     }
 
--- a/crates/cell/src/leader/advice.rs
+++ b/crates/cell/src/leader/advice.rs
@@ -48,6 +48,8 @@
     pub not_before_ms: Millis,
     /// Time before which the step makes no request about further workers.
     pub next_widening_ms: Millis,
+    /// Number of calls so far.
+    pub calls: u32,
 }
 
 impl StepAdvice {
@@ -159,6 +161,12 @@
         usable.any(|state| state.is_free(latest_ms))
     }
 
+    /// Returns how many VMs can begin a call now.
+    pub fn free(&self, now_ms: Millis) -> usize {
+        let vms = self.vms.values();
+        vms.filter(|vm| vm.is_free(now_ms)).count()
+    }
+
     /// Chooses the VM for a call. Returns it with the expected time of the response.
     pub fn choose(
         &mut self,
--- a/crates/cell/src/leader/advice_requests.rs
+++ b/crates/cell/src/leader/advice_requests.rs
@@ -169,6 +169,8 @@
         let call = self.new_call();
         let advice = self.advice.get_or_insert_with(key, StepAdvice::default);
         advice.call = Some(call);
+        advice.calls += 1;
+        self.waits.requests_sent += 1;
         let id_of = |worker: &WorkerNumber| self.workers.get(worker).map(|v| v.record.id.clone());
         let request = AdviceRequest {
             step: key.to_string(),
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -9,6 +9,7 @@
     Leader, Phase, RunView,
     advice_requests::MAX_WORKERS_PER_REQUEST,
     isolation::{GroupCandidates, TaskGroup},
+    waits::WaitReason,
     worker::WorkerView,
 };
 use crate::{
@@ -200,6 +201,7 @@
         let mut free_capacity = self.free_capacity(io.now_ms);
         self.release_drained(state, &free_capacity);
         let mut reserving = 0;
+        self.waits.held_millicores = 0;
         let mut last_examined = None;
         let reserved = std::mem::take(&mut self.reserved_for_gangs);
         self.previously_reserved = reserved;
@@ -346,6 +348,16 @@
         };
         let placed = chosen.as_ref().map_or(0, Vec::len);
         if placed < free_tasks.len() {
+            let advice = self.advice.get(&key);
+            let is_answered = advice.is_some_and(|advice| !advice.requested.is_empty());
+            let reason = if queue.advice.is_some() && !is_answered {
+                WaitReason::Advice
+            } else if alone_until_ms.is_some() {
+                WaitReason::Isolation
+            } else {
+                WaitReason::Room
+            };
+            self.note_wait(key, reason, (&demand, &candidates), io.now_ms);
             self.widen_advice((spec, key, queue), free_capacity, preference, io);
         }
         let Some(chosen) = chosen else {
@@ -390,14 +402,28 @@
             let ready: Vec<WorkerNumber> = chosen.iter().filter(|w| valid(w)).copied().collect();
             self.propose(job, (key, alone_until_ms), &free_tasks, &ready, io);
         }
-        let set_aside = if spec.gang { &chosen } else { &missing };
+        self.note_wait(key, WaitReason::Tickets, (&demand, &candidates), io.now_ms);
+        let set_aside = if spec.gang { chosen } else { missing };
+        self.waits.held_millicores += u64::from(demand.cpu_millicores) * set_aside.len() as u64;
         self.count_reserved(job, spec, set_aside.len());
-        let mut requested = if spec.gang { chosen } else { missing };
+        self.request_tickets((spec, key, queue), set_aside, &candidates, io);
+        candidate_count
+    }
+
+    /// Requests tickets for chosen workers, and for some more in case these fill up meanwhile.
+    fn request_tickets(
+        &mut self,
+        (spec, key, queue): (&StepSpec, StepKey, &QueueRow),
+        mut requested: Vec<WorkerNumber>,
+        candidates: &[Candidate],
+        io: &mut Io<'_>,
+    ) {
+        let demand = counted_demand(spec);
         requested.sort_unstable();
         requested.dedup();
         let wanted = (requested.len() + SPARE_WORKERS_PER_REQUEST + requested.len() / 2)
             .min(MAX_WORKERS_PER_REQUEST);
-        for candidate in &candidates {
+        for candidate in candidates {
             if requested.len() < wanted && candidate.slots(&demand) > 0 {
                 requested.push(candidate.worker);
                 requested.sort_unstable();
@@ -405,7 +431,6 @@
             }
         }
         self.request_advice(key, queue, requested, spec.gang, io);
-        candidate_count
     }
 
     /// Requests advice about further workers for a step that found too few, if it may.
--- a/crates/cell/src/placement.rs
+++ b/crates/cell/src/placement.rs
@@ -211,10 +211,16 @@
     Some(placed)
 }
 
+/// Returns how many tasks fit on the candidates together.
+#[must_use]
+pub fn slots_on(demand: &Demand, candidates: &[Candidate]) -> u32 {
+    let slots = candidates.iter().map(|c| c.slots(demand));
+    slots.fold(0, u32::saturating_add)
+}
+
 /// Returns whether so many tasks fit on the candidates together.
 fn has_slots(demand: &Demand, tasks: u32, candidates: &[Candidate]) -> bool {
-    let slots = candidates.iter().map(|c| c.slots(demand));
-    slots.fold(0, u32::saturating_add) >= tasks
+    slots_on(demand, candidates) >= tasks
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/cell/tests/cell/waits.rs
@@ -0,0 +1,65 @@
+//! Gauges that say why steps wait.
+
+use crate::sim::{Sim, gang, job, queue, step};
+
+fn gauge(sim: &Sim, name: &'static str) -> u64 {
+    let leader = sim.leader().expect("leader");
+    sim.gauges.get(&(leader, name)).copied().unwrap_or(0)
+}
+
+/// Returns the numbers of steps that wait for advice, for room and for tickets.
+fn waits(sim: &Sim) -> [u64; 3] {
+    [
+        "steps_waiting_for_advice",
+        "steps_waiting_for_room",
+        "steps_waiting_for_tickets",
+    ]
+    .map(|name| gauge(sim, name))
+}
+
+/// Guards against a wait for room that shows as another one.
+#[test]
+fn gang_without_room_shows_as_waiting_for_room() {
+    let mut sim = Sim::new(1, 3, 4);
+    sim.set_up(vec![queue("gangs", 1, true), queue("batch", 2, false)]);
+    sim.submit("batch", 1, job(vec![step(4, 20_000, 20_000)]));
+    sim.run(1_000);
+
+    sim.submit("gangs", 2, job(vec![gang(4, 20_000, 500)]));
+    sim.run(5_000);
+
+    assert_eq!(waits(&sim), [0, 1, 0]);
+}
+
+/// Guards against a wait for the policy service that shows as a lack of room.
+#[test]
+fn gang_with_room_shows_as_waiting_for_tickets() {
+    let mut sim = Sim::new(1, 3, 4);
+    let mut row = queue("gangs", 1, true);
+    row.advice = row.advice.map(|mut cost| {
+        cost.ticket_valid_ms = 100;
+        cost
+    });
+    sim.set_up(vec![row]);
+
+    // The tickets expire before they can be used.
+    sim.submit("gangs", 1, job(vec![gang(1, 20_000, 500)]));
+    sim.run(5_000);
+
+    assert_eq!(waits(&sim), [0, 0, 1]);
+    assert_eq!(gauge(&sim, "held_millicores"), 20_000);
+    assert!(gauge(&sim, "advice_requests") > 2);
+}
+
+/// Guards against a policy service that does not respond and shows as a lack of room.
+#[test]
+fn gang_without_a_response_shows_as_waiting_for_advice() {
+    let mut sim = Sim::new(1, 3, 4);
+    sim.advice_ms = 60_000;
+    sim.set_up(vec![queue("gangs", 1, true)]);
+
+    sim.submit("gangs", 1, job(vec![gang(2, 20_000, 500)]));
+    sim.run(5_000);
+
+    assert_eq!(waits(&sim), [1, 0, 0]);
+}
