Count the validity of tickets from their expected issue

A gang needs valid tickets for all its workers at once. The leader counted their validity from when it handled the response; a response that the leader or an entry VM passed on late brought tickets that counted as valid and had expired. The workers refuse such starts, the members that did start are stopped, and the gang waits for its next turn.

Validity now counts from the expected time of the response, or from its arrival if that is earlier. The new test of late responses fails before: the tickets were used for 2,250 ms from their arrival, however late.

--- a/crates/cell/src/leader/advice.rs
+++ b/crates/cell/src/leader/advice.rs
@@ -80,6 +80,16 @@
     pub overdue: bool,
 }
 
+impl AdviceCall {
+    /// Returns until when the tickets of a response that arrives now are certainly valid. They count
+    /// from when the service has issued them; the VM or this leader may have been slow to pass the
+    /// response on, and a start with an expired ticket is refused.
+    pub fn tickets_valid_until(&self, now_ms: Millis) -> Millis {
+        let issued_ms = now_ms.min(self.expected_ms);
+        issued_ms.saturating_add(Millis(self.ticket_valid_ms))
+    }
+}
+
 /// Returns the time that the service takes for a call about a number of workers.
 pub(super) fn call_ms(cost: &AdviceCost, workers: usize) -> u64 {
     let workers = u64::try_from(workers).unwrap_or(u64::MAX);
@@ -197,3 +207,6 @@
         Some((*vm, state.busy_until_ms))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/cell/src/leader/advice_requests.rs
+++ b/crates/cell/src/leader/advice_requests.rs
@@ -225,9 +225,7 @@
             advice.not_before_ms = io.now_ms.saturating_add(Millis(RETRY_MS));
             return advice_missing(&advice_call, io);
         };
-        let valid_until_ms = io
-            .now_ms
-            .saturating_add(Millis(advice_call.ticket_valid_ms));
+        let valid_until_ms = advice_call.tickets_valid_until(io.now_ms);
         for worker in &advice_call.workers {
             if let Err(at) = advice.requested.binary_search(worker) {
                 advice.requested.insert(at, *worker);
