Raise the fencing token after a start without a reply

Each start without a reply now raises the token of all later calls. Any incarnation that has seen one of them refuses the late start. A start is sent again as before, unless a fencing call was sent after it.

--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -87,6 +87,7 @@
     /// Sends a renewal under a higher fencing token. Its reply decides the outcome of all starts
     /// that were sent under lower tokens.
     fn fence(&mut self, number: WorkerNumber, io: &mut Io<'_>) {
+        let term = self.term;
         let Some(view) = self.workers.get_mut(&number) else {
             return;
         };
@@ -94,6 +95,7 @@
             return;
         }
         view.epoch += 1;
+        view.fencing_token = view.token(term);
         view.fence_due = false;
         let call = self.send_renewal(number, 0, true, io);
         if let Some(view) = self.workers.get_mut(&number) {
--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -209,6 +209,8 @@
     pub runs_reported: bool,
     /// Raised to fence the starts that were sent before; part of the fencing token.
     pub epoch: u64,
+    /// Fencing token of the latest call that decides the outcome of starts; 0 if there was none.
+    pub fencing_token: u64,
     /// Whether a call under a higher fencing token is needed to decide the outcome of starts.
     pub fence_due: bool,
     pub fencing_call: Option<u64>,
@@ -257,6 +259,7 @@
             last_call_ms: Millis(0),
             runs_reported: false,
             epoch: 0,
+            fencing_token: 0,
             fence_due: false,
             fencing_call: None,
             renewal_call: None,
--- a/crates/cell/src/leader/worker_commands.rs
+++ b/crates/cell/src/leader/worker_commands.rs
@@ -242,8 +242,12 @@
             return;
         };
         let (current, has_room) = (view.token(term), view.has_room_for(&key, io.now_ms));
+        let fencing_token = view.fencing_token;
         if *reply == WorkerReply::NoReply {
             view.missed_calls += 1;
+            // The start may still be carried out, even by a later incarnation of the worker, which has
+            // no record of the run. Every later call has a higher token, so that it fences the start.
+            view.epoch += 1;
         } else {
             view.last_contact_ms = io.now_ms;
             view.missed_calls = 0;
@@ -266,7 +270,8 @@
                 self.start_refused(state, number, key, (*refusal, tries, token < current), io);
             }
             WorkerReply::NoReply | WorkerReply::Stopped | WorkerReply::Renewed(_) => {
-                let may_resend = tries < MAX_TRIES && token == current && has_room;
+                // A fencing call that was sent after the start decides its outcome.
+                let may_resend = tries < MAX_TRIES && token >= fencing_token && has_room;
                 let resent = may_resend && self.send_start(state, number, key, io);
                 if !resent && let Some(view) = self.workers.get_mut(&number) {
                     view.fence_due = true;
--- a/crates/cell/tests/cell/returns.rs
+++ b/crates/cell/tests/cell/returns.rs
@@ -391,3 +391,43 @@
         assert_eq!(sim.starts, 1, "seed {seed}");
     }
 }
+
+/// Guards against a start that is carried out late although a later try was confirmed: the worker,
+/// which has come back as a new incarnation, has seen a later call, but with the same fencing token.
+#[test]
+fn confirmed_start_is_not_carried_out_late_after_a_later_call() {
+    let task = TaskKey {
+        step: StepKey {
+            job: JobId(1),
+            occurrence: 0,
+            step: 0,
+        },
+        index: 0,
+    };
+    let mut started_again = Vec::new();
+    for restart_ms in (1_900..5_900).step_by(50) {
+        let mut sim = cell(3, 1);
+        sim.lost_replies_percent = 100;
+        sim.submit("batch", 1, job(vec![step(1, 1_000, 300)]));
+        sim.run(100);
+        sim.lost_replies_percent = 0;
+        sim.run(restart_ms);
+        assert_eq!(sim.crashes.starts(task), 1);
+
+        // The start of the other job reaches the new incarnation first.
+        let before = sim.commands_sent();
+        sim.submit("batch", 2, job(vec![step(1, 1_000, 9_000)]));
+        while sim.commands_sent() == before {
+            sim.run(5);
+        }
+        let now_ms = sim.now_ms;
+        let worker = sim.workers.get_mut("worker-0").expect("worker");
+        worker.restart(now_ms);
+        sim.run(6_000);
+
+        if sim.crashes.starts(task) > 1 {
+            started_again.push(restart_ms);
+        }
+    }
+    assert_eq!(started_again, Vec::<u64>::new(), "times of the restart, ms");
+}
