--- a/crates/cell/src/leader/worker_commands.rs
+++ b/crates/cell/src/leader/worker_commands.rs
@@ -127,7 +127,9 @@
             return false;
         };
         let token = view.token(term);
-        let Some(lease_until_ms) = view.grant(lease_ms, io.now_ms) else {
+        let min_clock_ms = view.min_reply_clock_ms(io.now_ms);
+        let lease_until_ms = view.grant(lease_ms, io.now_ms);
+        let (Some(min_clock_ms), Some(lease_until_ms)) = (min_clock_ms, lease_until_ms) else {
             return false;
         };
         let Some(run) = view.runs.get_mut(&key) else {
@@ -151,6 +153,7 @@
                 worker: number,
                 run: key,
                 incarnation_started_ms,
+                min_clock_ms,
             },
         );
         let request = WorkerRequest::Start {
@@ -208,6 +211,7 @@
                     worker,
                     run,
                     incarnation_started_ms,
+                    min_clock_ms,
                 },
                 reply,
             ) => {
@@ -215,7 +219,7 @@
                     view.record.incarnation_started_ms == incarnation_started_ms
                 });
                 if same_incarnation {
-                    self.start_replied(state, worker, run, reply, io);
+                    self.start_replied(state, worker, (run, min_clock_ms), reply, io);
                 }
             }
             (WorkerCall::Stop { worker, run }, reply) => {
@@ -233,7 +237,7 @@
         &mut self,
         state: &CellState,
         number: WorkerNumber,
-        key: RunKey,
+        (key, min_clock_ms): (RunKey, u64),
         reply: &WorkerReply,
         io: &mut Io<'_>,
     ) {
@@ -242,8 +246,12 @@
             return;
         };
         let (current, has_room) = (view.token(term), view.has_room_for(&key, io.now_ms));
+        let fencing_token = view.fencing_token;
         if *reply == WorkerReply::NoReply {
             view.missed_calls += 1;
+            // The start may still be carried out, even by a later incarnation of the worker, which has
+            // no record of the run. Every later call has a higher token, so that it fences the start.
+            view.epoch += 1;
         } else {
             view.last_contact_ms = io.now_ms;
             view.missed_calls = 0;
@@ -255,6 +263,14 @@
             return;
         };
         match reply {
+            WorkerReply::Started {
+                clock_ms: Some(clock_ms),
+            } if *clock_ms < min_clock_ms => {
+                // The clock has started anew: the reply is of a later incarnation, which may have carried
+                // out earlier starts too. Only its report shows what runs there.
+                view.runs_reported = false;
+                view.fence_due = true;
+            }
             WorkerReply::Started { clock_ms } => {
                 run.phase = Phase::Confirmed { at_call };
                 if let Some(clock_ms) = clock_ms {
@@ -266,7 +282,8 @@
                 self.start_refused(state, number, key, (*refusal, tries, token < current), io);
             }
             WorkerReply::NoReply | WorkerReply::Stopped | WorkerReply::Renewed(_) => {
-                let may_resend = tries < MAX_TRIES && token == current && has_room;
+                // A fencing call that was sent after the start decides its outcome.
+                let may_resend = tries < MAX_TRIES && token >= fencing_token && has_room;
                 let resent = may_resend && self.send_start(state, number, key, io);
                 if !resent && let Some(view) = self.workers.get_mut(&number) {
                     view.fence_due = true;
