Simulate a policy service whose calls take time and tickets expire

The simulation could not show that: each call took the same time, tickets never expired, and a slow leader made no pause after a pass, as the daemon does.

A worker refuses a ticket that has expired or belongs to an earlier life. Requests and responses can be lost. Turns report their duration. Tests without a cost play as before.

The tests pass, so these alone are not the cause: no accepted gang stands still for 3 s (rule LOST) after slow entry VMs, after slow control VMs, after lost messages and after restarts of entry VMs without a broken connection.

--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -22,6 +22,7 @@
 mod scale;
 mod services;
 mod sim;
+mod slow_advice;
 mod slow_turns;
 mod speeds;
 mod stalls;
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -5,8 +5,8 @@
 use acaciareel_cell::{
     AddressedRequest, AdviceCost, ApiKeyDigest, Bounds, CallerReply, CallerRequest, Control,
     ControlReply, ControlRequest, ControlSettings, Demand, Effect, Entry, Event, JobId, JobSpec,
-    JobView, PeerMessage, QueueRow, QueueTable, RunKey, StepSpec, TaskKey, TenantRow, WorkerRecord,
-    WorkerReply, WorkerRequest,
+    JobView, PeerMessage, QueueRow, QueueTable, RunKey, StartRefusal, StepSpec, TaskKey, TenantRow,
+    WorkerRecord, WorkerReply, WorkerRequest,
 };
 use acaciareel_consensus::{MemberId, Record, RestoredState};
 use acaciareel_types::{Incarnation, Millis, ProcessEpoch, VmId};
@@ -14,9 +14,11 @@
 use crate::worker::{LEASE_MS, Running, Worker};
 
 mod crash;
+mod policy_service;
 mod turns;
 
 pub use crash::{Comeback, Crashes};
+pub use policy_service::{PolicyService, is_allowed};
 use turns::Turns;
 
 const STEP_MS: u64 = 5;
@@ -104,6 +106,7 @@
     /// Time that the policy service takes for one call.
     pub advice_ms: u64,
     advice_busy_ms: BTreeMap<VmId, u64>,
+    pub policy_service: PolicyService,
     rng_state: u64,
     seeds: Vec<VmId>,
     next_heartbeat_ms: BTreeMap<String, u64>,
@@ -271,6 +274,7 @@
             tenant_gauges: BTreeMap::new(),
             advice_ms: 30,
             advice_busy_ms: BTreeMap::new(),
+            policy_service: PolicyService::default(),
             rng_state: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1,
             seeds: (1..=3.min(controls)).map(control).collect(),
             next_heartbeat_ms: BTreeMap::new(),
@@ -498,6 +502,9 @@
             }
             Effect::Send { to, message } => {
                 self.check_caller_call(vm, &message);
+                if self.is_advice_lost(&message) {
+                    return;
+                }
                 if self.linked.contains(&(vm, to)) || self.linked.contains(&(to, vm)) {
                     if matches!(message, PeerMessage::AdviceRequest { .. }) {
                         self.open_advice_requests += 1;
@@ -524,25 +531,7 @@
                 call,
                 for_vm,
                 request,
-            } => {
-                self.advice_requests_sent += 1;
-                let busy_ms = self.advice_busy_ms.entry(vm).or_default();
-                *busy_ms = (*busy_ms).max(self.now_ms) + self.advice_ms;
-                let delay_ms = *busy_ms - self.now_ms;
-                let allowed = request
-                    .worker_ids
-                    .iter()
-                    .filter(|id| may_run(&request.step, id));
-                let rows = allowed.map(|id| (id.clone(), format!("ticket-{id}")));
-                let response = Some(rows.collect());
-                self.open_advice_requests = self.open_advice_requests.saturating_sub(1);
-                let event = Event::AdviceReceived {
-                    call,
-                    for_vm,
-                    response,
-                };
-                self.post(delay_ms, vm, event);
-            }
+            } => self.request_advice(vm, (call, for_vm), &request),
             Effect::ReplyCaller { connection, reply } => {
                 self.replies.insert(connection, reply);
             }
@@ -687,7 +676,18 @@
             return;
         };
         let before: BTreeSet<_> = worker.running.keys().copied().collect();
-        let reply = worker.execute(now_ms, request, new_run);
+        let incarnation = worker.record.incarnation_started_ms;
+        let reply = match request {
+            WorkerRequest::Start { run, ticket, .. }
+                if !worker.running.contains_key(run)
+                    && !self
+                        .policy_service
+                        .accepts(now_ms, ticket.as_deref(), incarnation) =>
+            {
+                WorkerReply::Refused(StartRefusal::Ticket)
+            }
+            _ => worker.execute(now_ms, request, new_run),
+        };
         if let WorkerRequest::Start { run, ticket, .. } = request
             && worker.running.contains_key(run)
             && !before.contains(run)
--- a/crates/cell/tests/cell/sim/turns.rs
+++ b/crates/cell/tests/cell/sim/turns.rs
@@ -4,9 +4,9 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use acaciareel_cell::{Event, WorkerReply};
-use acaciareel_types::VmId;
+use acaciareel_types::{Millis, VmId};
 
-use super::{CallOrigin, Sim};
+use super::{CallOrigin, Reducer, Sim};
 
 /// Most events that a VM handles in one turn.
 const EVENTS_PER_TURN: usize = 512;
@@ -105,6 +105,16 @@
             self.turns.effects_delay_ms = turn_ms;
             self.handle_turn(vm, tick_due, events);
             self.turns.effects_delay_ms = 0;
+            self.turn_ended(vm, turn_ms);
+        }
+    }
+
+    /// Reports the duration of a turn to a control VM, as the daemon does.
+    fn turn_ended(&mut self, vm: VmId, turn_ms: u64) {
+        let ended_ms = Millis(self.now_ms + turn_ms);
+        let slot = self.vms.get_mut(&vm);
+        if let Some(Reducer::Control(control)) = slot.and_then(|slot| slot.reducer.as_mut()) {
+            control.turn_ended(ended_ms);
         }
     }
 
--- /dev/null
+++ b/crates/cell/tests/cell/slow_advice.rs
@@ -0,0 +1,214 @@
+//! Gangs behind a policy service while VMs are short of processor time, the leader changes or
+//! messages are lost.
+
+use std::collections::BTreeMap;
+
+use acaciareel_cell::{AdviceCost, CallerReply, JobId, JobState, QueueRow, StepKey};
+use acaciareel_types::VmId;
+
+use crate::{
+    faults::seeds,
+    sim::{Sim, control, entry, gang, is_allowed, job, queue},
+    worker::Worker,
+};
+
+const WORKERS: u32 = 150;
+const CONTROLS: u32 = 3;
+const ENTRIES: u32 = 9;
+/// Processor capacity of a worker.
+const WORKER_MILLICORES: u64 = 32_000;
+/// Longest time for which an accepted job may have nothing running while there is room for it twice
+/// over and under half of the capacity is in use (rule LOST of the users).
+const STANDSTILL_MS: u64 = 3_000;
+/// Tasks and demand of a gang: two tasks on each of 20 workers.
+const TASKS: u32 = 40;
+const TASK_MILLICORES: u32 = 13_100;
+/// Returns a queue whose calls take 1.1 s for 100 workers.
+fn row() -> QueueRow {
+    QueueRow {
+        advice: Some(AdviceCost {
+            call_us: 442_000,
+            per_worker_us: 6_370,
+            ticket_valid_ms: 2_500,
+        }),
+        ..queue("gangs", 1, true)
+    }
+}
+
+/// Returns a cell whose policy service takes time for each call and whose tickets expire.
+fn cell(seed: u64, workers: u32) -> Sim {
+    let mut sim = Sim::with_entries(seed, CONTROLS, ENTRIES, workers);
+    sim.policy_service.cost = row().advice;
+    sim.set_up(vec![row()]);
+    sim
+}
+
+fn entries(count: u32) -> Vec<VmId> {
+    (1..=count).map(entry).collect()
+}
+
+/// Jobs of one gang each that have not ended, and how long they have stood still.
+#[derive(Default)]
+struct Watch {
+    /// Connection of each submission.
+    sent: BTreeMap<u64, u64>,
+    /// Time since which each job has had nothing running though there is room.
+    idle_since_ms: BTreeMap<u64, u64>,
+    /// Longest standstill in milliseconds, with its job.
+    longest: (u64, u64),
+    completed: usize,
+}
+
+impl Watch {
+    fn submit(&mut self, sim: &mut Sim) {
+        let id = (self.sent.len() + self.completed) as u64;
+        let spec = job(vec![gang(TASKS, TASK_MILLICORES, 1_500)]);
+        self.sent.insert(id, sim.submit("gangs", id, spec));
+    }
+
+    /// Submits `count` jobs with a pause after each.
+    fn submit_each(&mut self, sim: &mut Sim, count: u64, every_ms: u64) {
+        for _ in 0..count {
+            self.submit(sim);
+            self.run(sim, every_ms);
+        }
+    }
+
+    fn run(&mut self, sim: &mut Sim, duration_ms: u64) {
+        let end_ms = sim.now_ms + duration_ms;
+        while sim.now_ms < end_ms {
+            sim.run(50);
+            self.observe(sim);
+        }
+    }
+
+    fn observe(&mut self, sim: &Sim) {
+        let completed = |id: &u64| {
+            let control = sim.leader().and_then(|vm| sim.control_of(vm));
+            let job = control.and_then(|control| control.state().job(JobId(*id)));
+            job.is_some_and(|job| job.state == JobState::Completed)
+        };
+        let before = self.sent.len();
+        self.sent.retain(|id, _| !completed(id));
+        self.completed += before - self.sent.len();
+        for (id, connection) in &self.sent {
+            let accepted = sim.replies.get(connection) == Some(&CallerReply::Accepted);
+            if !accepted || !sim.hosts(*id).is_empty() || !has_room_twice_over(sim, *id) {
+                self.idle_since_ms.remove(id);
+                continue;
+            }
+            let since_ms = *self.idle_since_ms.entry(*id).or_insert(sim.now_ms);
+            self.longest = self.longest.max((sim.now_ms - since_ms, *id));
+        }
+    }
+
+    /// Forgets the standstills so far.
+    fn restart(&mut self) {
+        self.idle_since_ms.clear();
+        self.longest = (0, 0);
+    }
+
+    fn assert_started_in_time(&self, case: &str) {
+        let (standstill_ms, id) = self.longest;
+        assert!(
+            standstill_ms < STANDSTILL_MS,
+            "{case}: job {id} stood still for {standstill_ms} ms"
+        );
+        assert!(self.completed > 0, "{case}: no job completed");
+    }
+}
+
+/// Returns whether the allowed workers have room for a job twice over and under half of the capacity
+/// of the cell is in use.
+fn has_room_twice_over(sim: &Sim, id: u64) -> bool {
+    let step = StepKey {
+        job: JobId(id),
+        occurrence: 0,
+        step: 0,
+    };
+    let step = step.to_string();
+    let used = sim.workers.values().map(Worker::used);
+    let used: u64 = used.map(|used| u64::from(used.cpu_millicores)).sum();
+    let allowed = sim.workers.iter().filter(|(id, _)| is_allowed(&step, id));
+    let slots = allowed.map(|(_, worker)| {
+        (worker.record.capacity.cpu_millicores - worker.used().cpu_millicores) / TASK_MILLICORES
+    });
+    used * 2 < sim.workers.len() as u64 * WORKER_MILLICORES && slots.sum::<u32>() >= 2 * TASKS
+}
+
+/// Plays gangs while the turns of some VMs take `turn_ms`, and checks that no accepted job stands
+/// still afterwards.
+fn play_slow(slow: &[VmId], turn_ms: u64) {
+    for every_ms in [300, 800] {
+        let mut sim = cell(0, WORKERS);
+        let mut watch = Watch::default();
+        watch.submit_each(&mut sim, 10, every_ms);
+        for vm in slow {
+            sim.turns.slow_down(*vm, turn_ms);
+        }
+        watch.submit_each(&mut sim, 10, every_ms);
+        sim.end_slow_turns();
+        watch.restart();
+
+        watch.run(&mut sim, 20_000);
+
+        watch.assert_started_in_time(&format!("{} slow VMs, {turn_ms} ms", slow.len()));
+    }
+}
+
+/// Guards against gangs that do not start after their entry VMs, which call the policy service, were
+/// short of processor time (issue 36).
+#[test]
+fn gangs_start_after_slow_entry_vms() {
+    for turn_ms in [100, 700, 1_000, 1_500] {
+        play_slow(&entries(ENTRIES / 3), turn_ms);
+        play_slow(&entries(ENTRIES), turn_ms);
+    }
+}
+
+/// Guards against the same after slow control VMs; from 100 ms on there is no leader meanwhile.
+#[test]
+fn gangs_start_after_slow_control_vms() {
+    let controls: Vec<VmId> = (1..=CONTROLS).map(control).collect();
+    for turn_ms in [50, 100, 500, 1_500] {
+        play_slow(&controls, turn_ms);
+    }
+}
+
+/// Guards against gangs that wait for ever for lost advice requests or responses.
+#[test]
+fn gangs_start_after_lost_advice() {
+    for seed in seeds(0..3) {
+        let mut sim = cell(seed, WORKERS);
+        let mut watch = Watch::default();
+        sim.policy_service.lost_percent = 50;
+        watch.submit_each(&mut sim, 20, 500);
+        sim.policy_service.lost_percent = 0;
+        watch.restart();
+
+        watch.run(&mut sim, 20_000);
+
+        watch.assert_started_in_time(&format!("seed {seed}"));
+    }
+}
+
+/// Guards against calls that never end: their entry VMs restart, and no connection is seen to break.
+#[test]
+fn gangs_start_after_restarts_of_entry_vms() {
+    let mut sim = cell(0, WORKERS);
+    let mut watch = Watch::default();
+    for number in 0..60 {
+        if number % 5 == 0 {
+            watch.submit(&mut sim);
+        }
+        let vm = entry(1 + number % ENTRIES);
+        sim.kill(vm);
+        sim.start(vm, false);
+        watch.run(&mut sim, 100);
+    }
+    watch.restart();
+
+    watch.run(&mut sim, 20_000);
+
+    watch.assert_started_in_time("restarts");
+}
