Name at most 100 workers in each advice request

A gang whose tasks were chosen for more than 100 workers never started: its request named all of them, the service refused it, and the step sent the same request again (151 calls in 30 s). Only the spare workers were kept to the bound. The users' widest gangs have 120 tasks and meet this where only one task fits on most workers.

A request now names at most 100 workers, those without a valid ticket first, so that the next one names the rest while the tickets of the first are valid. Steps that are no gangs keep to the bound as well.

--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -382,18 +382,25 @@
             return candidate_count;
         };
         let valid = |worker: &WorkerNumber| advice.ticket(*worker, io.now_ms).is_some();
-        let missing: Vec<WorkerNumber> = chosen.iter().filter(|w| !valid(w)).copied().collect();
+        let (ready, missing): (Vec<WorkerNumber>, Vec<WorkerNumber>) =
+            chosen.iter().copied().partition(valid);
         if missing.is_empty() {
             self.propose(job, (key, alone_until_ms), &free_tasks, &chosen, io);
             return candidate_count;
         }
         if !spec.gang {
-            let ready: Vec<WorkerNumber> = chosen.iter().filter(|w| valid(w)).copied().collect();
             self.propose(job, (key, alone_until_ms), &free_tasks, &ready, io);
         }
         let set_aside = if spec.gang { &chosen } else { &missing };
         self.count_reserved(job, spec, set_aside.len());
-        let mut requested = if spec.gang { chosen } else { missing };
+        let mut requested = missing;
+        if spec.gang {
+            // Workers without a valid ticket come first, because one call cannot name all workers of
+            // the widest gangs.
+            requested.extend(ready);
+        }
+        requested.dedup();
+        requested.truncate(MAX_WORKERS_PER_REQUEST);
         requested.sort_unstable();
         requested.dedup();
         let wanted = (requested.len() + SPARE_WORKERS_PER_REQUEST + requested.len() / 2)
