--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -203,6 +203,7 @@
         self.refresh_speeds(io);
         self.update_forecasts(state, io.now_ms);
         self.refresh_tenants(state);
+        self.update_first_reports(io.now_ms);
         let mut order: BinaryHeap<Reverse<(Rank, StepKey, Urgency)>> = self
             .steps
             .iter()
@@ -395,25 +396,29 @@
             return candidate_count;
         };
         let valid = |worker: &WorkerNumber| advice.ticket(*worker, io.now_ms).is_some();
-        let missing: Vec<WorkerNumber> = chosen.iter().filter(|w| !valid(w)).copied().collect();
+        let (ready, missing): (Vec<WorkerNumber>, Vec<WorkerNumber>) =
+            chosen.iter().copied().partition(valid);
         if missing.is_empty() {
             self.propose(job, (key, alone_until_ms), &free_tasks, &chosen, io);
             return candidate_count;
         }
         if !spec.gang {
-            let ready: Vec<WorkerNumber> = chosen.iter().filter(|w| valid(w)).copied().collect();
             self.propose(job, (key, alone_until_ms), &free_tasks, &ready, io);
         }
         self.note_wait(key, WaitReason::Tickets, (&demand, &candidates), io.now_ms);
-        if spec.gang
-            && let Some(step) = self.steps.get_mut(&key)
-        {
-            step.withheld.chosen.clone_from(&chosen);
+        let mut requested = missing;
+        if spec.gang {
+            // Workers without a valid ticket come first, because one call cannot name all workers of
+            // the widest gangs.
+            requested.extend(ready);
+            if let Some(step) = self.steps.get_mut(&key) {
+                step.withheld.chosen = chosen;
+            }
         }
-        let set_aside = if spec.gang { chosen } else { missing };
-        self.waits.held_millicores += u64::from(demand.cpu_millicores) * set_aside.len() as u64;
-        self.count_reserved(job, spec, set_aside.len());
-        self.request_tickets((spec, key, queue), set_aside, &candidates, io);
+        let set_aside = requested.len();
+        self.waits.held_millicores += u64::from(demand.cpu_millicores) * set_aside as u64;
+        self.count_reserved(job, spec, set_aside);
+        self.request_tickets((spec, key, queue), requested, &candidates, io);
         candidate_count
     }
 
@@ -477,7 +482,8 @@
         }
     }
 
-    /// Requests tickets for chosen workers, and for some more in case these fill up meanwhile.
+    /// Requests tickets for chosen workers, the first ones if they are too many for a call, and for some
+    /// more in case these fill up meanwhile.
     fn request_tickets(
         &mut self,
         (spec, key, queue): (&StepSpec, StepKey, &QueueRow),
@@ -486,6 +492,8 @@
         io: &mut Io<'_>,
     ) {
         let demand = counted_demand(spec);
+        requested.dedup();
+        requested.truncate(MAX_WORKERS_PER_REQUEST);
         requested.sort_unstable();
         requested.dedup();
         let wanted = (requested.len() + SPARE_WORKERS_PER_REQUEST + requested.len() / 2)
