Test that every VM takes advice calls again after its calls have ended

Random sequences of calls that end, are overdue or lost, and of VMs that leave and join again leave no VM with pending time or overdue calls. Without the decrement of the overdue calls the test fails.

--- a/crates/cell/src/leader/advice.rs
+++ b/crates/cell/src/leader/advice.rs
@@ -194,3 +194,6 @@
         Some((*vm, state.busy_until_ms))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/cell/src/leader/advice/tests.rs
@@ -0,0 +1,100 @@
+//! Load of the VMs that call the policy service.
+
+use acaciareel_types::{Millis, VmId};
+
+use super::{AdviceCall, AdviceVms};
+use crate::{AdviceCost, JobId, StepKey};
+
+const COST: AdviceCost = AdviceCost {
+    call_us: 442_000,
+    per_worker_us: 6_370,
+    ticket_valid_ms: 2_500,
+};
+const VMS: u32 = 6;
+
+/// Pseudorandom numbers (xorshift).
+struct Random(u64);
+
+impl Random {
+    fn below(&mut self, limit: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0 % limit
+    }
+}
+
+fn call(vm: VmId, (sent_ms, expected_ms): (Millis, Millis), workers: usize) -> AdviceCall {
+    AdviceCall {
+        step: StepKey {
+            job: JobId(1),
+            occurrence: 0,
+            step: 0,
+        },
+        workers: Vec::new(),
+        vm,
+        sent_ms,
+        cost_ms: super::call_ms(&COST, workers),
+        expected_ms,
+        ticket_valid_ms: COST.ticket_valid_ms,
+        gang: true,
+        overdue: false,
+    }
+}
+
+/// Guards against a VM that gets no calls for ever: its open calls end in any order, late or not, and
+/// it leaves and joins again meanwhile.
+#[test]
+fn every_vm_is_free_after_its_calls_have_ended() {
+    for seed in 1..=200 {
+        let mut random = Random(0x9E37_79B9_7F4A_7C15 ^ seed);
+        let mut vms = AdviceVms::default();
+        let mut open: Vec<AdviceCall> = Vec::new();
+        let mut now_ms = Millis(10_000);
+        for _ in 0..300 {
+            now_ms = now_ms.saturating_add(Millis(random.below(400)));
+            let vm = VmId(u32::try_from(random.below(VMS.into())).expect("few VMs"));
+            let workers = usize::try_from(random.below(101)).expect("few workers");
+            let picked =
+                usize::try_from(random.below(open.len().max(1) as u64)).expect("few calls");
+            match random.below(6) {
+                0 => vms.add(vm),
+                1 => {
+                    // The calls of a VM that leaves end without a response.
+                    vms.remove(vm);
+                    for ended in open.extract_if(.., |call| call.vm == vm) {
+                        vms.completed(&ended, now_ms);
+                    }
+                }
+                2 if picked < open.len() => vms.completed(&open.swap_remove(picked), now_ms),
+                3 if picked < open.len() && !open[picked].overdue => {
+                    open[picked].overdue = true;
+                    vms.mark_overdue(&open[picked]);
+                }
+                _ => {
+                    if let Some((vm, expected_ms)) = vms.choose(&COST, workers, now_ms) {
+                        open.push(call(vm, (now_ms, expected_ms), workers));
+                    }
+                }
+            }
+        }
+
+        for ended in open {
+            vms.completed(&ended, now_ms);
+        }
+
+        let free = |state: &super::AdviceVm| state.is_free(now_ms) && state.pending_ms == 0;
+        assert!(vms.vms.values().all(free), "seed {seed}: {vms:?}");
+    }
+}
+
+/// Guards against long calls that no VM takes because all are kept for short ones.
+#[test]
+fn some_vm_takes_long_calls() {
+    for count in 1..=VMS {
+        let mut vms = AdviceVms::default();
+        (0..count).for_each(|vm| vms.add(VmId(vm)));
+
+        assert!(vms.can_take(&COST, Millis(0)), "{count} VMs");
+    }
+}
