--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -196,6 +196,33 @@
     }
 }
 
+/// Returns the workers that a request for tickets names: those that lack a valid one, then those whose
+/// tickets are renewed, and spare ones. One call cannot name all workers of the widest gangs; the next
+/// one then names the rest.
+fn workers_to_request(
+    demand: &Demand,
+    missing: Vec<WorkerNumber>,
+    renewed: Vec<WorkerNumber>,
+    candidates: &[Candidate],
+) -> Vec<WorkerNumber> {
+    let mut requested = missing;
+    requested.sort_unstable();
+    requested.extend(renewed);
+    requested.dedup();
+    requested.truncate(MAX_WORKERS_PER_REQUEST);
+    requested.sort_unstable();
+    let wanted = (requested.len() + SPARE_WORKERS_PER_REQUEST + requested.len() / 2)
+        .min(MAX_WORKERS_PER_REQUEST);
+    for candidate in candidates {
+        if requested.len() < wanted && candidate.slots(demand) > 0 {
+            requested.push(candidate.worker);
+            requested.sort_unstable();
+            requested.dedup();
+        }
+    }
+    requested
+}
+
 impl Leader {
     /// Runs one scheduling pass over the waiting steps that have tasks without a proposed
     /// placement.
@@ -406,19 +433,17 @@
             self.propose(job, (key, alone_until_ms), &free_tasks, &ready, io);
         }
         self.note_wait(key, WaitReason::Tickets, (&demand, &candidates), io.now_ms);
-        let mut requested = missing;
-        if spec.gang {
-            // Workers without a valid ticket come first, because one call cannot name all workers of
-            // the widest gangs.
-            requested.extend(ready);
-            if let Some(step) = self.steps.get_mut(&key) {
-                step.withheld.chosen = chosen;
-            }
+        let set_aside = if spec.gang { &chosen } else { &missing };
+        self.waits.held_millicores += u64::from(demand.cpu_millicores) * set_aside.len() as u64;
+        self.count_reserved(job, spec, set_aside.len());
+        let renewed = if spec.gang { ready } else { Vec::new() };
+        let requested = workers_to_request(&demand, missing, renewed, &candidates);
+        if spec.gang
+            && let Some(step) = self.steps.get_mut(&key)
+        {
+            step.withheld.chosen = chosen;
         }
-        let set_aside = requested.len();
-        self.waits.held_millicores += u64::from(demand.cpu_millicores) * set_aside as u64;
-        self.count_reserved(job, spec, set_aside);
-        self.request_tickets((spec, key, queue), requested, &candidates, io);
+        self.request_advice(key, queue, requested, spec.gang, io);
         candidate_count
     }
 
@@ -482,32 +507,6 @@
         }
     }
 
-    /// Requests tickets for chosen workers, the first ones if they are too many for a call, and for some
-    /// more in case these fill up meanwhile.
-    fn request_tickets(
-        &mut self,
-        (spec, key, queue): (&StepSpec, StepKey, &QueueRow),
-        mut requested: Vec<WorkerNumber>,
-        candidates: &[Candidate],
-        io: &mut Io<'_>,
-    ) {
-        let demand = counted_demand(spec);
-        requested.dedup();
-        requested.truncate(MAX_WORKERS_PER_REQUEST);
-        requested.sort_unstable();
-        requested.dedup();
-        let wanted = (requested.len() + SPARE_WORKERS_PER_REQUEST + requested.len() / 2)
-            .min(MAX_WORKERS_PER_REQUEST);
-        for candidate in candidates {
-            if requested.len() < wanted && candidate.slots(&demand) > 0 {
-                requested.push(candidate.worker);
-                requested.sort_unstable();
-                requested.dedup();
-            }
-        }
-        self.request_advice(key, queue, requested, spec.gang, io);
-    }
-
     /// Requests advice about further workers for a step that found too few, if it may.
     fn widen_advice(
         &mut self,
