--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -22,6 +22,7 @@
 mod pass;
 mod relay;
 mod renewal;
+mod reservations;
 mod run_times;
 mod speeds;
 mod stalls;
@@ -85,6 +86,8 @@
         worker: WorkerNumber,
         run: RunKey,
         incarnation_started_ms: u64,
+        /// Least reading of the worker's clock in a reply of this incarnation.
+        min_clock_ms: u64,
     },
     Stop {
         worker: WorkerNumber,
@@ -114,6 +117,8 @@
     account: Option<tenants::Account>,
     /// Latest forecast of the step.
     forecast: Option<run_times::StepForecast>,
+    /// What the step withholds from steps after it.
+    withheld: reservations::Withheld,
     /// Why the step was not placed when it was last examined.
     wait: Option<waits::StepWait>,
 }
@@ -136,6 +141,10 @@
     advice: SortedVec<StepKey, StepAdvice>,
     advice_calls: SortedVec<u64, AdviceCall>,
     advice_vms: AdviceVms,
+    /// Time at which this VM became the leader.
+    started_ms: Millis,
+    /// Whether some workers have neither reported to this leader nor missed a call since its start.
+    first_reports_due: bool,
     worker_calls: SortedVec<u64, WorkerCall>,
     /// Renewals that got no reply in time, each with the time until which a late report is read.
     overdue_renewals: SortedVec<u64, (WorkerCall, Millis)>,
@@ -214,6 +223,8 @@
             advice: SortedVec::new(),
             advice_calls: SortedVec::new(),
             advice_vms: AdviceVms::default(),
+            started_ms: io.now_ms,
+            first_reports_due: true,
             worker_calls: SortedVec::new(),
             overdue_renewals: SortedVec::new(),
             relays: relay::Relays::default(),
--- a/crates/cell/src/leader/advice.rs
+++ b/crates/cell/src/leader/advice.rs
@@ -80,12 +80,27 @@
     pub overdue: bool,
 }
 
+impl AdviceCall {
+    /// Returns until when the tickets of a response that arrives now are certainly valid. They count
+    /// from when the service has issued them; the VM or this leader may have been slow to pass the
+    /// response on, and a start with an expired ticket is refused.
+    pub fn tickets_valid_until(&self, now_ms: Millis) -> Millis {
+        let issued_ms = now_ms.min(self.expected_ms);
+        issued_ms.saturating_add(Millis(self.ticket_valid_ms))
+    }
+}
+
 /// Returns the time that the service takes for a call about a number of workers.
 pub(super) fn call_ms(cost: &AdviceCost, workers: usize) -> u64 {
     let workers = u64::try_from(workers).unwrap_or(u64::MAX);
     (cost.call_us + cost.per_worker_us.saturating_mul(workers)).div_ceil(1_000)
 }
 
+/// Returns whether a call of this length may delay work of urgent queues.
+pub(super) fn is_long_call(call_ms: u64) -> bool {
+    call_ms > LONG_CALL_MS
+}
+
 /// Load of one VM that calls the policy service.
 #[derive(Clone, Copy, Debug, Default)]
 struct AdviceVm {
@@ -147,7 +162,7 @@
     /// Returns how many VMs, from the first on, take calls of this length.
     fn usable(&self, call_ms: u64) -> usize {
         let count = self.vms.len();
-        if call_ms > LONG_CALL_MS {
+        if is_long_call(call_ms) {
             count - count / 3
         } else {
             count
@@ -197,3 +212,6 @@
         Some((*vm, state.busy_until_ms))
     }
 }
+
+#[cfg(test)]
+mod tests;
