Bound the work of gangs that keep workers, and release at a cap

A gang at its tenant's cap is not placed and kept what it had withheld before. The check for runs that never end visited each candidate of each gang; now it visits those that are picked, and no gang is examined for it after one that may not keep its workers.

--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -280,6 +280,7 @@
                 group.tasks.truncate(most - proposed.min(most));
                 self.keep_to_cap((state, job, spec), urgency.timeliness, &mut group.tasks);
                 if group.tasks.is_empty() {
+                    self.release_withheld(key);
                     continue;
                 }
                 let candidate_count = self.place_group(
@@ -357,9 +358,7 @@
         io: &mut Io<'_>,
     ) -> usize {
         let queue = &job.queue;
-        let kept_before = self.steps.get_mut(&key);
-        let kept_before = kept_before.map(|step| std::mem::take(&mut step.withheld).kept);
-        let kept_before = kept_before.unwrap_or_default();
+        let kept_before = self.release_withheld(key);
         let tasks = u32::try_from(group.tasks.len()).unwrap_or(u32::MAX);
         let demand = counted_demand(spec);
         let preference = self.speed_preference(job, key, io);
--- a/crates/cell/src/leader/reservations.rs
+++ b/crates/cell/src/leader/reservations.rs
@@ -29,8 +29,13 @@
 }
 
 /// Returns the workers that a gang of `tasks` keeps, sorted: those that it has kept so far, then those
-/// that lack the least. Returns none if the gang does not fit on all of them together.
-pub(super) fn workers_to_keep(tasks: u32, mut options: Vec<KeepOption>) -> Vec<WorkerNumber> {
+/// that lack the least, without those that never become empty. Returns none if the gang does not fit on
+/// all of them together.
+pub(super) fn workers_to_keep(
+    tasks: u32,
+    mut options: Vec<KeepOption>,
+    becomes_empty: impl Fn(WorkerNumber) -> bool,
+) -> Vec<WorkerNumber> {
     options.sort_unstable_by_key(|option| {
         let lacking = option.slots_if_empty.saturating_sub(option.slots);
         (!option.kept, lacking, option.used_millicores, option.worker)
@@ -41,7 +46,7 @@
         if slots >= tasks {
             break;
         }
-        if option.slots_if_empty > 0 {
+        if option.slots_if_empty > 0 && becomes_empty(option.worker) {
             slots += option.slots_if_empty;
             kept.push(option.worker);
         }
@@ -83,6 +88,12 @@
         withhold(&step.withheld, &counted_demand(spec), free_capacity);
     }
 
+    /// Ends what a step withholds, and returns the workers that it kept.
+    pub(super) fn release_withheld(&mut self, key: StepKey) -> Vec<WorkerNumber> {
+        let step = self.steps.get_mut(&key);
+        step.map_or_else(Vec::new, |step| std::mem::take(&mut step.withheld).kept)
+    }
+
     /// Lets a gang that lacks room keep workers, if it may.
     pub(super) fn keep_workers(
         &mut self,
@@ -98,9 +109,8 @@
             return;
         }
         let option = |candidate: &Candidate| {
-            let view = self.workers.get(&candidate.worker)?;
-            let capacity = view.record.capacity;
-            (!view.has_long_running(state)).then(|| KeepOption {
+            let capacity = self.workers.get(&candidate.worker)?.record.capacity;
+            Some(KeepOption {
                 worker: candidate.worker,
                 slots: candidate.slots(&demand),
                 slots_if_empty: demand.times_in(&capacity).min(candidate.max_tasks),
@@ -110,8 +120,18 @@
                 kept: kept_before.binary_search(&candidate.worker).is_ok(),
             })
         };
-        let kept = workers_to_keep(tasks, candidates.iter().filter_map(option).collect());
-        if kept.is_empty() || !may_keep(kept.len(), *kept_count, usable) {
+        let becomes_empty = |worker: WorkerNumber| {
+            let view = self.workers.get(&worker);
+            view.is_some_and(|view| !view.has_long_running(state))
+        };
+        let options = candidates.iter().filter_map(option).collect();
+        let kept = workers_to_keep(tasks, options, becomes_empty);
+        if kept.is_empty() {
+            return;
+        }
+        if !may_keep(kept.len(), *kept_count, usable) {
+            // The gangs after this one do not keep workers before it.
+            *kept_count = usable;
             return;
         }
         *kept_count += kept.len();
--- a/crates/cell/src/leader/reservations/tests.rs
+++ b/crates/cell/src/leader/reservations/tests.rs
@@ -27,7 +27,7 @@
         option(4, 0, 20_000),
     ];
 
-    let kept = workers_to_keep(5, options);
+    let kept = workers_to_keep(5, options, |_| true);
 
     assert_eq!(kept, numbers(&[2, 3, 4]));
 }
@@ -39,8 +39,9 @@
         kept: true,
         ..option(1, 0, 30_000)
     };
+    let options = vec![option(2, 2, 0), option(3, 2, 0), kept_so_far];
 
-    let kept = workers_to_keep(4, vec![option(2, 2, 0), option(3, 2, 0), kept_so_far]);
+    let kept = workers_to_keep(4, options, |_| true);
 
     assert_eq!(kept, numbers(&[1, 2]));
 }
@@ -48,11 +49,23 @@
 /// Guards against workers that are kept for a gang which they cannot hold.
 #[test]
 fn nothing_is_kept_for_a_gang_that_does_not_fit() {
-    let kept = workers_to_keep(5, vec![option(1, 2, 0), option(2, 0, 30_000)]);
+    let options = vec![option(1, 2, 0), option(2, 0, 30_000)];
+
+    let kept = workers_to_keep(5, options, |_| true);
 
     assert_eq!(kept, Vec::new());
 }
 
+/// Guards against waiting for a worker whose runs never end.
+#[test]
+fn workers_that_never_become_empty_are_not_kept() {
+    let options = vec![option(1, 1, 2_000), option(2, 0, 30_000)];
+
+    let kept = workers_to_keep(2, options, |worker| worker != WorkerNumber(1));
+
+    assert_eq!(kept, numbers(&[2]));
+}
+
 /// Guards against many gangs that leave a large part of the workers idle, and against a gang that is
 /// too wide to ever keep its workers.
 #[test]
