Limit the time for which a gang keeps workers

A gang now keeps workers for 10 s at a time. Tickets are used for 250 ms after their arrival in any case. Workers that are kept count as full for suspects. Tickets of a worker that comes back as a new incarnation end at once, as the policy service issues them for one incarnation; they cost one refused start for each step before.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -119,6 +119,8 @@
     forecast: Option<run_times::StepForecast>,
     /// What the step withholds from steps after it.
     withheld: reservations::Withheld,
+    /// Time at which the step, a gang, began to keep workers.
+    keeps_since_ms: Option<Millis>,
     /// Why the step was not placed when it was last examined.
     wait: Option<waits::StepWait>,
 }
@@ -463,6 +465,7 @@
             if new_incarnation {
                 view.begin_incarnation(self.bounds.lease_ms, io.now_ms);
                 view.announced_ms = None;
+                self.expire_tickets(number);
             }
             if announced {
                 view.announced_ms.get_or_insert(io.now_ms);
--- a/crates/cell/src/leader/advice.rs
+++ b/crates/cell/src/leader/advice.rs
@@ -26,6 +26,9 @@
 /// A ticket is used only if it stays valid for at least this long. The placement is committed
 /// before the start is sent, which takes two round trips and two syncs.
 pub(super) const TICKET_MARGIN_MS: u64 = 250;
+/// Shortest validity that is assumed of tickets at their arrival. Without it, no step would start while
+/// all VMs pass requests on more than two seconds late.
+const MIN_VALIDITY_MS: u64 = 500;
 
 /// Permission of the policy service to start the tasks of a step on a worker.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -81,12 +84,17 @@
 }
 
 impl AdviceCall {
-    /// Returns until when the tickets of a response that arrives now are certainly valid. They count
-    /// from when the service has issued them; the VM or this leader may have been slow to pass the
-    /// response on, and a start with an expired ticket is refused.
+    /// Returns until when the tickets of a response that arrives now are used. They count from when
+    /// the service is expected to have issued them: the VM or this leader may have been slow to pass
+    /// the response on, and a start with an expired ticket is refused. The service may also have
+    /// issued them later, so they are used for a short time in any case.
     pub fn tickets_valid_until(&self, now_ms: Millis) -> Millis {
-        let issued_ms = now_ms.min(self.expected_ms);
-        issued_ms.saturating_add(Millis(self.ticket_valid_ms))
+        let expected_end_ms = self
+            .expected_ms
+            .min(now_ms)
+            .saturating_add(Millis(self.ticket_valid_ms));
+        let shortest_ms = MIN_VALIDITY_MS.min(self.ticket_valid_ms);
+        expected_end_ms.max(now_ms.saturating_add(Millis(shortest_ms)))
     }
 }
 
--- a/crates/cell/src/leader/advice_requests.rs
+++ b/crates/cell/src/leader/advice_requests.rs
@@ -271,6 +271,15 @@
         }
     }
 
+    /// Ends the validity of all tickets for a worker: they were issued for one incarnation.
+    pub(super) fn expire_tickets(&mut self, worker: WorkerNumber) {
+        for (_, advice) in self.advice.iter_mut() {
+            if let Some(ticket) = advice.allowed.get_mut(&worker) {
+                ticket.valid_until_ms = Millis(0);
+            }
+        }
+    }
+
     /// Lets steps whose responses are overdue use another VM, and ends calls that reached the
     /// response timeout.
     pub(super) fn expire_advice_calls(&mut self, io: &mut Io<'_>) {
--- a/crates/cell/src/leader/isolation.rs
+++ b/crates/cell/src/leader/isolation.rs
@@ -321,7 +321,8 @@
             .filter_map(|candidate| {
                 let view = self.workers.get(&candidate.worker)?;
                 let capacity = view.record.capacity.cpu_millicores;
-                let used_millicores = capacity.saturating_sub(view.free.cpu_millicores);
+                // A worker that a gang keeps for itself counts as full.
+                let used_millicores = capacity.saturating_sub(candidate.free.cpu_millicores);
                 let can_drain = !view.has_long_running(state) && !view.is_isolated(io.now_ms);
                 let is_new = is_new(view, io.now_ms);
                 can_drain.then_some((is_new, used_millicores, candidate.worker))
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -399,7 +399,14 @@
             }
             let step = (key, spec, urgency, tasks);
             let workers = (candidates.as_slice(), kept_before.as_slice());
-            self.reserve_for_gang((state, job), step, workers, free_capacity, reserving);
+            self.reserve_for_gang(
+                (state, job),
+                step,
+                workers,
+                free_capacity,
+                reserving,
+                io.now_ms,
+            );
             return candidate_count;
         };
         for worker in &chosen {
@@ -486,6 +493,7 @@
         (candidates, kept_before): (&[Candidate], &[WorkerNumber]),
         free_capacity: &mut FreeCapacityByWorker,
         reserving: &mut Reserving,
+        now_ms: Millis,
     ) {
         // A gang with large slack can still wait for others to end.
         if !urgency.has_large_slack {
@@ -495,6 +503,7 @@
                 (candidates, kept_before),
                 free_capacity,
                 &mut reserving.kept_workers,
+                now_ms,
             );
         }
         let on_time = urgency.timeliness == Timeliness::OnTime;
--- a/crates/cell/src/leader/reservations.rs
+++ b/crates/cell/src/leader/reservations.rs
@@ -4,6 +4,8 @@
 //! room that becomes free bit by bit, so it would wait for as long as they come. The load that this
 //! answers is gangs that need many empty workers while most capacity is in use.
 
+use acaciareel_types::Millis;
+
 use super::{
     Leader,
     pass::{FreeCapacity, FreeCapacityByWorker, counted_demand},
@@ -13,6 +15,9 @@
 /// Share of the usable workers that all gangs together may keep, in thousandths. Kept workers are idle
 /// in part until they are empty enough. A single gang may keep more.
 const MAX_KEPT_PERMILLE: usize = 100;
+/// Longest time for which a gang keeps workers; most runs end within it. Then the steps after it get
+/// the workers for as long, in case a run on one of them takes much longer.
+const KEEP_MS: u64 = 10_000;
 
 /// A worker that a gang may keep.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -63,6 +68,11 @@
     kept_before == 0 || (kept_before + count) * 1_000 <= usable * MAX_KEPT_PERMILLE
 }
 
+/// Returns whether a gang that began to keep workers some time ago may do so now.
+pub(super) fn is_turn_to_keep(since_began_ms: u64) -> bool {
+    (since_began_ms / KEEP_MS).is_multiple_of(2)
+}
+
 /// What a waiting gang withholds from the steps after it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Withheld {
@@ -102,10 +112,16 @@
         (candidates, kept_before): (&[Candidate], &[WorkerNumber]),
         free_capacity: &mut FreeCapacityByWorker,
         kept_count: &mut usize,
+        now_ms: Millis,
     ) {
         let demand = counted_demand(spec);
         let usable = free_capacity.len();
-        if !may_keep(1, *kept_count, usable) {
+        let Some(step) = self.steps.get_mut(&key) else {
+            return;
+        };
+        let began_ms = *step.keeps_since_ms.get_or_insert(now_ms);
+        let is_turn = is_turn_to_keep(now_ms.saturating_sub(began_ms).0);
+        if !is_turn || !may_keep(1, *kept_count, usable) {
             return;
         }
         let option = |candidate: &Candidate| {
--- a/crates/cell/src/leader/reservations/tests.rs
+++ b/crates/cell/src/leader/reservations/tests.rs
@@ -1,6 +1,6 @@
 //! Which workers a gang keeps.
 
-use super::{KeepOption, may_keep, workers_to_keep};
+use super::{KeepOption, is_turn_to_keep, may_keep, workers_to_keep};
 use crate::WorkerNumber;
 
 fn option(worker: u32, slots: u32, used_millicores: u32) -> KeepOption {
@@ -76,3 +76,11 @@
 
     assert_eq!(allowed, [true, true, true, false]);
 }
+
+/// Guards against workers that stay idle for a gang while a run on one of them takes very long.
+#[test]
+fn gang_keeps_workers_for_ten_seconds_at_a_time() {
+    let turns = [0, 9_999, 10_000, 19_999, 20_000].map(is_turn_to_keep);
+
+    assert_eq!(turns, [true, true, false, false, true]);
+}
