Simulate tickets that expire and test wide gangs

The policy service of the simulation answered each call after a fixed time, and workers accepted its tickets for ever, so that no test covered a gang whose tickets expire. It can now take as long as the queue says, one call of a VM at a time, hand out tickets for one incarnation that end after their validity, and lose or delay the responses to chosen VMs. The simple service stays the default.

--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -29,4 +29,5 @@
 mod tenant_decisions;
 mod tenant_shares;
 mod tenants;
+mod wide_gangs;
 mod worker;
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -3,10 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use acaciareel_cell::{
-    AddressedRequest, AdviceCost, ApiKeyDigest, Bounds, CallerReply, CallerRequest, Control,
-    ControlReply, ControlRequest, ControlSettings, Demand, Effect, Entry, Event, JobId, JobSpec,
-    JobView, PeerMessage, QueueRow, QueueTable, RunKey, StepSpec, TaskKey, TenantRow, WorkerRecord,
-    WorkerReply, WorkerRequest,
+    AddressedRequest, AdviceCost, AdviceRequest, ApiKeyDigest, Bounds, CallerReply, CallerRequest,
+    Control, ControlReply, ControlRequest, ControlSettings, Demand, Effect, Entry, Event, JobId,
+    JobSpec, JobView, PeerMessage, QueueRow, QueueTable, RunKey, StartRefusal, StepSpec, TaskKey,
+    TenantRow, WorkerRecord, WorkerReply, WorkerRequest,
 };
 use acaciareel_consensus::{MemberId, Record, RestoredState};
 use acaciareel_types::{Incarnation, Millis, ProcessEpoch, VmId};
@@ -14,9 +14,11 @@
 use crate::worker::{LEASE_MS, Running, Worker};
 
 mod crash;
+mod policy;
 mod turns;
 
 pub use crash::{Comeback, Crashes};
+pub use policy::{Disturbance, PolicyService};
 use turns::Turns;
 
 const STEP_MS: u64 = 5;
@@ -103,6 +105,11 @@
     pub tenant_gauges: BTreeMap<(VmId, &'static str, String), u64>,
     /// Time that the policy service takes for one call.
     pub advice_ms: u64,
+    /// Policy service with costs, expiring tickets and faults, in place of the simple one, whose calls
+    /// take `advice_ms`.
+    pub policy: Option<PolicyService>,
+    /// Starts that workers refused for want of a valid ticket: time and run.
+    pub ticket_refusals: Vec<(u64, RunKey)>,
     advice_busy_ms: BTreeMap<VmId, u64>,
     rng_state: u64,
     seeds: Vec<VmId>,
@@ -245,6 +252,12 @@
         Self::create(seed, (3, 2, workers), 3)
     }
 
+    /// Creates a cell of three failure domains with one control VM each and a given number of entry
+    /// VMs.
+    pub fn with_domains_and_entries(seed: u64, entries: u32, workers: u32) -> Self {
+        Self::create(seed, (3, entries, workers), 3)
+    }
+
     fn create(seed: u64, (controls, entries, workers): (u32, u32, u32), domains: u32) -> Self {
         let mut sim = Self {
             now_ms: 0,
@@ -270,6 +283,8 @@
             gauges: BTreeMap::new(),
             tenant_gauges: BTreeMap::new(),
             advice_ms: 30,
+            policy: None,
+            ticket_refusals: Vec::new(),
             advice_busy_ms: BTreeMap::new(),
             rng_state: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1,
             seeds: (1..=3.min(controls)).map(control).collect(),
@@ -526,16 +541,8 @@
                 request,
             } => {
                 self.advice_requests_sent += 1;
-                let busy_ms = self.advice_busy_ms.entry(vm).or_default();
-                *busy_ms = (*busy_ms).max(self.now_ms) + self.advice_ms;
-                let delay_ms = *busy_ms - self.now_ms;
-                let allowed = request
-                    .worker_ids
-                    .iter()
-                    .filter(|id| may_run(&request.step, id));
-                let rows = allowed.map(|id| (id.clone(), format!("ticket-{id}")));
-                let response = Some(rows.collect());
                 self.open_advice_requests = self.open_advice_requests.saturating_sub(1);
+                let (delay_ms, response) = self.request_advice(vm, &request);
                 let event = Event::AdviceReceived {
                     call,
                     for_vm,
@@ -571,6 +578,36 @@
         }
     }
 
+    /// Calls the policy service. Returns the delay of the response, and the response.
+    fn request_advice(&mut self, vm: VmId, request: &AdviceRequest) -> policy::Response {
+        if let Some(policy) = &mut self.policy {
+            let workers = &self.workers;
+            let record_of = |id: &str| {
+                let worker = workers.get(id).filter(|worker| worker.alive);
+                worker.map(|worker| &worker.record)
+            };
+            return policy.call(vm, request, self.now_ms, record_of);
+        }
+        let busy_ms = self.advice_busy_ms.entry(vm).or_default();
+        *busy_ms = (*busy_ms).max(self.now_ms) + self.advice_ms;
+        let delay_ms = *busy_ms - self.now_ms;
+        let allowed = request
+            .worker_ids
+            .iter()
+            .filter(|id| may_run(&request.step, id));
+        let rows = allowed.map(|id| (id.clone(), format!("ticket-{id}")));
+        (delay_ms, Some(rows.collect()))
+    }
+
+    /// Returns whether a worker accepts the ticket of a start.
+    fn accepts_ticket(&self, worker: &Worker, run: RunKey, ticket: Option<&str>) -> bool {
+        let Some(policy) = &self.policy else {
+            return true;
+        };
+        worker.running.contains_key(&run)
+            || policy.accepts(run.task.step, ticket, &worker.record, self.now_ms)
+    }
+
     /// Opens and closes connections after VMs requested them, stopped or lost links.
     fn update_links(&mut self) {
         let up = |vm: &VmId| self.is_up(*vm);
@@ -680,12 +717,24 @@
             }
             _ => None,
         };
-        let Some(worker) = self.workers.get_mut(worker_id).filter(|w| w.alive) else {
+        if !self.workers.get(worker_id).is_some_and(|w| w.alive) {
             if let Some(call) = *call {
                 self.post(LOST_CALL_MS, vm, replied(call, WorkerReply::NoReply));
             }
             return;
-        };
+        }
+        if let WorkerRequest::Start { run, ticket, .. } = request {
+            let worker = &self.workers[worker_id];
+            if !self.accepts_ticket(worker, *run, ticket.as_deref()) {
+                self.ticket_refusals.push((now_ms, *run));
+                if let Some(call) = *call {
+                    let reply = WorkerReply::Refused(StartRefusal::Ticket);
+                    self.post(LINK_MS, vm, replied(call, reply));
+                }
+                return;
+            }
+        }
+        let worker = self.workers.get_mut(worker_id).expect("known worker");
         let before: BTreeSet<_> = worker.running.keys().copied().collect();
         let reply = worker.execute(now_ms, request, new_run);
         if let WorkerRequest::Start { run, ticket, .. } = request
@@ -753,7 +802,11 @@
             );
         }
         let step_name = task.step.to_string();
-        let advised = has_ticket && may_run(&step_name, worker_id);
+        let allows = || match &self.policy {
+            Some(policy) => policy.allows(&step_name, worker_id),
+            None => may_run(&step_name, worker_id),
+        };
+        let advised = has_ticket && allows();
         assert!(advised || !has_ticket, "{task} may not run on {worker_id}");
         for earlier in &self.jobs[&task.step.job].steps[task.step.step as usize].depends_on {
             let tasks = self.jobs[&task.step.job].steps[*earlier as usize].tasks;
@@ -931,6 +984,9 @@
     pub fn put_table(&mut self, rows: Vec<QueueRow>, tenants: Vec<TenantRow>) {
         let leader = self.leader().expect("leader");
         self.tables.push((self.now_ms, tenants.clone()));
+        if let Some(policy) = &mut self.policy {
+            policy.set_costs(&rows);
+        }
         let table = QueueTable {
             version: self.tables.len() as u64,
             rows,
@@ -1033,6 +1089,9 @@
     pub fn submit(&mut self, queue: &str, id: u64, spec: JobSpec) -> u64 {
         let id = JobId(id);
         self.jobs.insert(id, spec.clone());
+        if let Some(policy) = &mut self.policy {
+            policy.job_submitted(id, queue);
+        }
         let vm = entry(1 + u32::try_from(id.0 % 2).expect("small"));
         self.call(vm, format!("/{queue}/{id}"), CallerRequest::Submit(spec))
     }
