Merge the tests of wide gangs into one simulated policy service

A start without a ticket in a queue with a service is refused.

slow_advice.rs checks the same with the same bounds. Its gangs are allowed on 36 percent of the workers, as before (60 percent of the three in five that the simple service allows), but on others, as the hash is that of the tests of wide gangs.

--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -31,4 +31,5 @@
 mod tenant_shares;
 mod tenants;
 mod waits;
+mod wide_gangs;
 mod worker;
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -18,7 +18,7 @@
 mod turns;
 
 pub use crash::{Comeback, Crashes};
-pub use policy_service::{PolicyService, is_allowed};
+pub use policy_service::{Disturbance, PolicyService};
 use turns::Turns;
 
 const STEP_MS: u64 = 5;
@@ -105,8 +105,12 @@
     pub tenant_gauges: BTreeMap<(VmId, &'static str, String), u64>,
     /// Time that the policy service takes for one call.
     pub advice_ms: u64,
+    /// Policy service with costs, expiring tickets and faults, in place of the simple one, whose calls
+    /// take `advice_ms`.
+    pub policy: Option<PolicyService>,
+    /// Starts that workers refused for want of a valid ticket: time and run.
+    pub ticket_refusals: Vec<(u64, RunKey)>,
     advice_busy_ms: BTreeMap<VmId, u64>,
-    pub policy_service: PolicyService,
     rng_state: u64,
     seeds: Vec<VmId>,
     next_heartbeat_ms: BTreeMap<String, u64>,
@@ -248,6 +252,12 @@
         Self::create(seed, (3, 2, workers), 3)
     }
 
+    /// Creates a cell of three failure domains with one control VM each and a given number of entry
+    /// VMs.
+    pub fn with_domains_and_entries(seed: u64, entries: u32, workers: u32) -> Self {
+        Self::create(seed, (3, entries, workers), 3)
+    }
+
     fn create(seed: u64, (controls, entries, workers): (u32, u32, u32), domains: u32) -> Self {
         let mut sim = Self {
             now_ms: 0,
@@ -273,8 +283,9 @@
             gauges: BTreeMap::new(),
             tenant_gauges: BTreeMap::new(),
             advice_ms: 30,
+            policy: None,
+            ticket_refusals: Vec::new(),
             advice_busy_ms: BTreeMap::new(),
-            policy_service: PolicyService::default(),
             rng_state: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1,
             seeds: (1..=3.min(controls)).map(control).collect(),
             next_heartbeat_ms: BTreeMap::new(),
@@ -669,6 +680,7 @@
             }
             _ => None,
         };
+        let refuses_ticket = self.refuses_ticket(worker_id, request);
         let Some(worker) = self.workers.get_mut(worker_id).filter(|w| w.alive) else {
             if let Some(call) = *call {
                 self.post(LOST_CALL_MS, vm, replied(call, WorkerReply::NoReply));
@@ -676,17 +688,11 @@
             return;
         };
         let before: BTreeSet<_> = worker.running.keys().copied().collect();
-        let incarnation = worker.record.incarnation_started_ms;
-        let reply = match request {
-            WorkerRequest::Start { run, ticket, .. }
-                if !worker.running.contains_key(run)
-                    && !self
-                        .policy_service
-                        .accepts(now_ms, ticket.as_deref(), incarnation) =>
-            {
-                WorkerReply::Refused(StartRefusal::Ticket)
-            }
-            _ => worker.execute(now_ms, request, new_run),
+        let reply = if let (true, WorkerRequest::Start { run, .. }) = (refuses_ticket, request) {
+            self.ticket_refusals.push((now_ms, *run));
+            WorkerReply::Refused(StartRefusal::Ticket)
+        } else {
+            worker.execute(now_ms, request, new_run)
         };
         if let WorkerRequest::Start { run, ticket, .. } = request
             && worker.running.contains_key(run)
@@ -753,7 +759,11 @@
             );
         }
         let step_name = task.step.to_string();
-        let advised = has_ticket && may_run(&step_name, worker_id);
+        let allows = || match &self.policy {
+            Some(policy) => policy.allows(&step_name, worker_id),
+            None => may_run(&step_name, worker_id),
+        };
+        let advised = has_ticket && allows();
         assert!(advised || !has_ticket, "{task} may not run on {worker_id}");
         for earlier in &self.jobs[&task.step.job].steps[task.step.step as usize].depends_on {
             let tasks = self.jobs[&task.step.job].steps[*earlier as usize].tasks;
@@ -931,6 +941,9 @@
     pub fn put_table(&mut self, rows: Vec<QueueRow>, tenants: Vec<TenantRow>) {
         let leader = self.leader().expect("leader");
         self.tables.push((self.now_ms, tenants.clone()));
+        if let Some(policy) = &mut self.policy {
+            policy.set_costs(&rows);
+        }
         let table = QueueTable {
             version: self.tables.len() as u64,
             rows,
@@ -1033,6 +1046,9 @@
     pub fn submit(&mut self, queue: &str, id: u64, spec: JobSpec) -> u64 {
         let id = JobId(id);
         self.jobs.insert(id, spec.clone());
+        if let Some(policy) = &mut self.policy {
+            policy.job_submitted(id, queue);
+        }
         let vm = entry(1 + u32::try_from(id.0 % 2).expect("small"));
         self.call(vm, format!("/{queue}/{id}"), CallerRequest::Submit(spec))
     }
