Merge the tests of wide gangs into one simulated policy service

Its gangs are allowed on 36 percent of the workers, as before (60 percent of the three in five that the simple service allows), but on others, as the hash is that of the tests of wide gangs.

--- a/crates/cell/tests/cell/slow_advice.rs
+++ b/crates/cell/tests/cell/slow_advice.rs
@@ -8,13 +8,15 @@
 
 use crate::{
     faults::seeds,
-    sim::{Sim, control, entry, gang, is_allowed, job, queue},
+    sim::{PolicyService, Sim, control, entry, gang, job, queue},
     worker::Worker,
 };
 
 const WORKERS: u32 = 150;
 const CONTROLS: u32 = 3;
 const ENTRIES: u32 = 9;
+/// Share of the workers that the policy service allows, in thousandths.
+const ALLOWED_PERMILLE: u64 = 360;
 /// Processor capacity of a worker.
 const WORKER_MILLICORES: u64 = 32_000;
 /// Longest time for which an accepted job may have nothing running while there is room for it twice
@@ -41,11 +43,17 @@
 /// Returns a cell whose policy service takes time for each call and whose tickets expire.
 fn cell(seed: u64, workers: u32) -> Sim {
     let mut sim = Sim::with_entries(seed, CONTROLS, ENTRIES, workers);
-    sim.policy_service.cost = row().advice;
+    let allowed = BTreeMap::from([("gangs", ALLOWED_PERMILLE)]);
+    sim.policy = Some(PolicyService::new(allowed));
     sim.set_up(vec![row()]);
     sim
 }
 
+/// Loses a percentage of the requests and responses between VMs.
+fn lose_advice(sim: &mut Sim, percent: u64) {
+    sim.policy.as_mut().expect("policy service").lost_percent = percent;
+}
+
 fn entries(count: u32) -> Vec<VmId> {
     (1..=count).map(entry).collect()
 }
@@ -132,7 +140,9 @@
     let step = step.to_string();
     let used = sim.workers.values().map(Worker::used);
     let used: u64 = used.map(|used| u64::from(used.cpu_millicores)).sum();
-    let allowed = sim.workers.iter().filter(|(id, _)| is_allowed(&step, id));
+    let policy = sim.policy.as_ref().expect("policy service");
+    let allowed = sim.workers.iter();
+    let allowed = allowed.filter(|(id, _)| policy.allows(&step, id));
     let slots = allowed.map(|(_, worker)| {
         (worker.record.capacity.cpu_millicores - worker.used().cpu_millicores) / TASK_MILLICORES
     });
@@ -192,9 +202,9 @@
     for seed in seeds(0..3) {
         let mut sim = cell(seed, WORKERS);
         let mut watch = Watch::default();
-        sim.policy_service.lost_percent = 50;
+        lose_advice(&mut sim, 50);
         watch.submit_each(&mut sim, 20, 500);
-        sim.policy_service.lost_percent = 0;
+        lose_advice(&mut sim, 0);
         watch.restart();
 
         watch.run(&mut sim, 20_000);
@@ -285,6 +295,7 @@
     sim.submit("gangs", 0, job(vec![gang(120, 17_000, 1_500)]));
     sim.run(30_000);
 
-    assert_eq!(sim.policy_service.oversized_calls, 0);
+    let policy = sim.policy.as_ref().expect("policy service");
+    assert_eq!(policy.oversized_calls, 0);
     assert_eq!(sim.unfinished(0..1), Vec::<u64>::new());
 }
