--- a/crates/cell/tests/cell/wide_gangs.rs
+++ b/crates/cell/tests/cell/wide_gangs.rs
@@ -522,7 +522,6 @@
 
 /// Guards against the same while the policy service's responses are late (issue 36).
 #[test]
-#[ignore = "KNOWN-RED: seed 1: two batch jobs wait 3 s for advice while responses are 2 s late (issue 36)"]
 fn wide_gangs_run_after_the_traffic_with_late_responses() {
     for seed in seeds(1..4) {
         let (sim, watch) = watch_after_traffic(seed, 14_000, 2_000);
