--- a/crates/cell/src/leader/advice_requests.rs
+++ b/crates/cell/src/leader/advice_requests.rs
@@ -23,10 +23,9 @@
 /// Share of the workers of a request that are chosen by their speed, in thousandths.
 const PREFERRED_SPEED_PERMILLE: usize = 667;
 /// Pause before a step requests advice about further workers, because capacity is more likely to
-/// become free on known ones. A gang makes no such pause: it needs capacity on many workers at once
-/// and has too few allowed workers.
+/// become free on known ones. A gang makes it only once it has asked about every worker: it needs
+/// capacity on many workers at once and has too few allowed workers.
 const WIDEN_PAUSE_MS: u64 = 1_500;
-
 /// Longest time from the start of a leader for which long calls wait for the first reports of its
 /// workers. A worker without a reply counts as missing after about 300 ms: the interval of the checks
 /// and the time limit of a renewal.
--- a/crates/cell/src/leader/waits.rs
+++ b/crates/cell/src/leader/waits.rs
@@ -97,12 +97,14 @@
         }
         self.waits.last_ms = io.now_ms;
         let mut counts = [0u64; 5];
+        let mut kept_workers = 0;
         let mut oldest = Vec::new();
         for (key, step) in self.steps.iter() {
             let recent = step
                 .wait
                 .filter(|wait| io.now_ms.saturating_sub(wait.examined_ms).0 < EXAMINATION_VALID_MS);
             counts[recent.map_or(0, |wait| wait.reason as usize + 1)] += 1;
+            kept_workers += step.withheld.kept.len() as u64;
             if let Some(job) = state.job(key.job) {
                 let waited_ms = io.unix_ms.saturating_sub(job.due_unix_ms(key.occurrence));
                 if waited_ms >= MIN_LOGGED_WAIT_MS {
@@ -117,6 +119,7 @@
             ("steps_waiting_for_tickets", counts[3]),
             ("steps_waiting_for_isolation", counts[4]),
             ("held_millicores", self.waits.held_millicores),
+            ("kept_workers", kept_workers),
             ("advice_calls_open", self.advice_calls.len() as u64),
             ("advice_requests", self.waits.requests_sent),
         ];
@@ -148,6 +151,7 @@
                 ("isolation", counts[4].to_string()),
                 ("free_millicores", free.to_string()),
                 ("held_millicores", self.waits.held_millicores.to_string()),
+                ("kept_workers", kept_workers.to_string()),
                 ("capacity_millicores", capacity.to_string()),
                 ("advice_calls_open", self.advice_calls.len().to_string()),
                 ("advice_requests", requests.to_string()),
