--- a/crates/cell/src/leader/pass/tests.rs
+++ b/crates/cell/src/leader/pass/tests.rs
@@ -273,3 +273,28 @@
     println!("pass over {JOBS} steps: p50 {p50:?}, p99 {p99:?}");
     assert!(p99 < Duration::from_millis(4), "p99 {p99:?}");
 }
+
+/// Guards against starts with tickets of an earlier incarnation of a worker, which it refuses.
+#[test]
+fn tickets_end_with_the_incarnation_of_their_worker() {
+    let mut backlog = Backlog::new();
+    let [reborn, other] = [1, 4].map(WorkerNumber);
+    let mut record = backlog
+        .state
+        .workers()
+        .get(&reborn)
+        .expect("worker")
+        .clone();
+    record.incarnation_started_ms += 1;
+
+    let (mut effects, mut commands) = (Vec::new(), Vec::new());
+    let mut io = io(NOW_MS, &mut effects, &mut commands);
+    let change = backlog.state.apply(Command::Worker(record));
+    backlog
+        .leader
+        .handle_change(&backlog.state, change, &mut io);
+
+    let advice = backlog.leader.advice.get(&step(0)).expect("advice");
+    let has_ticket = [reborn, other].map(|number| advice.ticket(number, NOW_MS).is_some());
+    assert_eq!(has_ticket, [false, true]);
+}
