--- a/crates/cell/src/leader/isolation.rs
+++ b/crates/cell/src/leader/isolation.rs
@@ -223,11 +223,13 @@
             SHARE_AFTER_MS
         };
         let waited_long_enough = waited_ms >= share_early_after_ms;
-        let half_free = waited_long_enough && !spec.long_running && self.is_half_free(job, now_ms);
+        // Half of the capacity is free, so only gaps on all workers keep the suspects waiting.
+        let shares_early =
+            waited_long_enough && !spec.long_running && self.is_half_free(job, now_ms);
         let may_share = match (spec.long_running, few_crashes) {
             (true, true) => waited_long_enough,
             (true, false) => waited_ms >= SHARE_LONG_RUNNING_AFTER_MS,
-            (false, _) => (few_crashes && half_free) || waited_ms >= SHARE_ALWAYS_AFTER_MS,
+            (false, _) => (few_crashes && shares_early) || waited_ms >= SHARE_ALWAYS_AFTER_MS,
         };
         if may_share {
             return GroupCandidates {
@@ -243,7 +245,7 @@
             let is_reserved = self.draining_for.contains_key(&candidate.worker);
             // With more crashes a suspect keeps away from tasks that have one, and its worker takes no
             // further tasks.
-            let suits = is_empty || (half_free && !has_blamed(state, view));
+            let suits = is_empty || (shares_early && !has_blamed(state, view));
             (suits && (may_close || is_reserved)).then_some(Candidate {
                 max_tasks: if spec.gang { candidate.max_tasks } else { 1 },
                 risk: candidate.risk
--- a/crates/cell/src/leader/reservations.rs
+++ b/crates/cell/src/leader/reservations.rs
@@ -121,7 +121,8 @@
         };
         let began_ms = *step.keeps_since_ms.get_or_insert(now_ms);
         let is_turn = is_turn_to_keep(now_ms.saturating_sub(began_ms).0);
-        if !is_turn || !may_keep(1, *kept_count, usable) {
+        let may_keep_any = may_keep(1, *kept_count, usable);
+        if !is_turn || !may_keep_any {
             return;
         }
         let option = |candidate: &Candidate| {
