Share the room check of three test files, and two fixtures

The tests of suspects, of slow advice and of wide gangs each computed whether rule LOST finds room for a job. The simulation now does it, with the one choice of allowed workers that its check of starts used, too. The gauge of the leader and the submission with lost replies are shared as well.

--- a/crates/cell/tests/cell/returns.rs
+++ b/crates/cell/tests/cell/returns.rs
@@ -3,7 +3,7 @@
 use acaciareel_cell::{ControlRequest, JobId, StepKey, StepSpec, Task, TaskKey, TaskState};
 
 use crate::{
-    sim::{Comeback, Sim, gang, job, queue, step},
+    sim::{Comeback, Sim, first_step, gang, job, queue, step},
     worker::LEASE_MS,
 };
 
@@ -17,6 +17,19 @@
     sim
 }
 
+/// Submits a job of one task while replies are lost: copies of its start are carried out late.
+fn submit_with_lost_replies(sim: &mut Sim, id: u64, task: StepSpec, lost_for_ms: u64) {
+    sim.lost_replies_percent = 100;
+    sim.submit("batch", id, job(vec![task]));
+    sim.run(lost_for_ms);
+    sim.lost_replies_percent = 0;
+}
+
+fn restart_worker(sim: &mut Sim, id: &str) {
+    let now_ms = sim.now_ms;
+    sim.workers.get_mut(id).expect("worker").restart(now_ms);
+}
+
 fn wait_for_hosts(sim: &mut Sim, id: u64, count: usize) -> Vec<String> {
     sim.run_until(3 * LEASE_MS, |sim| sim.hosts(id).len() == count);
     sim.hosts(id)
@@ -374,10 +387,7 @@
 fn late_start_is_not_carried_out_by_a_later_incarnation() {
     for seed in 0..4 {
         let mut sim = cell(seed, 2);
-        sim.lost_replies_percent = 100;
-        sim.submit("batch", 1, job(vec![step(1, 1_000, 300)]));
-        sim.run(300);
-        sim.lost_replies_percent = 0;
+        submit_with_lost_replies(&mut sim, 1, step(1, 1_000, 300), 300);
         sim.run(1_500);
         assert_eq!(sim.unfinished(1..2), Vec::<u64>::new());
 
@@ -397,20 +407,13 @@
 #[test]
 fn confirmed_start_is_not_carried_out_late_after_a_later_call() {
     let task = TaskKey {
-        step: StepKey {
-            job: JobId(1),
-            occurrence: 0,
-            step: 0,
-        },
+        step: first_step(JobId(1)),
         index: 0,
     };
     let mut started_again = Vec::new();
     for restart_ms in (1_900..5_900).step_by(50) {
         let mut sim = cell(3, 1);
-        sim.lost_replies_percent = 100;
-        sim.submit("batch", 1, job(vec![step(1, 1_000, 300)]));
-        sim.run(100);
-        sim.lost_replies_percent = 0;
+        submit_with_lost_replies(&mut sim, 1, step(1, 1_000, 300), 100);
         sim.run(restart_ms);
         assert_eq!(sim.crashes.starts(task), 1);
 
@@ -420,9 +423,7 @@
         while sim.commands_sent() == before {
             sim.run(5);
         }
-        let now_ms = sim.now_ms;
-        let worker = sim.workers.get_mut("worker-0").expect("worker");
-        worker.restart(now_ms);
+        restart_worker(&mut sim, "worker-0");
         sim.run(6_000);
 
         if sim.crashes.starts(task) > 1 {
@@ -439,15 +440,10 @@
 fn clock_that_starts_anew_stops_placements_until_the_next_report() {
     for seed in 0..4 {
         let mut sim = cell(seed, 1);
-        sim.lost_replies_percent = 100;
-        sim.submit("batch", 1, job(vec![step(1, 20_000, 300)]));
-        sim.run(100);
-        sim.lost_replies_percent = 0;
+        submit_with_lost_replies(&mut sim, 1, step(1, 20_000, 300), 100);
         sim.run(1_800);
         // One copy of the start is under way; it arrives on the new incarnation.
-        let now_ms = sim.now_ms;
-        let worker = sim.workers.get_mut("worker-0").expect("worker");
-        worker.restart(now_ms);
+        restart_worker(&mut sim, "worker-0");
         sim.unheard_workers.insert("worker-0".to_owned());
         sim.run_until(5_000, |sim| !sim.hosts(1).is_empty());
 
--- a/crates/cell/tests/cell/scale.rs
+++ b/crates/cell/tests/cell/scale.rs
@@ -215,27 +215,22 @@
 fn burst_keeps_the_leader_processor_free() {
     let mut sim = large_cell(12, 4);
     let mut submitted = Submitted::default();
-    let before = leader_gauge(&sim, "steps_looked_at");
+    let before = sim.leader_gauge("steps_looked_at");
 
     submit_load(&mut sim, &mut submitted, 8_000, 2.5);
     sim.run(5_000);
 
     // An eighth of a core, at 5 us for each step.
-    let examined_per_s = (leader_gauge(&sim, "steps_looked_at") - before) / 13;
+    let examined_per_s = (sim.leader_gauge("steps_looked_at") - before) / 13;
     assert!(
         examined_per_s <= 25_000,
         "{examined_per_s} steps examined per second"
     );
     // One selection for each request, and as many for steps without unrequested workers.
-    let composed = leader_gauge(&sim, "questions_composed");
+    let composed = sim.leader_gauge("questions_composed");
     let most = 2 * sim.advice_requests_sent;
     assert!(
         composed <= most,
         "{composed} selections of workers, at most {most} expected"
     );
 }
-
-fn leader_gauge(sim: &Sim, name: &'static str) -> u64 {
-    let leader = sim.leader().expect("leader");
-    sim.gauges.get(&(leader, name)).copied().unwrap_or(0)
-}
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -15,10 +15,12 @@
 
 mod crash;
 mod policy_service;
+mod room;
 mod turns;
 
 pub use crash::{Comeback, Crashes};
 pub use policy_service::{Disturbance, PolicyService};
+pub use room::first_step;
 use turns::Turns;
 
 const STEP_MS: u64 = 5;
@@ -360,6 +362,12 @@
         UNIX_MS + self.now_ms - self.clock_behind_ms
     }
 
+    /// Returns the latest value of a gauge of the leader.
+    pub fn leader_gauge(&self, name: &'static str) -> u64 {
+        let leader = self.leader().expect("leader");
+        self.gauges.get(&(leader, name)).copied().unwrap_or(0)
+    }
+
     pub fn random(&mut self, below: u64) -> u64 {
         self.rng_state ^= self.rng_state << 13;
         self.rng_state ^= self.rng_state >> 7;
@@ -759,11 +767,7 @@
             );
         }
         let step_name = task.step.to_string();
-        let allows = || match &self.policy {
-            Some(policy) => policy.allows(&step_name, worker_id),
-            None => may_run(&step_name, worker_id),
-        };
-        let advised = has_ticket && allows();
+        let advised = has_ticket && self.is_allowed(&step_name, worker_id);
         assert!(advised || !has_ticket, "{task} may not run on {worker_id}");
         for earlier in &self.jobs[&task.step.job].steps[task.step.step as usize].depends_on {
             let tasks = self.jobs[&task.step.job].steps[*earlier as usize].tasks;
@@ -1107,7 +1111,7 @@
 
 /// Decides by name which workers the policy service allows: about three in five, and at least one
 /// of the first four.
-pub fn may_run(step: &str, worker_id: &str) -> bool {
+fn may_run(step: &str, worker_id: &str) -> bool {
     let worker_id = crash::machine_of(worker_id);
     let hash = step.bytes().chain(worker_id.bytes());
     let hash = hash.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
--- a/crates/cell/tests/cell/slow_advice.rs
+++ b/crates/cell/tests/cell/slow_advice.rs
@@ -3,13 +3,12 @@
 
 use std::collections::BTreeMap;
 
-use acaciareel_cell::{AdviceCost, CallerReply, JobId, JobState, QueueRow, StepKey};
+use acaciareel_cell::{AdviceCost, CallerReply, JobId, JobState, QueueRow};
 use acaciareel_types::VmId;
 
 use crate::{
     faults::seeds,
     sim::{PolicyService, Sim, control, entry, gang, job, queue},
-    worker::Worker,
 };
 
 const WORKERS: u32 = 150;
@@ -17,8 +16,6 @@
 const ENTRIES: u32 = 9;
 /// Share of the workers that the policy service allows, in thousandths.
 const ALLOWED_PERMILLE: u64 = 360;
-/// Processor capacity of a worker.
-const WORKER_MILLICORES: u64 = 32_000;
 /// Longest time for which an accepted job may have nothing running while there is room for it twice
 /// over and under half of the capacity is in use (rule LOST of the users).
 const STANDSTILL_MS: u64 = 3_000;
@@ -104,7 +101,8 @@
         self.completed += before - self.sent.len();
         for (id, connection) in &self.sent {
             let accepted = sim.replies.get(connection) == Some(&CallerReply::Accepted);
-            if !accepted || !sim.hosts(*id).is_empty() || !has_room_twice_over(sim, *id) {
+            let has_room = || sim.is_half_free() && sim.has_room_twice_over(JobId(*id));
+            if !accepted || !sim.hosts(*id).is_empty() || !has_room() {
                 self.idle_since_ms.remove(id);
                 continue;
             }
@@ -129,26 +127,6 @@
     }
 }
 
-/// Returns whether the allowed workers have room for a job twice over and under half of the capacity
-/// of the cell is in use.
-fn has_room_twice_over(sim: &Sim, id: u64) -> bool {
-    let step = StepKey {
-        job: JobId(id),
-        occurrence: 0,
-        step: 0,
-    };
-    let step = step.to_string();
-    let used = sim.workers.values().map(Worker::used);
-    let used: u64 = used.map(|used| u64::from(used.cpu_millicores)).sum();
-    let policy = sim.policy.as_ref().expect("policy service");
-    let allowed = sim.workers.iter();
-    let allowed = allowed.filter(|(id, _)| policy.allows(&step, id));
-    let slots = allowed.map(|(_, worker)| {
-        (worker.record.capacity.cpu_millicores - worker.used().cpu_millicores) / TASK_MILLICORES
-    });
-    used * 2 < sim.workers.len() as u64 * WORKER_MILLICORES && slots.sum::<u32>() >= 2 * TASKS
-}
-
 /// Deposes the leader by one long turn.
 fn depose_leader(sim: &mut Sim, watch: &mut Watch) {
     let leader = sim.leader().expect("leader");
--- a/crates/cell/tests/cell/suspects.rs
+++ b/crates/cell/tests/cell/suspects.rs
@@ -1,9 +1,9 @@
 //! Suspects: tasks under which workers have crashed, most of them innocent.
 
-use acaciareel_cell::{AdviceCost, JobId, JobState, RunKey, StepKey, StepSpec};
+use acaciareel_cell::{AdviceCost, JobId, JobState, RunKey, StepSpec};
 
 use crate::{
-    sim::{Comeback, Sim, gang, job, may_run, queue, service, step},
+    sim::{Comeback, Sim, gang, job, queue, service, step},
     worker::LEASE_MS,
 };
 
@@ -75,28 +75,6 @@
     );
 }
 
-/// Returns whether half of the capacity is free, and with it room for two gangs on the workers that
-/// the policy service allows.
-fn has_room_for_two_gangs(sim: &Sim, id: u64) -> bool {
-    let step = StepKey {
-        job: JobId(id),
-        ..StepKey::default()
-    };
-    let step = step.to_string();
-    let (mut slots, mut used, mut capacity) = (0, 0, 0);
-    for (worker_id, worker) in sim.workers.iter().filter(|(_, worker)| worker.alive) {
-        let running = worker.running.values();
-        let used_here: u32 = running.map(|run| run.demand.cpu_millicores).sum();
-        let capacity_here = worker.record.capacity.cpu_millicores;
-        used += used_here;
-        capacity += capacity_here;
-        if may_run(&step, worker_id) {
-            slots += capacity_here.saturating_sub(used_here) / WIDE_MILLICORES;
-        }
-    }
-    slots >= 2 * WIDE_TASKS && used * 2 < capacity
-}
-
 /// Returns the longest time for which an active job had nothing running although there was room.
 fn longest_standstill_ms(sim: &mut Sim, load: &mut Load, id: u64, duration_ms: u64) -> u64 {
     let (mut current_ms, mut longest_ms) = (0, 0);
@@ -104,7 +82,8 @@
     while sim.now_ms < end_ms {
         load.run(sim, 100);
         let is_active = state_of(sim, id) == Some(JobState::Active);
-        let stands_still = is_active && sim.hosts(id).is_empty() && has_room_for_two_gangs(sim, id);
+        let has_room = || sim.is_half_free() && sim.has_room_twice_over(JobId(id));
+        let stands_still = is_active && sim.hosts(id).is_empty() && has_room();
         current_ms = if stands_still { current_ms + 100 } else { 0 };
         longest_ms = longest_ms.max(current_ms);
     }
--- a/crates/cell/tests/cell/waits.rs
+++ b/crates/cell/tests/cell/waits.rs
@@ -2,11 +2,6 @@
 
 use crate::sim::{Sim, gang, job, queue, step};
 
-fn gauge(sim: &Sim, name: &'static str) -> u64 {
-    let leader = sim.leader().expect("leader");
-    sim.gauges.get(&(leader, name)).copied().unwrap_or(0)
-}
-
 /// Returns the numbers of steps that wait for advice, for room and for tickets.
 fn waits(sim: &Sim) -> [u64; 3] {
     [
@@ -14,7 +9,7 @@
         "steps_waiting_for_room",
         "steps_waiting_for_tickets",
     ]
-    .map(|name| gauge(sim, name))
+    .map(|name| sim.leader_gauge(name))
 }
 
 /// Guards against a wait for room that shows as another one.
@@ -47,8 +42,8 @@
     sim.run(5_000);
 
     assert_eq!(waits(&sim), [0, 0, 1]);
-    assert_eq!(gauge(&sim, "held_millicores"), 20_000);
-    assert!(gauge(&sim, "advice_requests") > 2);
+    assert_eq!(sim.leader_gauge("held_millicores"), 20_000);
+    assert!(sim.leader_gauge("advice_requests") > 2);
 }
 
 /// Guards against a policy service that does not respond and shows as a lack of room.
--- a/crates/cell/tests/cell/wide_gangs.rs
+++ b/crates/cell/tests/cell/wide_gangs.rs
@@ -3,13 +3,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use acaciareel_cell::{
-    AdviceCost, Control, Demand, JobId, JobState, QueueRow, RunKey, StepKey, StepSpec, TaskKey,
-    TaskState,
+    AdviceCost, Control, JobId, JobState, QueueRow, RunKey, StepKey, StepSpec, TaskKey, TaskState,
 };
 
 use crate::{
     faults::seeds,
-    sim::{Disturbance, PolicyService, Sim, entry, gang, job, queue, step},
+    sim::{Disturbance, PolicyService, Sim, entry, first_step, gang, job, queue, step},
 };
 
 const WORKERS: u32 = 350;
@@ -199,29 +198,6 @@
     lost: Vec<(u64, u64, Waiting)>,
 }
 
-fn used_permille(sim: &Sim) -> u64 {
-    let alive = || sim.workers.values().filter(|worker| worker.alive);
-    let used: u64 = alive().map(|w| u64::from(w.used().cpu_millicores)).sum();
-    let capacity: u64 = alive()
-        .map(|w| u64::from(w.record.capacity.cpu_millicores))
-        .sum();
-    used * 1_000 / capacity
-}
-
-/// Returns how many tasks of a step fit on the live workers that `is_usable` accepts.
-fn slots(sim: &Sim, demand: &Demand, is_usable: impl Fn(&str) -> bool) -> u32 {
-    let workers = sim
-        .workers
-        .iter()
-        .filter(|(id, w)| w.alive && is_usable(id));
-    let slots = workers.map(|(_, worker)| {
-        let used = worker.used();
-        let free = worker.record.capacity.minus(&used, 1);
-        demand.times_in(&free)
-    });
-    slots.sum()
-}
-
 fn waiting_state(sim: &Sim, key: StepKey, spec: &StepSpec) -> Waiting {
     let leader = sim.leader().and_then(|vm| sim.control_of(vm));
     let Some(state) = leader.map(Control::state) else {
@@ -249,10 +225,10 @@
         let until_ms = calls.tickets_until_ms.get(id);
         until_ms.is_some_and(|until_ms| *until_ms > sim.now_ms + 250)
     };
-    if slots(sim, &spec.demand, known) < spec.tasks {
+    if sim.slots(&spec.demand, known) < spec.tasks {
         return Waiting::NoRoom;
     }
-    if slots(sim, &spec.demand, valid) < spec.tasks {
+    if sim.slots(&spec.demand, valid) < spec.tasks {
         return Waiting::NoTickets;
     }
     if state.must_run_alone(
@@ -267,18 +243,10 @@
     Waiting::Ready
 }
 
-fn first_step(id: JobId) -> StepKey {
-    StepKey {
-        job: id,
-        occurrence: 0,
-        step: 0,
-    }
-}
-
 impl Watch {
     /// Samples the jobs of which nothing runs. All jobs have one step.
     fn sample(&mut self, sim: &Sim) {
-        let used_permille = used_permille(sim);
+        let half_free = sim.is_half_free();
         let alive = sim.workers.values().filter(|worker| worker.alive);
         let running: BTreeSet<JobId> = alive
             .flat_map(|worker| worker.running.keys())
@@ -288,7 +256,6 @@
         let Some(state) = leader.map(Control::state) else {
             return;
         };
-        let policy = sim.policy.as_ref().expect("policy service");
         for job in state.jobs().values() {
             let id = job.id.0;
             if job.state != JobState::Active || running.contains(&job.id) {
@@ -300,9 +267,7 @@
             let waiting = waiting_state(sim, key, spec);
             let waited_ms = self.waited_ms.entry(id).or_default();
             *waited_ms.entry(waiting).or_default() += SAMPLE_MS;
-            let name = key.to_string();
-            let allowed_slots = || slots(sim, &spec.demand, |id| policy.allows(&name, id));
-            if used_permille >= 500 || allowed_slots() < 2 * spec.tasks {
+            if !half_free || !sim.has_room_twice_over(job.id) {
                 self.idle_ms.remove(&id);
                 continue;
             }
