Release what a step withholds at each examination

A step released it in one place when it was placed and in another at its tenant's cap; a pass now does so once before it examines the step. Tickets end in one method, which two places wrote out. The sum of free capacity of suspects and of the report on waiting steps is one function, and the report names its counts instead of indexing them.

--- a/crates/cell/src/leader/advice.rs
+++ b/crates/cell/src/leader/advice.rs
@@ -62,6 +62,13 @@
         let ticket = self.allowed.get(&worker);
         ticket.filter(|ticket| ticket.valid_until_ms > least_ms)
     }
+
+    /// Ends the validity of the ticket for a worker.
+    pub fn expire_ticket(&mut self, worker: WorkerNumber) {
+        if let Some(ticket) = self.allowed.get_mut(&worker) {
+            ticket.valid_until_ms = Millis(0);
+        }
+    }
 }
 
 /// A call to the policy service that is under way.
--- a/crates/cell/src/leader/advice_requests.rs
+++ b/crates/cell/src/leader/advice_requests.rs
@@ -273,9 +273,7 @@
     /// Ends the validity of all tickets for a worker: they were issued for one incarnation.
     pub(super) fn expire_tickets(&mut self, worker: WorkerNumber) {
         for (_, advice) in self.advice.iter_mut() {
-            if let Some(ticket) = advice.allowed.get_mut(&worker) {
-                ticket.valid_until_ms = Millis(0);
-            }
+            advice.expire_ticket(worker);
         }
     }
 
--- a/crates/cell/src/leader/isolation.rs
+++ b/crates/cell/src/leader/isolation.rs
@@ -270,13 +270,8 @@
 
     /// Returns whether more than half of the capacity of a job's service is free.
     fn is_half_free(&self, job: &Job, now_ms: Millis) -> bool {
-        let (mut free, mut capacity) = (0, 0);
-        for view in self.workers.values() {
-            if view.record.service == job.queue.service && view.accepts_work(now_ms) {
-                free += u64::from(view.free.cpu_millicores);
-                capacity += u64::from(view.record.capacity.cpu_millicores);
-            }
-        }
+        let of_service = |view: &WorkerView| view.record.service == job.queue.service;
+        let (free, capacity) = self.millicores_of(of_service, now_ms);
         free * 2 > capacity
     }
 
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -275,17 +275,18 @@
             let times = (class, urgency.timeliness);
             let most = self.tasks_until_class_changes(state, job, spec, times);
             let proposed_before = self.proposed_tasks(key);
+            let kept_before = self.release_withheld(key);
             for mut group in self.task_groups(state, key, spec) {
                 let proposed = self.proposed_tasks(key) - proposed_before;
                 group.tasks.truncate(most - proposed.min(most));
                 self.keep_to_cap((state, job, spec), urgency.timeliness, &mut group.tasks);
                 if group.tasks.is_empty() {
-                    self.release_withheld(key);
                     continue;
                 }
                 let candidate_count = self.place_group(
                     (state, job, spec),
                     (key, urgency, group),
+                    &kept_before,
                     &mut free_capacity,
                     &mut reserving,
                     io,
@@ -318,6 +319,23 @@
             .collect()
     }
 
+    /// Returns the processor shares that are free on the selected workers that accept work, and that
+    /// they have.
+    pub(super) fn millicores_of(
+        &self,
+        is_selected: impl Fn(&WorkerView) -> bool,
+        now_ms: Millis,
+    ) -> (u64, u64) {
+        let (mut free, mut capacity) = (0, 0);
+        for view in self.workers.values() {
+            if is_selected(view) && view.accepts_work(now_ms) {
+                free += u64::from(view.free.cpu_millicores);
+                capacity += u64::from(view.record.capacity.cpu_millicores);
+            }
+        }
+        (free, capacity)
+    }
+
     /// Returns whether a waiting step can still finish within the objective of its job, or is to
     /// run for as long as the job exists.
     pub(super) fn timeliness(&self, job: &Job, key: StepKey, io: &Io<'_>) -> Timeliness {
@@ -348,17 +366,17 @@
     }
 
     /// Tries to place tasks of one step, and requests advice where workers or tickets are missing.
-    /// Returns the number of candidates.
+    /// `kept_before` are the workers that the step kept until now. Returns the number of candidates.
     fn place_group(
         &mut self,
         (state, job, spec): (&CellState, &Job, &StepSpec),
         (key, urgency, group): (StepKey, Urgency, TaskGroup),
+        kept_before: &[WorkerNumber],
         free_capacity: &mut FreeCapacityByWorker,
         reserving: &mut Reserving,
         io: &mut Io<'_>,
     ) -> usize {
         let queue = &job.queue;
-        let kept_before = self.release_withheld(key);
         let tasks = u32::try_from(group.tasks.len()).unwrap_or(u32::MAX);
         let demand = counted_demand(spec);
         let preference = self.speed_preference(job, key, io);
@@ -398,7 +416,7 @@
                 return candidate_count;
             }
             let step = (key, spec, urgency, tasks);
-            let workers = (candidates.as_slice(), kept_before.as_slice());
+            let workers = (candidates.as_slice(), kept_before);
             self.reserve_for_gang(
                 (state, job),
                 step,
--- a/crates/cell/src/leader/waits.rs
+++ b/crates/cell/src/leader/waits.rs
@@ -112,12 +112,13 @@
                 }
             }
         }
+        let [not_examined, advice, room, tickets, isolation] = counts;
         let figures = [
-            ("steps_not_examined", counts[0]),
-            ("steps_waiting_for_advice", counts[1]),
-            ("steps_waiting_for_room", counts[2]),
-            ("steps_waiting_for_tickets", counts[3]),
-            ("steps_waiting_for_isolation", counts[4]),
+            ("steps_not_examined", not_examined),
+            ("steps_waiting_for_advice", advice),
+            ("steps_waiting_for_room", room),
+            ("steps_waiting_for_tickets", tickets),
+            ("steps_waiting_for_isolation", isolation),
             ("held_millicores", self.waits.held_millicores),
             ("kept_workers", kept_workers),
             ("advice_calls_open", self.advice_calls.len() as u64),
@@ -129,26 +130,17 @@
         if self.steps.is_empty() {
             return;
         }
-        let (free, capacity) = self
-            .workers
-            .values()
-            .filter(|view| view.accepts_work(io.now_ms))
-            .fold((0u64, 0u64), |(free, capacity), view| {
-                (
-                    free + u64::from(view.free.cpu_millicores),
-                    capacity + u64::from(view.record.capacity.cpu_millicores),
-                )
-            });
+        let (free, capacity) = self.millicores_of(|_| true, io.now_ms);
         let requests = self.waits.requests_sent - self.waits.requests_reported;
         self.waits.requests_reported = self.waits.requests_sent;
         io.log(
             "steps_wait",
             vec![
-                ("not_examined", counts[0].to_string()),
-                ("advice", counts[1].to_string()),
-                ("room", counts[2].to_string()),
-                ("tickets", counts[3].to_string()),
-                ("isolation", counts[4].to_string()),
+                ("not_examined", not_examined.to_string()),
+                ("advice", advice.to_string()),
+                ("room", room.to_string()),
+                ("tickets", tickets.to_string()),
+                ("isolation", isolation.to_string()),
                 ("free_millicores", free.to_string()),
                 ("held_millicores", self.waits.held_millicores.to_string()),
                 ("kept_workers", kept_workers.to_string()),
--- a/crates/cell/src/leader/worker_commands.rs
+++ b/crates/cell/src/leader/worker_commands.rs
@@ -1,7 +1,5 @@
 //! Commands to workers: starts of committed placements, stops, and the replies to both.
 
-use acaciareel_types::Millis;
-
 use super::{
     Leader, WorkerCall,
     worker::{LossReason, Phase, RunView},
@@ -336,10 +334,8 @@
     }
 
     fn drop_ticket(&mut self, step: StepKey, worker: WorkerNumber) {
-        if let Some(advice) = self.advice.get_mut(&step)
-            && let Some(ticket) = advice.allowed.get_mut(&worker)
-        {
-            ticket.valid_until_ms = Millis(0);
+        if let Some(advice) = self.advice.get_mut(&step) {
+            advice.expire_ticket(worker);
         }
     }
 
