--- a/crates/cell/src/leader/advice/tests.rs
+++ b/crates/cell/src/leader/advice/tests.rs
@@ -3,7 +3,7 @@
 use acaciareel_types::{Millis, VmId};
 
 use super::{AdviceCall, AdviceVms, StepAdvice, Ticket};
-use crate::{AdviceCost, JobId, StepKey, WorkerNumber};
+use crate::{AdviceCost, JobId, StepKey, WorkerNumber, random::Random};
 
 const COST: AdviceCost = AdviceCost {
     call_us: 442_000,
@@ -13,18 +13,6 @@
 const VMS: u32 = 6;
 const WORKER: WorkerNumber = WorkerNumber(1);
 
-/// Pseudorandom numbers (xorshift).
-struct Random(u64);
-
-impl Random {
-    fn below(&mut self, limit: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0 % limit
-    }
-}
-
 fn call(vm: VmId, (sent_ms, expected_ms): (Millis, Millis), workers: usize) -> AdviceCall {
     AdviceCall {
         step: StepKey {
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -22,6 +22,9 @@
 mod placed_runs;
 mod placement;
 mod queue_check;
+#[cfg(test)]
+#[path = "../tests/fixtures/random.rs"]
+mod random;
 mod run_times;
 mod speeds;
 mod state;
--- a/crates/cell/src/run_times/tests.rs
+++ b/crates/cell/src/run_times/tests.rs
@@ -4,17 +4,11 @@
 use proptest::prelude::*;
 
 use super::{CriticalPath, MAX_CLASSES, RunEnd, RunTimes, octaves};
-use crate::{AdviceCost, JobSpec, QueueRow, StepSpec};
-
-/// Reproducible random numbers (xorshift).
-struct Random(u64);
+use crate::{AdviceCost, JobSpec, QueueRow, StepSpec, random::Random};
 
 impl Random {
     fn uniform(&mut self) -> f64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        f64::from(u32::try_from(self.0 >> 32).expect("32 bits")) / f64::from(u32::MAX)
+        f64::from(u32::try_from(self.next() >> 32).expect("32 bits")) / f64::from(u32::MAX)
     }
 
     /// Returns a factor with a log-normal distribution of the given spread.
--- a/crates/cell/src/speeds/tests.rs
+++ b/crates/cell/src/speeds/tests.rs
@@ -1,19 +1,9 @@
 use acaciareel_types::Millis;
 
 use super::{FinishedRun, SpeedClass, Speeds};
-use crate::{JobId, StepKey, WorkerNumber};
-
-/// Generator of pseudo-random run times.
-struct Random(u64);
+use crate::{JobId, StepKey, WorkerNumber, random::Random};
 
 impl Random {
-    fn below(&mut self, below: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0 % below
-    }
-
     /// Returns the run time of a task of usual speed: within a step, tasks differ by up to 30
     /// percent, and 3 percent take seven times as long.
     fn task_ms(&mut self, step_ms: u64) -> u64 {
