--- a/review/harness/http.rs
+++ b/review/harness/http.rs
@@ -127,7 +127,7 @@
 }
 
 impl Server {
-    /// Serves an address. The handler returns status and body.
+    /// Serves an address. The handler returns status and body; 0 is no response.
     pub fn start(
         address: SocketAddr,
         handler: impl Fn(Message) -> (u16, String) + Send + Sync + 'static,
@@ -173,7 +173,7 @@
     let mut reader = BufReader::new(stream);
     while let Some(request) = read(&mut reader) {
         let (status, body) = handler(request);
-        if ends.load(Ordering::Relaxed) {
+        if ends.load(Ordering::Relaxed) || status == 0 {
             return;
         }
         let response = format!(
--- a/review/harness/scripts.rs
+++ b/review/harness/scripts.rs
@@ -33,7 +33,7 @@
     match case {
         "unlisted-ends" => unlisted_ends(trouble, record),
         "late-deregistration" => late_deregistration(trouble, record),
-        "crashed-workers" => crashed_workers(trouble, record),
+        "late-start" => late_start(trouble, record),
         "late-report" => late_report(trouble, record),
         "refused-but-run" => refused_but_run(trouble, record),
         _ => Err(format!("no such case: {case}")),
@@ -307,56 +307,6 @@
     }
 }
 
-// ---- workers crash under a sound task ----
-
-fn crashed_workers(trouble: bool, record: &Arc<Record>) -> Outcome {
-    let cell = Cell::start(record);
-    let mut workers: Vec<_> = (0..8)
-        .map(|n| Worker::start(setup(&cell, n, "a"), record))
-        .collect();
-    get_ready(&cell, &[("audit", 3)])?;
-    let path = "/audit/00000000000000c1";
-    let body = "{\"spec\":\"work=8000\",\"steps\":[{\"count\":1,\"cpu\":2000,\"mem_mb\":512,\
-                \"estimate_ms\":8000}]}";
-    if !cell.submit(path, body) {
-        return Err("the job was not accepted".to_owned());
-    }
-    let host_of = |workers: &[Arc<Worker>]| workers.iter().position(|w| !w.running().is_empty());
-    if trouble {
-        for _ in 0..5 {
-            let mut host = None;
-            wait_until(Duration::from_secs(15), || {
-                host = host_of(&workers);
-                host.is_some()
-            });
-            let Some(host) = host else { break };
-            pause(4_000);
-            record.say(&format!(
-                "{} crashes and is back 1 s later",
-                workers[host].setup.id
-            ));
-            workers[host].crash();
-            pause(1_000);
-            workers[host] = Worker::start(workers[host].setup.clone(), record);
-        }
-    }
-    let ended = ["completed", "failed", "cancelled"];
-    let state = cell.wait_for_state(path, &ended, Duration::from_secs(60));
-    let all = record.all();
-    let failed = all
-        .iter()
-        .filter(|seen| seen.what == "end" && seen.text.starts_with("failed"));
-    let (failed, starts) = (failed.count(), starts_of(&all, "00000000000000c1").count());
-    record.say(&format!(
-        "the job is {state:?}: {starts} starts, {failed} ends `failed`"
-    ));
-    match state.as_deref() {
-        Some("completed") => Ok(true),
-        Some("failed") => Ok(failed > 0),
-        _ => Err("the job has not ended".to_owned()),
-    }
-}
-
 // ---- the last report of a worker's life arrives as the next life announces itself ----
 
 /// How long before the second sending of the report the next life begins, in each attempt.
@@ -449,6 +399,62 @@
     Ok(true)
 }
 
+// ---- a start is carried out late by the next life of its worker ----
+
+fn late_start(trouble: bool, record: &Arc<Record>) -> Outcome {
+    let cell = Cell::start(record);
+    let _others: Vec<_> = (0..7)
+        .map(|n| Worker::start(setup(&cell, n, "a"), record))
+        .collect();
+    let worker = Worker::start(setup(&cell, 10, "b"), record);
+    get_ready(&cell, &[("once", 3)])?;
+    let submit = |job: &str, count: u32, label: &str| {
+        let body = format!(
+            "{{\"spec\":\"work=400\",\"steps\":[{{\"count\":{count},\"cpu\":1000,\"mem_mb\":100,\
+             \"estimate_ms\":400,\"requirements\":\"{label}\"}}]}}"
+        );
+        if cell.submit(&format!("/once/{job}"), &body) {
+            Ok(())
+        } else {
+            Err(format!("job {job} was not accepted"))
+        }
+    };
+    // One start gets no response, of 42 that are sent in that time.
+    let job = "00000000000000a7";
+    if trouble {
+        worker.hold_start_up(job);
+    }
+    submit("00000000000000a8", 40, "a")?;
+    submit(job, 1, "b")?;
+    let sent = Instant::now();
+    let path = format!("/once/{job}");
+    let limit = Duration::from_secs(10);
+    let state = cell.wait_for_state(&path, &["completed"], limit);
+    if state.as_deref() != Some("completed") {
+        return Err("the job has not completed".to_owned());
+    }
+    let order = worker.held_up_start();
+    if order.is_some() != trouble {
+        return Err("no start was held up".to_owned());
+    }
+    let left = Duration::from_millis(3_000).saturating_sub(sent.elapsed());
+    thread::sleep(left);
+    record.say(&format!("{} crashes and starts again", worker.setup.id));
+    worker.crash();
+    pause(1_000);
+    let worker = Worker::start(worker.setup.clone(), record);
+    pause(2);
+    if let Some(order) = order {
+        let answer = worker.carry_out(&order);
+        record.say(&format!(
+            "the start is carried out {} ms late: {answer:?}",
+            sent.elapsed().as_millis()
+        ));
+    }
+    pause(5_000);
+    report(record, &started_twice(record))
+}
+
 // ---- the connection of an entry VM to the leader goes silent while a route is removed ----
 
 const ROUNDS: u64 = 4;
--- a/review/harness/worker.rs
+++ b/review/harness/worker.rs
@@ -72,6 +72,8 @@
     /// Whether the latest heartbeat said `draining` and was acknowledged.
     pub drain_acked: AtomicBool,
     server: Mutex<Option<Server>>,
+    /// Job of which the next start is held up on its way to the worker, and that start.
+    late_start: Mutex<(Option<String>, Option<Message>)>,
     /// Client of the control VM that acknowledged the latest heartbeat.
     home: Mutex<Option<Client>>,
     record: Arc<Record>,
@@ -116,6 +118,7 @@
             draining: AtomicBool::new(false),
             drain_acked: AtomicBool::new(false),
             server: Mutex::new(None),
+            late_start: Mutex::default(),
             home: Mutex::new(None),
             record: record.clone(),
             setup,
@@ -223,12 +226,41 @@
 
     fn respond(&self, request: &Message) -> (u16, String) {
         thread::sleep(self.setup.link_delay);
+        if self.is_held_up(request) {
+            thread::sleep(Duration::from_secs(5));
+            return (0, String::new());
+        }
         let response = self.carry_out(request);
         thread::sleep(self.setup.link_delay);
         response
     }
 
-    fn carry_out(&self, request: &Message) -> (u16, String) {
+    /// Holds the next start of a job's task up on its way: it gets no response, and is carried out late.
+    pub fn hold_start_up(&self, job: &str) {
+        self.late_start.lock().unwrap().0 = Some(job.to_owned());
+    }
+
+    /// Returns the start that was held up.
+    pub fn held_up_start(&self) -> Option<Message> {
+        self.late_start.lock().unwrap().1.clone()
+    }
+
+    fn is_held_up(&self, request: &Message) -> bool {
+        let mut late_start = self.late_start.lock().unwrap();
+        let is_chosen = request.path == "/acaciareel/run-start"
+            && late_start
+                .0
+                .as_ref()
+                .is_some_and(|job| request.body.contains(job));
+        if is_chosen {
+            self.record.add("held up", &self.setup.id, 0, &request.body);
+            *late_start = (None, Some(request.clone()));
+        }
+        is_chosen
+    }
+
+    /// Carries out a call, in time or late.
+    pub fn carry_out(&self, request: &Message) -> (u16, String) {
         let wanted = request.header("expected-instance");
         if !wanted.is_empty() && wanted != self.setup.id {
             return (421, "{}".to_owned());
