Log workers to which no renewal is sent although one is needed

The runs of such a worker never end, and no line told why. The line names what a renewal waits for: completions that are read and not committed, or the pause after calls without a reply.

--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -30,6 +30,9 @@
 const RETRY_MS: u64 = 150;
 /// Longest backoff after a renewal without a reply.
 const MAX_RETRY_MS: u64 = 600;
+/// Time for which a needed renewal may wait before the delay is logged. It is longer than the longest
+/// backoff and a commit.
+const RENEWAL_OVERDUE_MS: u64 = 1_500;
 /// Consecutive calls without a reply after which the lease is not extended any more. Any of these
 /// calls may have reached the worker, so the leader could never be sure that a lease is over if
 /// each attempt extended it.
@@ -55,14 +58,10 @@
         if !io.holds_lease {
             return;
         }
-        let needed = !view.runs_reported
-            || !view.runs.is_empty()
-            || view.completions_committed > view.completions_acknowledged
-            || view.announced_after_silence();
         // Completions are acknowledged by the renewal that follows their commit. An earlier renewal
         // would only list them again.
         let all_committed = view.completions_read == view.completions_committed;
-        if !needed
+        if !view.needs_renewal()
             || !all_committed
             || view.renewal_call.is_some()
             || io.now_ms < view.next_renewal_ms
@@ -489,6 +488,7 @@
             self.fence(number, io);
         }
         self.renew(number, io);
+        self.log_overdue_renewal(number, io);
         let remove_worker = self.workers.get(&number).is_some_and(|view| {
             let since_contact_ms = io.now_ms.saturating_sub(view.last_contact_ms).0;
             view.runs.is_empty() && since_contact_ms > REMOVE_WORKER_AFTER_MS
@@ -498,6 +498,42 @@
         }
     }
 
+    /// Logs a worker to which no renewal is sent although one is needed.
+    fn log_overdue_renewal(&mut self, number: WorkerNumber, io: &mut Io<'_>) {
+        let Some(view) = self.workers.get_mut(&number) else {
+            return;
+        };
+        let under_way = view.renewal_call.is_some() || view.fencing_call.is_some();
+        if !io.holds_lease || under_way || !view.needs_renewal() {
+            view.renewal_due_since_ms = None;
+            view.renewal_overdue_logged = false;
+            return;
+        }
+        let since_ms = *view.renewal_due_since_ms.get_or_insert(io.now_ms);
+        let waited_ms = io.now_ms.saturating_sub(since_ms).0;
+        if waited_ms < RENEWAL_OVERDUE_MS
+            || std::mem::replace(&mut view.renewal_overdue_logged, true)
+        {
+            return;
+        }
+        let fields = vec![
+            ("worker", view.record.id.clone()),
+            (
+                "incarnation",
+                view.record.incarnation_started_ms.to_string(),
+            ),
+            ("runs", view.runs.len().to_string()),
+            ("waited_ms", waited_ms.to_string()),
+            ("completions_read", view.completions_read.to_string()),
+            (
+                "completions_committed",
+                view.completions_committed.to_string(),
+            ),
+            ("missed_calls", view.missed_calls.to_string()),
+        ];
+        io.warn("renewal_overdue", fields);
+    }
+
     /// Forgets the runs that ended with their lease if their worker does not come back soon.
     fn forget_expired(&mut self, state: &CellState, number: WorkerNumber, io: &mut Io<'_>) {
         let Some(view) = self.workers.get_mut(&number) else {
--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -219,6 +219,10 @@
     pub fencing_call: Option<u64>,
     pub renewal_call: Option<u64>,
     pub next_renewal_ms: Millis,
+    /// Time since which a renewal is needed and none is under way.
+    pub renewal_due_since_ms: Option<Millis>,
+    /// Whether the delay of that renewal is logged.
+    pub renewal_overdue_logged: bool,
     /// Numbers of the last completion that was read, that is committed, and that was acknowledged.
     pub completions_read: u64,
     pub completions_committed: u64,
@@ -267,6 +271,8 @@
             fencing_call: None,
             renewal_call: None,
             next_renewal_ms: Millis(0),
+            renewal_due_since_ms: None,
+            renewal_overdue_logged: false,
             completions_read: 0,
             completions_committed: 0,
             completions_acknowledged: 0,
@@ -423,6 +429,14 @@
         })
     }
 
+    /// Returns whether the worker has something to report, or completions to be acknowledged.
+    pub fn needs_renewal(&self) -> bool {
+        !self.runs_reported
+            || !self.runs.is_empty()
+            || self.completions_committed > self.completions_acknowledged
+            || self.announced_after_silence()
+    }
+
     /// Returns whether the worker has announced itself since the latest call, if calls to it got no
     /// reply.
     pub fn announced_after_silence(&self) -> bool {
