Name the incarnation in what is known of a worker

Cause: the leader reads a late report of the crashed process while the record of the next one is being committed. The commit of its completions names the worker by number, and raises completions_committed of the present incarnation. That count never equals completions_read again, and no renewal is sent. Evidence: renewal_overdue completions_read=0 completions_committed=1 missed_calls=0 without a call under way, which rules out a call that never ends and the pause after missed calls.

Change: WorkerIncarnation, a number and a start, is a type of its own. Calls to workers, the commands Place, Completions, LeaseExpired, ForgetExpired and RemoveWorker, and requests to the policy service name it. The leader reaches the view of a worker from them only through incarnation_mut.

The stored commands change, so data folders of earlier builds are not readable.

Result: late_report_of_an_earlier_incarnation_does_not_end_renewals failed on the sources before for reports that are 10, 15 and 20 ms late, and placement_for_an_earlier_incarnation_is_not_sent_to_the_present_one failed ("is sent to worker-0 without big"); both pass. All tests of the cell crate pass.

--- a/crates/cell/src/command.rs
+++ b/crates/cell/src/command.rs
@@ -3,7 +3,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{JobId, JobSpec, QueueRow, QueueTable, RunKey, WorkerNumber, WorkerRecord};
+use crate::{
+    JobId, JobSpec, QueueRow, QueueTable, RunKey, WorkerIncarnation, WorkerNumber, WorkerRecord,
+};
 
 /// Outcome of a run as its worker reports it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -35,8 +37,9 @@
     Queues(QueueTable),
     /// Adds a worker, starts a new incarnation of it, or changes its record.
     Worker(WorkerRecord),
-    /// Removes a worker. Runs that were placed on it since the removal was proposed wait again.
-    RemoveWorker(WorkerNumber),
+    /// Removes a worker, unless a later incarnation of it has joined. Runs that were placed on it since
+    /// the removal was proposed wait again.
+    RemoveWorker(WorkerIncarnation),
     /// Accepts a job.
     Accept {
         /// Id chosen by the caller; a job that is already stored under it stays.
@@ -63,14 +66,15 @@
     Place {
         /// Runs to place. A run that is out of date is refused without affecting the others.
         runs: Vec<RunKey>,
-        /// Worker that is to run them.
-        worker: WorkerNumber,
+        /// Worker that is to run them. A later incarnation may have other labels and no tickets, so the
+        /// runs are refused if one has joined.
+        worker: WorkerIncarnation,
     },
     /// Records completions that a worker reported.
     Completions {
         /// Worker that reported them.
-        worker: WorkerNumber,
-        /// Number of the last completion in the worker's own count.
+        worker: WorkerIncarnation,
+        /// Number of the last completion in the count of this incarnation.
         through: u64,
         /// Completions in the worker's order.
         completions: Vec<RunCompletion>,
@@ -96,12 +100,12 @@
     /// turns out to have crashed, the crash counts for them.
     LeaseExpired {
         /// Worker on which the runs were placed.
-        worker: WorkerNumber,
+        worker: WorkerIncarnation,
         /// Runs, each with its last known checkpoint and whether the worker had confirmed it.
         runs: Vec<(RunKey, String, bool)>,
     },
     /// Forgets the runs of such a worker: if it has crashed, it may have done so after their leases.
-    ForgetExpired(WorkerNumber),
+    ForgetExpired(WorkerIncarnation),
     /// Fails a job of which a task has crashed too many workers.
     GiveUp {
         /// Id of the job.
--- a/crates/cell/src/ids.rs
+++ b/crates/cell/src/ids.rs
@@ -155,6 +155,43 @@
     }
 }
 
+/// One incarnation of a worker: its process from start to end. A worker may start again under the id,
+/// and thus the number, that it had; it then knows nothing of before, and its counts and its clock start
+/// anew. What was learned of one incarnation does not hold for another.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct WorkerIncarnation {
+    /// Number of the worker.
+    pub number: WorkerNumber,
+    /// Start of the process, in Unix milliseconds of the worker's clock; 0 if the worker does not tell.
+    pub started_ms: u64,
+}
+
+impl fmt::Display for WorkerIncarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.number, self.started_ms)
+    }
+}
+
+impl FromStr for WorkerIncarnation {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let parts = text.split_once('@');
+        let parsed = parts.and_then(|(number, started_ms)| {
+            Some(Self {
+                number: number.parse().ok()?,
+                started_ms: started_ms.parse().ok()?,
+            })
+        });
+        parsed.ok_or_else(|| IdError {
+            text: text.into(),
+            expected: "a worker incarnation such as w4@1796469191007",
+        })
+    }
+}
+
 /// Returns the number below the first call of an epoch: the term of a leader, or the process epoch
 /// of a VM. Replies to calls of an earlier epoch may still arrive, so numbers must not repeat.
 pub(crate) const fn calls_of_epoch(epoch: u64) -> u64 {
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     CallerReply, CellState, Change, Command, ControlReply, Effect, Job, JobId, JobState, Origin,
-    PeerMessage, RunKey, Speeds, StepKey, TaskState, WorkerNumber, WorkerRecord,
+    PeerMessage, RunKey, Speeds, StepKey, TaskState, WorkerIncarnation, WorkerNumber, WorkerRecord,
     ids::calls_of_epoch, io::Io,
 };
 
@@ -83,20 +83,18 @@
 #[derive(Clone, Debug)]
 enum WorkerCall {
     Start {
-        worker: WorkerNumber,
+        worker: WorkerIncarnation,
         run: RunKey,
-        incarnation_started_ms: u64,
         /// Least reading of the worker's clock in a reply of this incarnation.
         min_clock_ms: u64,
     },
     Stop {
-        worker: WorkerNumber,
+        worker: WorkerIncarnation,
         run: RunKey,
     },
     Renewal {
-        worker: WorkerNumber,
+        worker: WorkerIncarnation,
         token: u64,
-        incarnation_started_ms: u64,
         /// Number of the last completion that the call acknowledges.
         acknowledged: u64,
         /// Whether the call was sent under a raised epoch to decide the outcome of earlier starts.
@@ -408,10 +406,10 @@
                 jobs,
                 superfluous,
             } => {
-                if let Some(view) = self.workers.get_mut(&worker) {
+                if let Some(view) = self.incarnation_mut(worker) {
                     view.completions_committed = view.completions_committed.max(through);
                 }
-                self.renew(worker, io);
+                self.renew(worker.number, io);
                 for id in jobs {
                     self.refresh_job(state, id, io);
                     self.completions_committed(state, id, io);
@@ -448,24 +446,25 @@
             vec![
                 ("worker", id),
                 ("number", number.to_string()),
+                ("incarnation", record.incarnation_started_ms.to_string()),
                 ("address", record.address.clone()),
                 ("service", record.service.clone()),
             ],
         );
         let mut view = self.make_view(number, record, io.now_ms);
+        let mut reborn = false;
         if let Some(old) = self.workers.remove(&number) {
-            let new_incarnation = known.is_some_and(|known| {
-                known.incarnation_started_ms != view.record.incarnation_started_ms
-            });
+            reborn = old.incarnation() != view.incarnation();
             let (record, rack, domain) = (view.record, view.rack, view.domain);
             view = old;
             view.record = record;
             view.rack = rack;
             view.domain = domain;
-            if new_incarnation {
+            if reborn {
                 view.begin_incarnation(self.bounds.lease_ms, io.now_ms);
                 view.announced_ms = None;
                 self.expire_tickets(number);
+                self.speeds.remove(number);
             }
             if announced {
                 view.announced_ms.get_or_insert(io.now_ms);
@@ -474,11 +473,23 @@
         }
         self.update_address(number, &view.record);
         self.workers.insert(number, view);
+        if reborn {
+            // Placed for the earlier incarnation, and not sent to it.
+            let is_unsent = |_: &RunKey, run: &RunView| run.phase == Phase::Committed;
+            self.lose_runs(number, is_unsent, LossReason::NotSent, io);
+        }
         self.remove_predecessors(state, number, io);
         self.renew(number, io);
         self.pass_due = true;
     }
 
+    /// Returns the view of a worker, if it is of this incarnation. What is known of one incarnation
+    /// reaches a view only through this function.
+    fn incarnation_mut(&mut self, worker: WorkerIncarnation) -> Option<&mut WorkerView> {
+        let view = self.workers.get_mut(&worker.number);
+        view.filter(|view| view.incarnation() == worker)
+    }
+
     /// Stores the worker at an address unless one with a later incarnation start is known there.
     fn update_address(&mut self, number: WorkerNumber, record: &WorkerRecord) {
         let known = self.addresses.get(&record.address);
@@ -515,7 +526,9 @@
 
     fn remove_predecessor(&mut self, number: WorkerNumber, io: &mut Io<'_>) {
         self.lose_runs(number, |_, _| true, LossReason::AddressReused, io);
-        io.commands.push(Command::RemoveWorker(number));
+        if let Some(view) = self.workers.get(&number) {
+            io.commands.push(Command::RemoveWorker(view.incarnation()));
+        }
     }
 
     /// Returns the workers whose address belongs to a later incarnation of another worker.
@@ -836,3 +849,6 @@
         io.effect(Effect::Send { to: vm, message });
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/cell/src/leader/advice.rs
+++ b/crates/cell/src/leader/advice.rs
@@ -5,7 +5,7 @@
 
 use acaciareel_types::{Millis, SortedVec, VmId};
 
-use crate::{AdviceCost, StepKey, WorkerNumber};
+use crate::{AdviceCost, StepKey, WorkerIncarnation, WorkerNumber};
 
 /// A call that takes longer than this is a long one. Work of urgent queues starts within some
 /// hundred milliseconds, and a call ahead of it must not use up that time.
@@ -75,7 +75,8 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) struct AdviceCall {
     pub step: StepKey,
-    pub workers: Vec<WorkerNumber>,
+    /// Workers in question. A ticket is valid for the incarnation of the request.
+    pub workers: Vec<WorkerIncarnation>,
     pub vm: VmId,
     pub sent_ms: Millis,
     /// Time that the service takes for the call.
--- a/crates/cell/src/leader/advice/tests.rs
+++ b/crates/cell/src/leader/advice/tests.rs
@@ -3,7 +3,7 @@
 use acaciareel_types::{Millis, VmId};
 
 use super::{AdviceCall, AdviceVms, StepAdvice, Ticket};
-use crate::{AdviceCost, JobId, StepKey, WorkerNumber, random::Random};
+use crate::{AdviceCost, JobId, StepKey, WorkerIncarnation, WorkerNumber, random::Random};
 
 const COST: AdviceCost = AdviceCost {
     call_us: 442_000,
@@ -91,7 +91,10 @@
 /// Returns a call that was sent at 10.0 s, with its response expected at 11.1 s.
 fn long_call() -> AdviceCall {
     AdviceCall {
-        workers: vec![WORKER],
+        workers: vec![WorkerIncarnation {
+            number: WORKER,
+            started_ms: 0,
+        }],
         ..call(VmId(1), (Millis(10_000), Millis(11_100)), 100)
     }
 }
--- a/crates/cell/src/leader/advice_requests.rs
+++ b/crates/cell/src/leader/advice_requests.rs
@@ -168,7 +168,7 @@
             };
             let preference = self.preference_at_age(queue, job, step, 0);
             let workers = self.unrequested_workers(spec, key, queue, &free_capacity, preference);
-            self.request_advice(key, queue, workers, spec.gang, io);
+            self.request_advice(key, queue, &workers, spec.gang, io);
         }
     }
 
@@ -178,7 +178,7 @@
         &mut self,
         key: StepKey,
         queue: &QueueRow,
-        workers: Vec<WorkerNumber>,
+        workers: &[WorkerNumber],
         gang: bool,
         io: &mut Io<'_>,
     ) {
@@ -199,10 +199,13 @@
         advice.call = Some(call);
         advice.calls += 1;
         self.waits.requests_sent += 1;
-        let id_of = |worker: &WorkerNumber| self.workers.get(worker).map(|v| v.record.id.clone());
+        let views = workers.iter().filter_map(|w| self.workers.get(w));
+        let (worker_ids, workers) = views
+            .map(|view| (view.record.id.clone(), view.incarnation()))
+            .unzip();
         let request = AdviceRequest {
             step: key.to_string(),
-            worker_ids: workers.iter().filter_map(id_of).collect(),
+            worker_ids,
         };
         let sent = AdviceCall {
             step: key,
@@ -255,17 +258,25 @@
         };
         let valid_until_ms = advice_call.tickets_valid_until(io.now_ms);
         for worker in &advice_call.workers {
-            if let Err(at) = advice.requested.binary_search(worker) {
-                advice.requested.insert(at, *worker);
+            let number = worker.number;
+            if let Err(at) = advice.requested.binary_search(&number) {
+                advice.requested.insert(at, number);
             }
-            let id = self.workers.get(worker).map(|view| &view.record.id);
+            let view = self.workers.get(&number);
+            let id = view.map(|view| &view.record.id);
             let row = rows.iter().find(|(allowed, _)| Some(allowed) == id);
             if let Some((_, text)) = row {
+                // The permission holds for the worker, but the ticket only for the incarnation.
+                let same_incarnation = view.is_some_and(|view| view.incarnation() == *worker);
                 let ticket = Ticket {
                     text: text.clone(),
-                    valid_until_ms,
+                    valid_until_ms: if same_incarnation {
+                        valid_until_ms
+                    } else {
+                        Millis(0)
+                    },
                 };
-                advice.allowed.insert(*worker, ticket);
+                advice.allowed.insert(number, ticket);
             }
         }
     }
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -467,7 +467,7 @@
         {
             step.withheld.chosen = chosen;
         }
-        self.request_advice(key, queue, requested, spec.gang, io);
+        self.request_advice(key, queue, &requested, spec.gang, io);
         candidate_count
     }
 
@@ -551,7 +551,7 @@
         if unrequested.is_empty() {
             self.pause_widening(key, io.now_ms);
         }
-        self.request_advice(key, queue, unrequested, spec.gang, io);
+        self.request_advice(key, queue, &unrequested, spec.gang, io);
     }
 
     /// Returns the workers that may run tasks of the step: the usable workers, or, if the queue has
@@ -730,7 +730,10 @@
             if job.tenant.is_some() {
                 self.recount_worker(worker);
             }
-            let id = self.workers.get(&worker).map(|view| view.record.id.clone());
+            let Some(view) = self.workers.get(&worker) else {
+                continue;
+            };
+            let (id, worker) = (view.record.id.clone(), view.incarnation());
             let waited_ms = io.unix_ms.saturating_sub(job.due_unix_ms(key.occurrence));
             io.log(
                 "runs_placed",
@@ -738,7 +741,7 @@
                     ("step", key.to_string()),
                     ("queue", job.queue.name.clone()),
                     ("runs", runs.len().to_string()),
-                    ("worker", id.unwrap_or_default()),
+                    ("worker", id),
                     ("waited_ms", waited_ms.to_string()),
                 ],
             );
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -4,11 +4,11 @@
 
 use super::{
     Leader, WorkerCall, pass,
-    worker::{LossReason, Phase, RunView},
+    worker::{LossReason, Phase, RenewalDelay, RunView},
 };
 use crate::{
-    CellState, Command, Effect, RenewalReport, RunKey, RunOutcome, WorkerNumber, WorkerRequest,
-    io::Io, state::jobs_of,
+    CellState, Command, Effect, RenewalReport, RunKey, RunOutcome, WorkerIncarnation, WorkerNumber,
+    WorkerRequest, io::Io, state::jobs_of,
 };
 
 /// Longest time for which a worker holds back the reply to a renewal until a run completes. While
@@ -120,13 +120,12 @@
                 view.grant(lease_ms, io.now_ms)
             };
         let acknowledged = view.completions_committed;
-        let incarnation_started_ms = view.record.incarnation_started_ms;
+        let worker = view.incarnation();
         self.worker_calls.insert(
             call,
             WorkerCall::Renewal {
-                worker: number,
+                worker,
                 token,
-                incarnation_started_ms,
                 acknowledged,
                 fence,
             },
@@ -164,12 +163,12 @@
     /// after two calls.
     pub(super) fn renewal_failed(
         &mut self,
-        number: WorkerNumber,
+        worker: WorkerIncarnation,
         call: u64,
         fence: bool,
         io: &mut Io<'_>,
     ) {
-        let Some(view) = self.workers.get_mut(&number) else {
+        let Some(view) = self.incarnation_mut(worker) else {
             return;
         };
         clear_call(&mut view.renewal_call, call);
@@ -193,31 +192,25 @@
 
     /// Handles the report that a worker returns for a renewal. A report of another incarnation is
     /// not used.
-    #[allow(
-        clippy::too_many_arguments,
-        reason = "fields of the call that is answered"
-    )]
     pub(super) fn renewed(
         &mut self,
         state: &CellState,
-        number: WorkerNumber,
+        worker: WorkerIncarnation,
         call: u64,
-        (token, incarnation_started_ms, acknowledged): (u64, u64, u64),
+        (token, acknowledged): (u64, u64),
         report: &RenewalReport,
         io: &mut Io<'_>,
     ) {
-        let Some(view) = self.workers.get_mut(&number) else {
+        let number = worker.number;
+        let Some(view) = self.incarnation_mut(worker) else {
             return;
         };
         clear_call(&mut view.renewal_call, call);
         clear_call(&mut view.fencing_call, call);
-        if view.record.incarnation_started_ms != incarnation_started_ms {
-            return;
-        }
         if let Some(reported_ms) = report.incarnation_started_ms
-            && reported_ms != incarnation_started_ms
+            && reported_ms != worker.started_ms
         {
-            if reported_ms > incarnation_started_ms {
+            if reported_ms > worker.started_ms {
                 let mut record = view.record.clone();
                 record.incarnation_started_ms = reported_ms;
                 record.sequence = 0;
@@ -322,6 +315,7 @@
             completions.push((completion, run));
         }
         view.recompute_free();
+        let worker = view.incarnation();
         for (completion, run) in &completions {
             if let Some(run) = run {
                 let ended = (completion.run, run);
@@ -332,7 +326,7 @@
             completions.iter().map(|(completion, _)| completion.run),
         ));
         io.commands.push(Command::Completions {
-            worker: number,
+            worker,
             through,
             completions: completions
                 .into_iter()
@@ -446,12 +440,13 @@
                 ],
             });
         }
-        let worker = number;
+        let worker = view.incarnation();
         io.commands.push(if reason == LossReason::LeaseExpired {
             Command::LeaseExpired { worker, runs: lost }
         } else {
             let runs = lost.into_iter();
             let runs = runs.map(|(key, checkpoint, _)| (key, checkpoint)).collect();
+            let worker = number;
             Command::Lost { worker, runs }
         });
     }
@@ -489,12 +484,11 @@
         }
         self.renew(number, io);
         self.log_overdue_renewal(number, io);
-        let remove_worker = self.workers.get(&number).is_some_and(|view| {
+        if let Some(view) = self.workers.get(&number) {
             let since_contact_ms = io.now_ms.saturating_sub(view.last_contact_ms).0;
-            view.runs.is_empty() && since_contact_ms > REMOVE_WORKER_AFTER_MS
-        });
-        if remove_worker {
-            io.commands.push(Command::RemoveWorker(number));
+            if view.runs.is_empty() && since_contact_ms > REMOVE_WORKER_AFTER_MS {
+                io.commands.push(Command::RemoveWorker(view.incarnation()));
+            }
         }
     }
 
@@ -505,17 +499,21 @@
         };
         let under_way = view.renewal_call.is_some() || view.fencing_call.is_some();
         if !io.holds_lease || under_way || !view.needs_renewal() {
-            view.renewal_due_since_ms = None;
-            view.renewal_overdue_logged = false;
+            view.renewal_delay = RenewalDelay::None;
             return;
         }
-        let since_ms = *view.renewal_due_since_ms.get_or_insert(io.now_ms);
-        let waited_ms = io.now_ms.saturating_sub(since_ms).0;
-        if waited_ms < RENEWAL_OVERDUE_MS
-            || std::mem::replace(&mut view.renewal_overdue_logged, true)
-        {
+        let waited_ms = match view.renewal_delay {
+            RenewalDelay::None => {
+                view.renewal_delay = RenewalDelay::Since(io.now_ms);
+                return;
+            }
+            RenewalDelay::Since(since_ms) => io.now_ms.saturating_sub(since_ms).0,
+            RenewalDelay::Logged => return,
+        };
+        if waited_ms < RENEWAL_OVERDUE_MS {
             return;
         }
+        view.renewal_delay = RenewalDelay::Logged;
         let fields = vec![
             ("worker", view.record.id.clone()),
             (
@@ -546,7 +544,7 @@
         let since_ms = *view.expired_since_ms.get_or_insert(io.now_ms);
         if io.now_ms.saturating_sub(since_ms).0 > FORGET_EXPIRED_AFTER_MS {
             view.expired_since_ms = None;
-            io.commands.push(Command::ForgetExpired(number));
+            io.commands.push(Command::ForgetExpired(view.incarnation()));
         }
     }
 
@@ -572,13 +570,11 @@
                 due.push(*key);
             }
         }
+        let worker = view.incarnation();
         for run in due {
             let call = self.new_call();
-            let stop = WorkerCall::Stop {
-                worker: number,
-                run,
-            };
-            self.worker_calls.insert(call, stop);
+            self.worker_calls
+                .insert(call, WorkerCall::Stop { worker, run });
             let request = WorkerRequest::Stop { run, token };
             self.call_worker(number, call, request, REPLY_TIMEOUT_MS, io);
         }
--- a/crates/cell/src/leader/tenants/tests.rs
+++ b/crates/cell/src/leader/tenants/tests.rs
@@ -7,7 +7,7 @@
 use super::{Charge, Leader, TenantRow, are_in_force};
 use crate::{
     Bounds, CellState, Command, Demand, JobId, JobSpec, QueueRow, QueueTable, RunKey, StepKey,
-    StepSpec, TaskKey, WorkerNumber, WorkerRecord,
+    StepSpec, TaskKey, WorkerIncarnation, WorkerNumber, WorkerRecord,
     io::Io,
     tenants::{Class, Timeliness},
 };
@@ -114,7 +114,10 @@
                 run: 1,
             };
             let place = u32::try_from(id * 10).expect("small") + index;
-            let worker = WorkerNumber(1 + place % WORKERS);
+            let worker = WorkerIncarnation {
+                number: WorkerNumber(1 + place % WORKERS),
+                started_ms: 0,
+            };
             state.apply(Command::Place {
                 runs: vec![run],
                 worker,
--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -4,7 +4,7 @@
 use acaciareel_types::{Millis, SortedVec};
 
 use super::{stalls::WorkerProgress, tenants::Charge};
-use crate::{CellState, Demand, RunKey, WorkerNumber, WorkerRecord};
+use crate::{CellState, Demand, RunKey, WorkerIncarnation, WorkerNumber, WorkerRecord};
 
 /// A worker's clock may run slower than this VM's by this share, in thousandths (2%, bound of the
 /// platform).
@@ -177,6 +177,17 @@
     }
 }
 
+/// Delay of a renewal that is needed while none is under way.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum RenewalDelay {
+    /// No renewal is needed, or one is under way.
+    None,
+    /// A renewal is needed since this time.
+    Since(Millis),
+    /// The delay is long, and is logged.
+    Logged,
+}
+
 /// State of a worker that only the leader holds.
 #[derive(Clone, Debug)]
 pub(super) struct WorkerView {
@@ -219,10 +230,7 @@
     pub fencing_call: Option<u64>,
     pub renewal_call: Option<u64>,
     pub next_renewal_ms: Millis,
-    /// Time since which a renewal is needed and none is under way.
-    pub renewal_due_since_ms: Option<Millis>,
-    /// Whether the delay of that renewal is logged.
-    pub renewal_overdue_logged: bool,
+    pub renewal_delay: RenewalDelay,
     /// Numbers of the last completion that was read, that is committed, and that was acknowledged.
     pub completions_read: u64,
     pub completions_committed: u64,
@@ -271,8 +279,7 @@
             fencing_call: None,
             renewal_call: None,
             next_renewal_ms: Millis(0),
-            renewal_due_since_ms: None,
-            renewal_overdue_logged: false,
+            renewal_delay: RenewalDelay::None,
             completions_read: 0,
             completions_committed: 0,
             completions_acknowledged: 0,
@@ -286,6 +293,11 @@
         }
     }
 
+    /// Returns the incarnation of which the view tells.
+    pub fn incarnation(&self) -> WorkerIncarnation {
+        self.record.incarnation(self.number)
+    }
+
     /// Returns the fencing token of calls in a term. It grows with the term and, within a term,
     /// with the epoch.
     pub fn token(&self, term: u64) -> u64 {
@@ -369,6 +381,8 @@
                     tries: u32::MAX,
                 };
             }
+            // The stop went to the earlier incarnation.
+            run.stop_sent_ms = None;
         }
         self.recompute_free();
     }
--- a/crates/cell/src/leader/worker_commands.rs
+++ b/crates/cell/src/leader/worker_commands.rs
@@ -5,8 +5,8 @@
     worker::{LossReason, Phase, RunView},
 };
 use crate::{
-    CellState, Effect, JobState, RunKey, StartRefusal, StepKey, TaskState, WorkerNumber,
-    WorkerReply, WorkerRequest, io::Io,
+    CellState, Effect, JobState, RunKey, StartRefusal, StepKey, TaskState, WorkerIncarnation,
+    WorkerNumber, WorkerReply, WorkerRequest, io::Io,
 };
 
 /// Number of times that a start is sent before a call with a higher fencing token decides its
@@ -70,7 +70,9 @@
         let Some(view) = self.workers.get(&number) else {
             return;
         };
-        if !io.holds_lease {
+        // A later incarnation may have been committed together with the placements. They were made for
+        // this one and are dropped when the leader handles the other.
+        if !io.holds_lease || !state.is_current(view.incarnation()) {
             return;
         }
         let due: Vec<RunKey> = view
@@ -144,13 +146,12 @@
             run.began_afresh = checkpoint.is_empty();
         }
         let ticket = run.ticket.clone();
-        let incarnation_started_ms = view.record.incarnation_started_ms;
+        let worker = view.incarnation();
         self.worker_calls.insert(
             call,
             WorkerCall::Start {
-                worker: number,
+                worker,
                 run: key,
-                incarnation_started_ms,
                 min_clock_ms,
             },
         );
@@ -192,14 +193,12 @@
                 WorkerCall::Renewal {
                     worker,
                     token,
-                    incarnation_started_ms,
                     acknowledged,
                     ..
                 },
                 WorkerReply::Renewed(report),
             ) => {
-                let sent = (token, incarnation_started_ms, acknowledged);
-                self.renewed(state, worker, call, sent, report, io);
+                self.renewed(state, worker, call, (token, acknowledged), report, io);
             }
             (WorkerCall::Renewal { worker, fence, .. }, _) => {
                 self.renewal_failed(worker, call, fence, io);
@@ -208,21 +207,15 @@
                 WorkerCall::Start {
                     worker,
                     run,
-                    incarnation_started_ms,
                     min_clock_ms,
                 },
                 reply,
             ) => {
-                let same_incarnation = self.workers.get(&worker).is_some_and(|view| {
-                    view.record.incarnation_started_ms == incarnation_started_ms
-                });
-                if same_incarnation {
-                    self.start_replied(state, worker, (run, min_clock_ms), reply, io);
-                }
+                self.start_replied(state, worker, (run, min_clock_ms), reply, io);
             }
             (WorkerCall::Stop { worker, run }, reply) => {
                 if *reply != WorkerReply::Stopped
-                    && let Some(view) = self.workers.get_mut(&worker)
+                    && let Some(view) = self.incarnation_mut(worker)
                     && let Some(run) = view.runs.get_mut(&run)
                 {
                     run.stop_sent_ms = None;
@@ -234,13 +227,13 @@
     fn start_replied(
         &mut self,
         state: &CellState,
-        number: WorkerNumber,
+        worker: WorkerIncarnation,
         (key, min_clock_ms): (RunKey, u64),
         reply: &WorkerReply,
         io: &mut Io<'_>,
     ) {
-        let (at_call, term) = (self.next_call, self.term);
-        let Some(view) = self.workers.get_mut(&number) else {
+        let (at_call, term, number) = (self.next_call, self.term, worker.number);
+        let Some(view) = self.incarnation_mut(worker) else {
             return;
         };
         let (current, has_room) = (view.token(term), view.has_room_for(&key, io.now_ms));
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -38,7 +38,7 @@
     crashes::CrashCount,
     domains::domain_places,
     entry::Entry,
-    ids::{IdError, JobId, RunKey, StepKey, TaskKey, WorkerNumber},
+    ids::{IdError, JobId, RunKey, StepKey, TaskKey, WorkerIncarnation, WorkerNumber},
     io::{
         ControlReply, ControlRequest, Effect, Event, LogLevel, Origin, RenewalReport, ReportedRun,
         StartRefusal, WorkerReply, WorkerRequest,
--- a/crates/cell/src/model.rs
+++ b/crates/cell/src/model.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ApiKeyDigest;
+use crate::{ApiKeyDigest, WorkerIncarnation, WorkerNumber};
 
 /// An amount of each resource that tasks share on a worker.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -294,6 +294,15 @@
 }
 
 impl WorkerRecord {
+    /// Returns the incarnation that the record describes, of the worker with this number.
+    #[must_use]
+    pub fn incarnation(&self, number: WorkerNumber) -> WorkerIncarnation {
+        WorkerIncarnation {
+            number,
+            started_ms: self.incarnation_started_ms,
+        }
+    }
+
     /// Returns whether both records say the same of a worker.
     #[must_use]
     pub fn says_same(&self, other: &Self) -> bool {
--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Command, CrashCount, Job, JobId, JobState, QueueTable, RunKey, TaskKey, TaskState,
-    WorkerNumber, WorkerRecord,
+    WorkerIncarnation, WorkerNumber, WorkerRecord,
     crashes::{Crashes, StoredCrashes},
     placed_runs::PlacedRuns,
 };
@@ -49,8 +49,8 @@
     /// Completions of a worker were handled.
     RunsCompleted {
         /// Worker that reported the completions.
-        worker: WorkerNumber,
-        /// Worker's number of the last completion.
+        worker: WorkerIncarnation,
+        /// Number of the last completion in the count of this incarnation.
         through: u64,
         /// Jobs of the completed runs, sorted.
         jobs: Vec<JobId>,
@@ -134,6 +134,13 @@
         numbers.map_or(&[], Vec::as_slice)
     }
 
+    /// Returns whether no later incarnation of a worker has joined, and the worker is not removed.
+    #[must_use]
+    pub fn is_current(&self, worker: WorkerIncarnation) -> bool {
+        let record = self.workers.get(&worker.number);
+        record.is_some_and(|record| record.incarnation(worker.number) == worker)
+    }
+
     /// Returns the saved run times, as a leader encoded them; empty before the first save.
     #[must_use]
     pub fn run_times(&self) -> &[u8] {
@@ -220,7 +227,7 @@
                     if let Some(job) = self.jobs.get_mut(&completion.run.task.step.job) {
                         superfluous.extend(job.complete_run(
                             completion,
-                            worker,
+                            worker.number,
                             at_unix_ms,
                             &mut self.placed,
                         ));
@@ -235,12 +242,16 @@
             }
             Command::Lost { worker, runs } => self.lose_runs(worker, &runs),
             Command::LeaseExpired { worker, runs } => {
+                // The crash of an earlier incarnation was counted when the present one joined.
+                let may_have_crashed = self.is_current(worker);
                 let runs = runs.into_iter().map(|(key, checkpoint, confirmed)| {
-                    self.crashes.lease_expired(worker, key, confirmed);
+                    if may_have_crashed {
+                        self.crashes.lease_expired(worker.number, key, confirmed);
+                    }
                     (key, checkpoint)
                 });
                 let runs: Vec<_> = runs.collect();
-                self.lose_runs(worker, &runs)
+                self.lose_runs(worker.number, &runs)
             }
             Command::RemoveJobs(ids) => {
                 let ended = |job: &Job| job.state != JobState::Active && job.occurrences.is_empty();
@@ -260,7 +271,9 @@
                 Change::RunsLost { jobs: Vec::new() }
             }
             Command::ForgetExpired(worker) => {
-                self.crashes.forget_expired(worker);
+                if self.is_current(worker) {
+                    self.crashes.forget_expired(worker.number);
+                }
                 Change::RunsLost { jobs: Vec::new() }
             }
             Command::GiveUp { id, at_unix_ms } => {
@@ -313,7 +326,11 @@
     /// Removes a worker whose process has ended or that has long been silent without runs. A run that
     /// is still placed on it was committed after the leader proposed the removal: no process can run
     /// it, and no later report would end it.
-    fn remove_worker(&mut self, worker: WorkerNumber) -> Change {
+    fn remove_worker(&mut self, incarnation: WorkerIncarnation) -> Change {
+        let worker = incarnation.number;
+        if self.workers.contains_key(&worker) && !self.is_current(incarnation) {
+            return Change::RunsLost { jobs: Vec::new() };
+        }
         if let Some(record) = self.workers.remove(&worker) {
             self.numbers_by_id.remove(&record.id);
             self.forget_address(worker, Some(&record.address));
@@ -388,13 +405,15 @@
         }
     }
 
-    fn place(&mut self, runs: Vec<RunKey>, worker: WorkerNumber) -> Change {
-        let known = self.workers.contains_key(&worker);
-        self.crashes.forget_expired(worker);
+    fn place(&mut self, runs: Vec<RunKey>, incarnation: WorkerIncarnation) -> Change {
+        let (worker, current) = (incarnation.number, self.is_current(incarnation));
+        if current {
+            self.crashes.forget_expired(worker);
+        }
         let (runs, refused) = runs.into_iter().partition(|key| {
             let exhausted = self.crash_count(key.task).is_exhausted();
             let job = self.jobs.get_mut(&key.task.step.job);
-            known
+            current
                 && job.is_some_and(|job| {
                     !(exhausted && has_limit(job, key.task))
                         && job.place(*key, worker, &mut self.placed)
--- a/crates/cell/tests/cell/crash_counts.rs
+++ b/crates/cell/tests/cell/crash_counts.rs
@@ -1,8 +1,8 @@
 //! Crashes of workers in the replicated state: what counts, and when a task is exhausted.
 
 use acaciareel_cell::{
-    CellState, Change, Command, JobId, RunKey, StepKey, TaskKey, TaskState, WorkerNumber,
-    WorkerRecord,
+    CellState, Change, Command, JobId, RunKey, StepKey, TaskKey, TaskState, WorkerIncarnation,
+    WorkerNumber, WorkerRecord,
 };
 
 use crate::sim::{gang, job, queue, step};
@@ -49,11 +49,16 @@
     state
 }
 
+fn present_incarnation(state: &CellState) -> WorkerIncarnation {
+    let record = state.workers().get(&WORKER).expect("worker");
+    record.incarnation(WORKER)
+}
+
 /// Returns whether the placement of a run is accepted.
 fn place(state: &mut CellState, index: u32, run: u32) -> bool {
     let task = task(index);
     let runs = vec![RunKey { task, run }];
-    let worker = WORKER;
+    let worker = present_incarnation(state);
     let change = state.apply(Command::Place { runs, worker });
     matches!(change, Change::Placed { refused, .. } if refused.is_empty())
 }
@@ -93,7 +98,7 @@
         run: 3,
     };
     let runs = vec![(run, String::new(), true)];
-    let worker = WORKER;
+    let worker = present_incarnation(&state);
     state.apply(Command::LeaseExpired { worker, runs });
 
     let restored = CellState::from_bytes(&state.to_bytes()).expect("snapshot");
@@ -181,7 +186,7 @@
     let mut state = state(false);
     place(&mut state, 0, 1);
 
-    state.apply(Command::RemoveWorker(WORKER));
+    state.apply(Command::RemoveWorker(present_incarnation(&state)));
 
     let task = state.job(JOB).and_then(|job| job.task(task(0)));
     assert_eq!(task.expect("task").state, TaskState::Waiting);
--- a/crates/cell/tests/cell/indexes.rs
+++ b/crates/cell/tests/cell/indexes.rs
@@ -1,7 +1,8 @@
 //! Indexes of the replicated state agree with what they are derived from.
 
 use acaciareel_cell::{
-    CellState, Command, JobId, RunCompletion, RunOutcome, TaskState, WorkerNumber, WorkerRecord,
+    CellState, Command, JobId, RunCompletion, RunOutcome, TaskState, WorkerIncarnation,
+    WorkerNumber, WorkerRecord,
 };
 use proptest::prelude::*;
 
@@ -25,6 +26,8 @@
 /// three tasks each.
 fn any_command() -> impl Strategy<Value = Command> {
     let worker_number = (1u32..8).prop_map(WorkerNumber);
+    let incarnation = (worker_number.clone(), 1u64..5)
+        .prop_map(|(number, started_ms)| WorkerIncarnation { number, started_ms });
     let any_run =
         (1u64..3, 0u32..3, 1u32..5).prop_map(|(job, index, number)| run(job, index, number));
     let record = (0u32..4, 0u32..3, 1u64..5).prop_map(|(id, address, life)| WorkerRecord {
@@ -38,19 +41,19 @@
     ];
     prop_oneof![
         4 => record.prop_map(Command::Worker),
-        2 => worker_number.clone().prop_map(Command::RemoveWorker),
-        8 => (prop::collection::vec(any_run.clone(), 1..4), worker_number.clone())
+        2 => incarnation.clone().prop_map(Command::RemoveWorker),
+        8 => (prop::collection::vec(any_run.clone(), 1..4), incarnation.clone())
             .prop_map(|(runs, worker)| Command::Place { runs, worker }),
-        3 => (any_run.clone(), outcome, worker_number.clone()).prop_map(|(run, outcome, worker)| {
+        3 => (any_run.clone(), outcome, incarnation.clone()).prop_map(|(run, outcome, worker)| {
             let checkpoint = String::new();
             let completions = vec![RunCompletion { run, outcome, checkpoint }];
             Command::Completions { worker, through: 1, completions, at_unix_ms: 1 }
         }),
-        3 => (any_run.clone(), worker_number.clone()).prop_map(|(run, worker)| Command::Lost {
+        3 => (any_run.clone(), worker_number).prop_map(|(run, worker)| Command::Lost {
             worker,
             runs: vec![(run, String::new())],
         }),
-        2 => (any_run, worker_number).prop_map(|(run, worker)| Command::LeaseExpired {
+        2 => (any_run, incarnation).prop_map(|(run, worker)| Command::LeaseExpired {
             worker,
             runs: vec![(run, String::new(), true)],
         }),
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod domain_preference;
 mod faults;
+mod incarnations;
 mod indexes;
 mod keys;
 mod load;
--- a/crates/cell/tests/cell/returns.rs
+++ b/crates/cell/tests/cell/returns.rs
@@ -457,3 +457,64 @@
         assert_eq!(sim.unfinished(2..6), Vec::<u64>::new(), "seed {seed}");
     }
 }
+
+/// Guards against a worker that gets no renewals any more, because completions that its earlier
+/// incarnation reported are committed after the present one has joined.
+#[test]
+fn late_report_of_an_earlier_incarnation_does_not_end_renewals() {
+    let mut unfinished = Vec::new();
+    for delay_ms in (0..80).step_by(5) {
+        let mut sim = cell(1, 1);
+        sim.worker_link_ms = 0;
+        sim.submit("batch", 1, job(vec![step(1, 4_000, 1_000)]));
+        let hosts = wait_for_hosts(&mut sim, 1, 1);
+        sim.reply_delays_ms.insert(hosts[0].clone(), delay_ms);
+        while !sim.hosts(1).is_empty() {
+            sim.run(5);
+        }
+        sim.reply_delays_ms.clear();
+        restart_worker(&mut sim, &hosts[0]);
+        announce(&mut sim, &hosts);
+        sim.run(200);
+
+        sim.submit("batch", 2, job(vec![step(1, 4_000, 300)]));
+        sim.run(2_000);
+
+        if !sim.unfinished(1..3).is_empty() {
+            unfinished.push(delay_ms);
+        }
+    }
+    assert_eq!(unfinished, Vec::<u64>::new(), "ms that the report is late");
+}
+
+/// Guards against a start on a worker that has come back without the label which the step requires,
+/// because the placement was under way when it announced itself.
+#[test]
+fn placement_for_an_earlier_incarnation_is_not_sent_to_the_present_one() {
+    let labels = |label: &str| vec![label.to_owned()];
+    for lead_ms in (0..80).step_by(5) {
+        let mut sim = cell(1, 2);
+        sim.worker_link_ms = 0;
+        for id in ["worker-0", "worker-1"] {
+            sim.workers.get_mut(id).expect("worker").record.labels = labels("big");
+        }
+        sim.run(2_000);
+        let task = StepSpec {
+            required_label: Some("big".to_owned()),
+            ..step(1, 4_000, 300)
+        };
+        sim.submit("batch", 1, job(vec![task; 6]));
+        sim.run(lead_ms);
+        restart_worker(&mut sim, "worker-0");
+        sim.workers
+            .get_mut("worker-0")
+            .expect("worker")
+            .record
+            .labels = labels("small");
+        announce(&mut sim, &["worker-0".to_owned()]);
+
+        sim.run(12_000);
+
+        assert_eq!(sim.unfinished(1..2), Vec::<u64>::new(), "{lead_ms} ms");
+    }
+}
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -93,6 +93,12 @@
     pub crashes: Crashes,
     /// Workers whose heartbeats are lost.
     pub unheard_workers: BTreeSet<String>,
+    /// Time that a command takes from a VM to a worker, or its reply back.
+    pub worker_link_ms: u64,
+    /// Further time that the replies of a worker take on their way.
+    pub reply_delays_ms: BTreeMap<String, u64>,
+    /// Labels of the workers by id, as the VM knew them before the event that it handles.
+    labels: BTreeMap<String, Vec<String>>,
     /// Percentage of commands that are executed late and without a reply.
     pub lost_replies_percent: u64,
     pub jobs: BTreeMap<JobId, JobSpec>,
@@ -275,6 +281,9 @@
             cut_workers: BTreeSet::new(),
             crashes: Crashes::default(),
             unheard_workers: BTreeSet::new(),
+            worker_link_ms: LINK_MS,
+            reply_delays_ms: BTreeMap::new(),
+            labels: BTreeMap::new(),
             lost_replies_percent: 0,
             jobs: BTreeMap::new(),
             replies: BTreeMap::new(),
@@ -486,6 +495,7 @@
     }
 
     fn reduce(&mut self, vm: VmId, event: Event) {
+        self.note_labels(vm);
         let now_ms = Millis(self.now_ms);
         let unix_ms = self.unix_ms();
         let Some(reducer) = self.vms.get_mut(&vm).and_then(|slot| slot.reducer.as_mut()) else {
@@ -621,6 +631,7 @@
         *self.commands_sent_by.entry(vm).or_default() += 1;
         let is_new = self.worker_calls.insert((call.1, call.0));
         assert!(is_new, "{} reuses call {}", call.1, call.0);
+        self.check_label(&worker_id, &request);
         let reachable = !self.cut_workers.contains(&worker_id)
             && self.workers.get(&worker_id).is_some_and(|w| w.alive);
         let lost = self.random(100) < self.lost_replies_percent;
@@ -634,7 +645,7 @@
             let delay_ms = if lost {
                 2_000 + self.random(4_000)
             } else {
-                LINK_MS
+                self.worker_link_ms
             };
             self.next_id += 1;
             let command = WorkerCommand {
@@ -649,6 +660,36 @@
         }
     }
 
+    /// Checks that a start goes to a worker that has the label which the step requires, by the record
+    /// that the leader knew before the event which it handles.
+    fn check_label(&self, worker_id: &str, request: &WorkerRequest) {
+        let WorkerRequest::Start { run, .. } = request else {
+            return;
+        };
+        let step = &self.jobs[&run.task.step.job].steps[run.task.step.step as usize];
+        if let (Some(label), Some(labels)) = (&step.required_label, self.labels.get(worker_id)) {
+            assert!(
+                labels.contains(label),
+                "{run} is sent to {worker_id} without {label} at {} ms",
+                self.now_ms
+            );
+        }
+    }
+
+    /// Notes the labels of the workers that a VM knows, if some job requires a label.
+    fn note_labels(&mut self, vm: VmId) {
+        let mut steps = self.jobs.values().flat_map(|job| &job.steps);
+        if !steps.any(|step| step.required_label.is_some()) {
+            return;
+        }
+        let Some(state) = self.control_of(vm).map(Control::state) else {
+            return;
+        };
+        let records = state.workers().values();
+        let labels = records.map(|record| (record.id.clone(), record.labels.clone()));
+        self.labels = labels.collect();
+    }
+
     /// Checks that an entry VM does not give one number to two requests, which would take the reply
     /// to the first for one to the second.
     fn check_caller_call(&mut self, vm: VmId, message: &PeerMessage) {
@@ -724,7 +765,12 @@
                 .push((vm, process_epoch, call, worker_id.clone(), until_ms));
             return;
         }
-        self.post(LINK_MS, vm, replied(call, reply));
+        let delay_ms = self.reply_delay_ms(worker_id);
+        self.post(delay_ms, vm, replied(call, reply));
+    }
+
+    fn reply_delay_ms(&self, worker_id: &str) -> u64 {
+        self.worker_link_ms + self.reply_delays_ms.get(worker_id).copied().unwrap_or(0)
     }
 
     /// Checks the invariants of a start: the worker has the capacity, the task runs nowhere else
@@ -838,7 +884,8 @@
                 } else {
                     WorkerReply::Renewed(worker.report(now_ms))
                 };
-                self.post(LINK_MS, vm, replied(call, reply));
+                let delay_ms = self.reply_delay_ms(&worker_id);
+                self.post(delay_ms, vm, replied(call, reply));
             } else {
                 self.held_renewals
                     .push((vm, process_epoch, call, worker_id, until_ms));
--- a/crates/cell/tests/restarts.rs
+++ b/crates/cell/tests/restarts.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use acaciareel_cell::{
-    CellState, Change, Command, JobId, JobSpec, QueueRow, StepSpec, WorkerNumber, WorkerRecord,
+    CellState, Change, Command, JobId, JobSpec, QueueRow, StepSpec, WorkerIncarnation,
+    WorkerNumber, WorkerRecord,
 };
 
 #[path = "fixtures/records.rs"]
@@ -63,7 +64,10 @@
             },
         );
         for index in 0..2 {
-            let worker = WorkerNumber(1 + (2 * number + index) % WORKERS);
+            let worker = WorkerIncarnation {
+                number: WorkerNumber(1 + (2 * number + index) % WORKERS),
+                started_ms: 1,
+            };
             let runs = vec![run(job_id(number), index, 1)];
             state.apply(Command::Place { runs, worker });
         }
