Do not lose runs behind the end of a full list of completions

Cause: a run in neither list of a report counted as lost, and a worker lists at most 500 completions at a time. Evidence: 500 run_ended lines with end=500, 2 ms later run_lost reason=not_at_worker for the other runs, and 23 ms later run_ended end=560 for those. A worker that forgets completions, and a report that is compared with other runs, are ruled out by the second report.

RenewalReport::rules_out answers whether a run is not on the worker, and an incomplete list rules out none. The rest of the list follows the commit and acknowledgement of the first part, and decides.

The same cause: failures behind the end of a list were not counted, and a run that the leader had not placed stopped counting against the capacity.

--- a/crates/acaciareeld/tests/cell/worker.rs
+++ b/crates/acaciareeld/tests/cell/worker.rs
@@ -21,6 +21,8 @@
 
 /// Run time of each task; for a gang, since its last member started.
 const RUN_TIME: Duration = Duration::from_millis(200);
+/// Most completions in one report (bound of the platform).
+const MAX_LISTED: usize = 500;
 /// Number of tasks of the gang in the job of these tests.
 const GANG_SIZE: usize = 3;
 /// Processor capacity of each worker.
@@ -211,6 +213,7 @@
             .collect();
         let completions = self.completions.iter();
         let completions: Vec<Value> = completions
+            .take(MAX_LISTED)
             .map(|(number, task, run, outcome)| json!([number, task, run, outcome, ""]))
             .collect();
         json!({
--- a/crates/cell/src/io.rs
+++ b/crates/cell/src/io.rs
@@ -134,8 +134,21 @@
     pub incarnation_started_ms: Option<u64>,
     /// All runs that are running on the worker.
     pub running: Vec<ReportedRun>,
-    /// Completions that are not acknowledged, with their numbers in ascending order.
+    /// Completions that are not acknowledged, from the first on, with their numbers in ascending order.
     pub completions: Vec<(u64, RunCompletion)>,
+    /// Whether no further completions may wait behind the listed ones. The list is bounded; the rest
+    /// follows once the listed ones are acknowledged.
+    pub lists_all_completions: bool,
+}
+
+impl RenewalReport {
+    /// Returns whether the report shows that a run is not on the worker: it is not running, and has
+    /// not completed without being listed.
+    #[must_use]
+    pub fn rules_out(&self, run: RunKey) -> bool {
+        let is_running = || self.running.iter().any(|running| running.run == run);
+        self.lists_all_completions && !is_running()
+    }
 }
 
 /// Reply of a worker, or its absence.
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -251,8 +251,7 @@
             Phase::Confirmed { at_call } => at_call < call,
             Phase::Proposed | Phase::Committed | Phase::Unexpected => false,
         };
-        let is_reported = |key: &RunKey| report.running.iter().any(|run| run.run == *key);
-        let missing = |key: &RunKey, run: &RunView| decided(run) && !is_reported(key);
+        let missing = |key: &RunKey, run: &RunView| decided(run) && report.rules_out(*key);
         self.lose_runs(number, missing, LossReason::NotAtWorker, io);
         self.stop_due(number, io);
         self.renew(number, io);
@@ -282,6 +281,14 @@
         };
         let through = *through;
         view.completions_read = through;
+        if !report.lists_all_completions {
+            let fields = vec![
+                ("worker", view.record.id.clone()),
+                ("listed", report.completions.len().to_string()),
+                ("through", through.to_string()),
+            ];
+            io.log("completions_incomplete", fields);
+        }
         let mut completions = Vec::with_capacity(new.len());
         let mut failed_job = None;
         for (_, completion) in new {
@@ -349,9 +356,8 @@
         let Some(view) = self.workers.get_mut(&number) else {
             return;
         };
-        let is_reported = |key: &RunKey| report.running.iter().any(|run| run.run == *key);
         view.runs
-            .retain(|key, run| run.phase != Phase::Unexpected || is_reported(key));
+            .retain(|key, run| run.phase != Phase::Unexpected || !report.rules_out(*key));
         let mut confirmed = Vec::new();
         for reported in &report.running {
             if let Some(run) = view.runs.get_mut(&reported.run) {
--- a/crates/cell/src/leader/tests.rs
+++ b/crates/cell/src/leader/tests.rs
@@ -1,11 +1,12 @@
-//! What the leader knows of a worker when a later incarnation joins under its number.
+//! What the leader concludes from a worker's reports, and forgets when the next incarnation joins.
 
 use acaciareel_types::{Millis, VmId};
 
 use super::Leader;
 use crate::{
     AdviceCost, Bounds, CellState, Command, Demand, Effect, FinishedRun, JobId, QueueRow,
-    SpeedClass, StepKey, WorkerNumber, WorkerRecord, WorkerReply, io::Io,
+    RenewalReport, ReportedRun, RunKey, SpeedClass, StepKey, TaskKey, WorkerNumber, WorkerRecord,
+    WorkerReply, WorkerRequest, io::Io,
 };
 
 const NOW_MS: Millis = Millis(10_000);
@@ -100,10 +101,33 @@
         self.act(|leader, state, io| leader.handle_change(state, change, io));
     }
 
-    /// Returns the number of the latest call to a worker.
+    /// Answers the latest renewal with a report.
+    fn report(&mut self, running: &[RunKey], lists_all_completions: bool) {
+        let running = running.iter().map(|run| ReportedRun {
+            run: *run,
+            checkpoint: String::new(),
+            percent: 0,
+        });
+        let report = RenewalReport {
+            clock_ms: 1_000,
+            incarnation_started_ms: Some(1),
+            running: running.collect(),
+            completions: Vec::new(),
+            lists_all_completions,
+        };
+        let (call, reply) = (self.latest_call(), WorkerReply::Renewed(report));
+        self.act(|leader, state, io| leader.worker_replied(state, call, &reply, io));
+    }
+
+    /// Returns the number of the latest renewal or request for advice.
     fn latest_call(&self) -> u64 {
         let mut calls = self.effects.iter().filter_map(|effect| match effect {
-            Effect::CallWorker { call, .. } | Effect::RequestAdvice { call, .. } => Some(*call),
+            Effect::CallWorker {
+                call,
+                request: WorkerRequest::Renew { .. },
+                ..
+            }
+            | Effect::RequestAdvice { call, .. } => Some(*call),
             _ => None,
         });
         calls.next_back().expect("call")
@@ -181,3 +205,29 @@
     assert!(before < SpeedClass::Usual, "{before:?}");
     assert_eq!(fixture.leader.speeds.class(REBORN), SpeedClass::Usual);
 }
+
+/// Guards against starts that bring a worker over its capacity, because a run that the leader did not
+/// place there counts as ended while its completion is behind the end of a full list.
+#[test]
+fn unexpected_run_is_counted_until_a_complete_list_rules_it_out() {
+    let mut fixture = Fixture::new();
+    let task = TaskKey {
+        step: step(1),
+        index: 0,
+    };
+    let is_counted = |fixture: &Fixture| {
+        let view = fixture.leader.workers.get(&REBORN).expect("worker");
+        !view.runs.is_empty() && view.free.cpu_millicores == 0
+    };
+    fixture.act(|leader, _, io| leader.renew(REBORN, io));
+
+    fixture.report(&[RunKey { task, run: 1 }], true);
+    let while_running = is_counted(&fixture);
+    fixture.report(&[], false);
+    let while_incomplete = is_counted(&fixture);
+    fixture.report(&[], true);
+
+    assert!(while_running);
+    assert!(while_incomplete);
+    assert!(!is_counted(&fixture));
+}
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -6,6 +6,7 @@
 //! of faults or an incident in docs/incidents, and the seed.
 
 mod capacity;
+mod completion_lists;
 mod crash_counts;
 mod crashes;
 mod domain_preference;
--- a/crates/cell/tests/cell/worker.rs
+++ b/crates/cell/tests/cell/worker.rs
@@ -9,6 +9,8 @@
 
 /// Longest lease that the worker grants.
 pub const LEASE_MS: u64 = 6_000;
+/// Most completions in one report (bound of the platform).
+const MAX_LISTED: usize = 500;
 
 /// A run on the worker.
 #[derive(Clone, Debug)]
@@ -64,6 +66,8 @@
     pub running: BTreeMap<RunKey, Running>,
     last_ended_run: BTreeMap<TaskKey, u32>,
     completions: Vec<(u64, RunCompletion)>,
+    /// Most completions in one report.
+    pub max_listed: usize,
     next_completion: u64,
     /// Tasks of which a completion with [`RunOutcome::Done`] was listed in a report, and when first.
     pub listed_done: BTreeMap<TaskKey, u64>,
@@ -97,6 +101,7 @@
             running: BTreeMap::new(),
             last_ended_run: BTreeMap::new(),
             completions: Vec::new(),
+            max_listed: MAX_LISTED,
             next_completion: 1,
             listed_done: BTreeMap::new(),
             acknowledged_done: BTreeSet::new(),
@@ -334,7 +339,13 @@
     }
 
     pub fn report(&mut self, now_ms: u64) -> RenewalReport {
-        for (_, completion) in &self.completions {
+        let listed: Vec<_> = self
+            .completions
+            .iter()
+            .take(self.max_listed)
+            .cloned()
+            .collect();
+        for (_, completion) in &listed {
             if completion.outcome == RunOutcome::Done {
                 let task = completion.run.task;
                 self.listed_done.entry(task).or_insert(now_ms);
@@ -349,7 +360,8 @@
             clock_ms: self.clock_ms(now_ms),
             incarnation_started_ms: Some(self.record.incarnation_started_ms),
             running: running.collect(),
-            completions: self.completions.clone(),
+            lists_all_completions: listed.len() < self.max_listed,
+            completions: listed,
         }
     }
 }
