Count a deregistration only for the incarnation that it names

When the held-up notice arrived, the leader gave the worker no task any more, although it acknowledged its heartbeats as ready; a job that needed its label stayed queued for 40 s.

Evidence: worker_deregistered after worker_reborn, and no placement after it. A drain that stays in the record and missing renewals are ruled out by worker_reborn and by the absence of renewal_overdue.

Change: a deregistration names its incarnation, also when it is forwarded, and counts only for that one.

--- a/crates/cell/src/io.rs
+++ b/crates/cell/src/io.rs
@@ -32,16 +32,23 @@
         sequence: u64,
     },
     /// A worker ends and must get no further runs.
-    Deregister {
-        /// Id under which the worker announced itself.
-        worker_id: String,
-    },
+    Deregister(Deregistration),
     /// An operator replaces the queue table.
     PutQueues(QueueTable),
     /// An operator reads the queue table.
     GetQueues,
 }
 
+/// What a worker says when it ends. It may arrive after the next incarnation has announced itself.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Deregistration {
+    /// Id under which the worker announced itself.
+    pub worker_id: String,
+    /// Start of the incarnation that ends, in Unix milliseconds of the worker's clock; `None` if the
+    /// worker did not tell.
+    pub incarnation_started_ms: Option<u64>,
+}
+
 /// Reply on the interface for workers and operators.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ControlReply {
--- a/crates/cell/src/leader/announcements.rs
+++ b/crates/cell/src/leader/announcements.rs
@@ -1,7 +1,9 @@
 //! Requests of workers and operators: announcements, deregistrations and queue tables.
 
 use super::Leader;
-use crate::{CellState, Command, ControlReply, ControlRequest, Origin, WorkerRecord, io::Io};
+use crate::{
+    CellState, Command, ControlReply, ControlRequest, Deregistration, Origin, WorkerRecord, io::Io,
+};
 
 impl Leader {
     pub fn control_request(
@@ -20,13 +22,8 @@
                 clock_ms,
                 sequence,
             } => self.announce(state, origin, worker, clock_ms, sequence, io),
-            ControlRequest::Deregister { worker_id } => {
-                if let Some(number) = state.worker_by_id(&worker_id)
-                    && let Some(view) = self.workers.get_mut(&number)
-                {
-                    view.deregistered_ms.get_or_insert(io.now_ms);
-                    io.log("worker_deregistered", vec![("worker", worker_id)]);
-                }
+            ControlRequest::Deregister(notice) => {
+                self.deregister(state, notice, io);
                 io.reply_control(origin, ControlReply::Done);
             }
             ControlRequest::PutQueues(table) => {
@@ -47,6 +44,33 @@
         }
     }
 
+    /// Marks the incarnation that ends, if it is the present one. A notice that does not name its
+    /// incarnation counts only for a worker that has announced its drain, as each does before its end.
+    fn deregister(&mut self, state: &CellState, notice: Deregistration, io: &mut Io<'_>) {
+        let number = state.worker_by_id(&notice.worker_id);
+        let Some(view) = number.and_then(|number| self.workers.get_mut(&number)) else {
+            return;
+        };
+        let present_ms = view.record.incarnation_started_ms;
+        let ends = notice
+            .incarnation_started_ms
+            .map_or(view.record.draining, |ended_ms| ended_ms == present_ms);
+        if ends {
+            view.deregistered_ms.get_or_insert(io.now_ms);
+        }
+        let ended_ms = notice.incarnation_started_ms;
+        let fields = vec![
+            ("worker", notice.worker_id),
+            (
+                "incarnation",
+                ended_ms.map_or_else(String::new, |ms| ms.to_string()),
+            ),
+            ("present_incarnation", present_ms.to_string()),
+            ("ends", ends.to_string()),
+        ];
+        io.log("worker_deregistered", fields);
+    }
+
     fn announce(
         &mut self,
         state: &CellState,
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -40,8 +40,8 @@
     entry::Entry,
     ids::{IdError, JobId, RunKey, StepKey, TaskKey, WorkerIncarnation, WorkerNumber},
     io::{
-        ControlReply, ControlRequest, Effect, Event, LogLevel, Origin, RenewalReport, ReportedRun,
-        StartRefusal, WorkerReply, WorkerRequest,
+        ControlReply, ControlRequest, Deregistration, Effect, Event, LogLevel, Origin,
+        RenewalReport, ReportedRun, StartRefusal, WorkerReply, WorkerRequest,
     },
     job::{Job, JobState, StepProgress, Task, TaskState},
     leader::Bounds,
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -3,7 +3,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{ApiKeyDigest, ControlRequest, JobSpec, WorkerRecord, WorkerReply, WorkerRequest};
+use crate::{
+    ApiKeyDigest, ControlRequest, Deregistration, JobSpec, WorkerRecord, WorkerReply, WorkerRequest,
+};
 
 /// Request of a caller to an entry VM.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -212,10 +214,7 @@
         sequence: u64,
     },
     /// A worker ends and must get no further runs.
-    Deregister {
-        /// Id under which the worker announced itself.
-        worker_id: String,
-    },
+    Deregister(Deregistration),
 }
 
 impl WorkerNotice {
@@ -231,7 +230,7 @@
                 clock_ms,
                 sequence,
             }),
-            ControlRequest::Deregister { worker_id } => Some(Self::Deregister { worker_id }),
+            ControlRequest::Deregister(notice) => Some(Self::Deregister(notice)),
             ControlRequest::PutQueues(_) | ControlRequest::GetQueues => None,
         }
     }
@@ -249,7 +248,7 @@
                 clock_ms,
                 sequence,
             },
-            WorkerNotice::Deregister { worker_id } => Self::Deregister { worker_id },
+            WorkerNotice::Deregister(notice) => Self::Deregister(notice),
         }
     }
 }
--- a/crates/cell/tests/cell/crashes.rs
+++ b/crates/cell/tests/cell/crashes.rs
@@ -1,6 +1,6 @@
 //! Workers that crash, under a task that crashes each worker that starts it or by themselves.
 
-use acaciareel_cell::{CallerReply, ControlRequest, JobId, JobSpec, JobView, StepKey, TaskKey};
+use acaciareel_cell::{CallerReply, JobId, JobSpec, JobView, StepKey, TaskKey};
 
 use crate::{
     sim::{Comeback, Sim, gang, job, queue, service, step},
@@ -393,8 +393,8 @@
             sim.run(3_000);
             if seed % 2 == 0 {
                 let leader = sim.leader().expect("leader");
-                let worker_id = id.clone();
-                sim.control_request(leader, ControlRequest::Deregister { worker_id });
+                let notice = sim.workers[&id].deregistration();
+                sim.control_request(leader, notice);
                 sim.run(50);
             }
             let worker = sim.workers.get_mut(&id).expect("worker");
--- a/crates/cell/tests/cell/returns.rs
+++ b/crates/cell/tests/cell/returns.rs
@@ -1,6 +1,8 @@
 //! Workers that come back: after a cut beyond their lease, or as a new incarnation.
 
-use acaciareel_cell::{ControlRequest, JobId, StepKey, StepSpec, Task, TaskKey, TaskState};
+use acaciareel_cell::{
+    ControlRequest, Deregistration, JobId, StepKey, StepSpec, Task, TaskKey, TaskState,
+};
 
 use crate::{
     sim::{Comeback, Sim, first_step, gang, job, queue, step},
@@ -518,3 +520,72 @@
         assert_eq!(sim.unfinished(1..2), Vec::<u64>::new(), "{lead_ms} ms");
     }
 }
+
+/// Drains a worker, starts it again under its id, and returns the deregistration that its earlier
+/// incarnation has sent, with or without the name of that incarnation.
+fn drain_and_restart(sim: &mut Sim, id: &str, names_incarnation: bool) -> ControlRequest {
+    sim.workers.get_mut(id).expect("worker").record.draining = true;
+    sim.run(2_000);
+    let notice = if names_incarnation {
+        sim.workers[id].deregistration()
+    } else {
+        ControlRequest::Deregister(Deregistration {
+            worker_id: id.to_owned(),
+            incarnation_started_ms: None,
+        })
+    };
+    sim.workers.get_mut(id).expect("worker").record.draining = false;
+    restart_worker(sim, id);
+    notice
+}
+
+/// Guards against a worker that gets no runs any more, because the deregistration of its earlier
+/// incarnation arrives after the present one has announced itself.
+#[test]
+fn late_deregistration_does_not_shut_out_the_next_incarnation() {
+    let mut unfinished = Vec::new();
+    for (late_ms, named) in (0..60).step_by(5).flat_map(|ms| [(ms, true), (ms, false)]) {
+        let mut sim = cell(1, 1);
+        let id = "worker-0".to_owned();
+        let notice = drain_and_restart(&mut sim, &id, named);
+        announce(&mut sim, &[id]);
+        sim.run(late_ms);
+        let leader = sim.leader().expect("leader");
+        sim.control_request(leader, notice);
+        sim.run(500);
+
+        sim.submit("batch", 1, job(vec![step(1, 4_000, 300)]));
+        sim.run(2_000);
+
+        if !sim.unfinished(1..2).is_empty() {
+            unfinished.push((late_ms, named));
+        }
+    }
+    assert_eq!(unfinished, Vec::new(), "ms late, names its incarnation");
+}
+
+/// Guards against tasks that run twice, because the runs of the present incarnation count as ended after
+/// the deregistration of an earlier one and a call without a reply.
+#[test]
+fn late_deregistration_does_not_end_runs_of_the_next_incarnation() {
+    for named in [true, false] {
+        let mut sim = cell(1, 2);
+        let id = "worker-0".to_owned();
+        let notice = drain_and_restart(&mut sim, &id, named);
+        announce(&mut sim, std::slice::from_ref(&id));
+        sim.run(500);
+        sim.submit("batch", 1, job(vec![step(2, 20_000, 5_000)]));
+        wait_for_hosts(&mut sim, 1, 2);
+        let leader = sim.leader().expect("leader");
+        sim.control_request(leader, notice);
+        sim.run(1_200);
+
+        sim.cut_workers.insert(id);
+        sim.run(2_000);
+        sim.cut_workers.clear();
+        sim.run(5_000);
+
+        assert_eq!(sim.unfinished(1..2), Vec::<u64>::new(), "{named}");
+        assert_eq!(sim.starts, 2, "{named}");
+    }
+}
--- a/crates/cell/tests/cell/worker.rs
+++ b/crates/cell/tests/cell/worker.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use acaciareel_cell::{
-    Demand, RenewalReport, ReportedRun, RunCompletion, RunKey, RunOutcome, StartRefusal, TaskKey,
-    WorkerRecord, WorkerReply, WorkerRequest,
+    ControlRequest, Demand, Deregistration, RenewalReport, ReportedRun, RunCompletion, RunKey,
+    RunOutcome, StartRefusal, TaskKey, WorkerRecord, WorkerReply, WorkerRequest,
 };
 
 /// Longest lease that the worker grants.
@@ -132,6 +132,14 @@
         now_ms - self.clock_started_ms + self.clock_offset_ms
     }
 
+    /// Returns the notice that this incarnation ends.
+    pub fn deregistration(&self) -> ControlRequest {
+        ControlRequest::Deregister(Deregistration {
+            worker_id: self.record.id.clone(),
+            incarnation_started_ms: Some(self.record.incarnation_started_ms),
+        })
+    }
+
     /// Starts a new incarnation under the same id, with a clock that starts anew.
     pub fn restart(&mut self, now_ms: u64) {
         let mut record = self.record.clone();
