Take a deregistered worker for ended when it refuses connections

What callers would see (TWICE): a worker deregisters and is cut off before the acknowledgement reaches it. A second later one call without a reply made its runs count as ended, and they started elsewhere, although the worker goes on for some seconds (PROTOCOL.md: "it ends anyway, some seconds later").

Cause: silence was taken for the end of a process. Change: a refused connection has a reply of its own, NotListening, and only that shows the end of a worker that has deregistered; otherwise its runs wait for its leases.

Result: run_of_a_deregistered_worker_that_is_cut_off_is_not_started_elsewhere failed before ("runs twice at 7375 ms") and passes; run_of_a_deregistered_worker_that_has_ended_starts_elsewhere_at_once and refused_connection_is_told_from_a_call_without_a_reply pass.

--- a/crates/acaciareeld/src/cell/outbound.rs
+++ b/crates/acaciareeld/src/cell/outbound.rs
@@ -1,6 +1,6 @@
 //! HTTP calls to workers and to the policy service.
 
-use std::{net::SocketAddr, pin::pin, time::Duration};
+use std::{error::Error, fmt, io, iter, net::SocketAddr, pin::pin, time::Duration};
 
 use acaciareel_cell::{AdviceRequest, AdviceResponse, WorkerReply, WorkerRequest};
 use acaciareel_platform::{advice, http, workers};
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, header};
 use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
+    client::legacy::{self, Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
 use log::{debug, warn};
@@ -33,6 +33,36 @@
 /// after the other, each within 0.8 s.
 const ADVICE_TIMEOUT: Duration = Duration::from_millis(3_500);
 
+/// Why a call has no reply.
+#[derive(Debug)]
+enum CallError {
+    /// No process listens at the address.
+    ConnectionRefused,
+    Failed(String),
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::ConnectionRefused => write!(f, "connection refused"),
+            Self::Failed(reason) => write!(f, "{reason}"),
+        }
+    }
+}
+
+impl From<legacy::Error> for CallError {
+    fn from(error: legacy::Error) -> Self {
+        let sources = iter::successors(error.source(), |error| (*error).source());
+        let mut io_errors = sources.filter_map(|source| source.downcast_ref::<io::Error>());
+        let is_refused = |error: &io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
+        if error.is_connect() && io_errors.any(is_refused) {
+            Self::ConnectionRefused
+        } else {
+            Self::Failed(error.to_string())
+        }
+    }
+}
+
 /// HTTP client for workers and the policy service.
 #[derive(Clone, Debug)]
 pub struct Outbound {
@@ -74,17 +104,22 @@
         };
         let exchange = async {
             let (status, body) = self.post(address, path, Some(worker_id), body).await?;
-            workers::decode_reply(request, status, &body).map_err(|error| error.to_string())
+            workers::decode_reply(request, status, &body)
+                .map_err(|error| CallError::Failed(error.to_string()))
         };
         let mut exchange = pin!(exchange);
-        let failed = |reason: String| {
+        let failed = |error: CallError| {
+            let reason = error.to_string();
             debug!(event = "worker_call_failed", worker = worker_id, path, reason; "");
-            WorkerReply::NoReply
+            match error {
+                CallError::ConnectionRefused => WorkerReply::NotListening,
+                CallError::Failed(_) => WorkerReply::NoReply,
+            }
         };
         if let Ok(reply) = time::timeout(timeout, &mut exchange).await {
             return on_reply(reply.unwrap_or_else(failed)).await;
         }
-        on_reply(failed("no reply in time".to_owned())).await;
+        on_reply(failed(CallError::Failed("no reply in time".to_owned()))).await;
         if matches!(request, WorkerRequest::Renew { .. })
             && let Ok(Ok(reply)) = time::timeout(LATE_REPLY_WAIT, exchange).await
         {
@@ -104,7 +139,8 @@
             let exchange = self.post(&service, advice::PATH, None, body);
             let (status, body) = time::timeout(ADVICE_TIMEOUT, exchange)
                 .await
-                .map_err(|_| "no answer in time".to_owned())??;
+                .map_err(|_| "no answer in time".to_owned())?
+                .map_err(|error| error.to_string())?;
             if status != 200 {
                 return Err(format!("status {status}"));
             }
@@ -126,7 +162,7 @@
         path: &str,
         worker_id: Option<&str>,
         body: Vec<u8>,
-    ) -> Result<(u16, Bytes), String> {
+    ) -> Result<(u16, Bytes), CallError> {
         let mut request = Request::post(format!("http://{address}{path}"))
             .header(header::CONTENT_TYPE, http::CONTENT_TYPE);
         if let Some(id) = worker_id {
@@ -134,12 +170,12 @@
         }
         let request = request
             .body(Full::new(Bytes::from(body)))
-            .map_err(|error| error.to_string())?;
-        let response = self.client.request(request).await;
-        let response = response.map_err(|error| error.to_string())?;
+            .map_err(|error| CallError::Failed(error.to_string()))?;
+        let response = self.client.request(request).await?;
         let status = response.status().as_u16();
         let body = Limited::new(response.into_body(), MAX_REPLY_BYTES);
-        let body = body.collect().await.map_err(|error| error.to_string())?;
+        let body = body.collect().await;
+        let body = body.map_err(|error| CallError::Failed(error.to_string()))?;
         Ok((status, body.to_bytes()))
     }
 }
--- a/crates/acaciareeld/src/cell/outbound/tests.rs
+++ b/crates/acaciareeld/src/cell/outbound/tests.rs
@@ -134,3 +134,25 @@
     assert!((1..=6).contains(&after_burst), "{after_burst}");
     assert_eq!(open.load(Ordering::Relaxed), 0);
 }
+
+/// Guards against a worker that has ended and counts as cut off, and against one that is cut off and
+/// counts as ended.
+#[tokio::test]
+async fn refused_connection_is_told_from_a_call_without_a_reply() {
+    let silent = TcpListener::bind("127.0.0.1:0").await.expect("listener");
+    let silent = silent
+        .local_addr()
+        .map(|address| (silent, address))
+        .expect("address");
+    let ended = TcpListener::bind("127.0.0.1:0").await.expect("listener");
+    let ended_address = ended.local_addr().expect("address").to_string();
+    drop(ended);
+    let outbound = Outbound::new();
+    let limit = Duration::from_millis(300);
+
+    let refused = call(&outbound, &ended_address, &renewal(), limit).await;
+    let unanswered = call(&outbound, &silent.1.to_string(), &renewal(), limit).await;
+
+    assert_eq!(refused, [WorkerReply::NotListening]);
+    assert_eq!(unanswered, [WorkerReply::NoReply]);
+}
--- a/crates/cell/src/io.rs
+++ b/crates/cell/src/io.rs
@@ -174,6 +174,9 @@
     Renewed(RenewalReport),
     /// No complete reply arrived. The call may have taken effect or may still do so later.
     NoReply,
+    /// The connection was refused: no process listens at the worker's address. Earlier copies of the
+    /// call may have taken effect.
+    NotListening,
 }
 
 /// Receiver of a reply of the leader.
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -102,6 +102,16 @@
     },
 }
 
+impl WorkerCall {
+    fn worker(&self) -> WorkerIncarnation {
+        match self {
+            Self::Start { worker, .. }
+            | Self::Stop { worker, .. }
+            | Self::Renewal { worker, .. } => *worker,
+        }
+    }
+}
+
 /// Unplaced tasks of a step.
 #[derive(Clone, Debug, Default)]
 struct WaitingStep {
--- a/crates/cell/src/leader/announcements.rs
+++ b/crates/cell/src/leader/announcements.rs
@@ -1,6 +1,6 @@
 //! Requests of workers and operators: announcements, deregistrations and queue tables.
 
-use super::Leader;
+use super::{Leader, worker::Departure};
 use crate::{
     CellState, Command, ControlReply, ControlRequest, Deregistration, Origin, WorkerRecord, io::Io,
 };
@@ -55,8 +55,8 @@
         let ends = notice
             .incarnation_started_ms
             .map_or(view.record.draining, |ended_ms| ended_ms == present_ms);
-        if ends {
-            view.deregistered_ms.get_or_insert(io.now_ms);
+        if ends && view.departure == Departure::None {
+            view.departure = Departure::Deregistered;
         }
         let ended_ms = notice.incarnation_started_ms;
         let fields = vec![
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -86,9 +86,7 @@
     /// Returns whether the worker is responsive, not draining and not deregistered.
     pub(super) fn accepts_work(&self, now_ms: Millis) -> bool {
         let since_contact_ms = now_ms.saturating_sub(self.last_contact_ms).0;
-        !self.record.draining
-            && self.deregistered_ms.is_none()
-            && since_contact_ms < UNRESPONSIVE_MS
+        !self.record.draining && !self.has_deregistered() && since_contact_ms < UNRESPONSIVE_MS
     }
 
     fn is_usable(&self, now_ms: Millis) -> bool {
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Leader, WorkerCall, pass,
-    worker::{LossReason, Phase, RenewalDelay, RunView},
+    worker::{Departure, LossReason, Phase, RenewalDelay, RunView},
 };
 use crate::{
     CellState, Command, Effect, RenewalReport, RunKey, RunOutcome, WorkerIncarnation, WorkerNumber,
@@ -37,8 +37,6 @@
 /// calls may have reached the worker, so the leader could never be sure that a lease is over if
 /// each attempt extended it.
 const MAX_MISSED_CALLS_FOR_LEASE: u32 = 2;
-/// Time that a deregistered worker may take to end its process.
-const DEREGISTERED_GRACE_MS: u64 = 1_000;
 /// Added to the longest time of a stop before the stop is sent again.
 const STOP_MARGIN_MS: u64 = 100;
 /// Time after the end of its leases within which a worker must come back for its crash to count for
@@ -468,12 +466,10 @@
         let Some(view) = self.workers.get_mut(&number) else {
             return;
         };
-        let deregistered = view.deregistered_ms.is_some_and(|at_ms| {
-            io.now_ms.saturating_sub(at_ms).0 > DEREGISTERED_GRACE_MS && view.missed_calls > 0
-        });
+        let ended = view.departure == Departure::Ended;
         let lease_expired = view.missed_calls > 0 && view.counts_as_expired(io.now_ms);
-        if deregistered || lease_expired {
-            let reason = if deregistered {
+        if ended || lease_expired {
+            let reason = if ended {
                 LossReason::WorkerEnded
             } else {
                 LossReason::LeaseExpired
--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -67,7 +67,7 @@
     NotAtWorker,
     /// A worker of a later incarnation replies at the same address.
     AddressReused,
-    /// The worker deregistered and no longer replies.
+    /// The worker deregistered, and its process has ended.
     WorkerEnded,
     /// All leases of the worker are over, and there is no contact to it.
     LeaseExpired,
@@ -188,6 +188,17 @@
     Logged,
 }
 
+/// How far an incarnation of a worker has come in its planned end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Departure {
+    /// It has not deregistered.
+    None,
+    /// It has deregistered. Without the acknowledgement it may go on for some seconds.
+    Deregistered,
+    /// It has deregistered, and no process listens at its address any more.
+    Ended,
+}
+
 /// State of a worker that only the leader holds.
 #[derive(Clone, Debug)]
 pub(super) struct WorkerView {
@@ -244,8 +255,7 @@
     pub health: Health,
     /// Evidence of whether the worker's runs advance.
     pub progress: WorkerProgress,
-    /// Time at which the worker deregistered.
-    pub deregistered_ms: Option<Millis>,
+    pub departure: Departure,
 }
 
 impl WorkerView {
@@ -289,10 +299,15 @@
             isolated_until_ms: None,
             health: Health::default(),
             progress: WorkerProgress::default(),
-            deregistered_ms: None,
+            departure: Departure::None,
         }
     }
 
+    /// Returns whether this incarnation has deregistered.
+    pub fn has_deregistered(&self) -> bool {
+        self.departure != Departure::None
+    }
+
     /// Returns the incarnation of which the view tells.
     pub fn incarnation(&self) -> WorkerIncarnation {
         self.record.incarnation(self.number)
--- a/crates/cell/src/leader/worker_commands.rs
+++ b/crates/cell/src/leader/worker_commands.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Leader, WorkerCall,
-    worker::{LossReason, Phase, RunView},
+    worker::{Departure, LossReason, Phase, RunView},
 };
 use crate::{
     CellState, Effect, JobState, RunKey, StartRefusal, StepKey, TaskState, WorkerIncarnation,
@@ -188,6 +188,9 @@
         let Some(worker_call) = worker_call else {
             return;
         };
+        if *reply == WorkerReply::NotListening {
+            self.not_listening(worker_call.worker());
+        }
         match (worker_call, reply) {
             (
                 WorkerCall::Renewal {
@@ -224,6 +227,16 @@
         }
     }
 
+    /// Handles a refused connection: a worker that has deregistered has ended. Of another one it may be a
+    /// crash, which its next incarnation or the end of its lease shows.
+    fn not_listening(&mut self, worker: WorkerIncarnation) {
+        if let Some(view) = self.incarnation_mut(worker)
+            && view.departure == Departure::Deregistered
+        {
+            view.departure = Departure::Ended;
+        }
+    }
+
     fn start_replied(
         &mut self,
         state: &CellState,
@@ -238,7 +251,7 @@
         };
         let (current, has_room) = (view.token(term), view.has_room_for(&key, io.now_ms));
         let fencing_token = view.fencing_token;
-        if *reply == WorkerReply::NoReply {
+        if matches!(reply, WorkerReply::NoReply | WorkerReply::NotListening) {
             view.missed_calls += 1;
             // The start may still be carried out, even by a later incarnation of the worker, which has
             // no record of the run. Every later call has a higher token, so that it fences the start.
@@ -272,7 +285,10 @@
             WorkerReply::Refused(refusal) => {
                 self.start_refused(state, number, key, (*refusal, tries, token < current), io);
             }
-            WorkerReply::NoReply | WorkerReply::Stopped | WorkerReply::Renewed(_) => {
+            WorkerReply::NoReply
+            | WorkerReply::NotListening
+            | WorkerReply::Stopped
+            | WorkerReply::Renewed(_) => {
                 // A fencing call that was sent after the start decides its outcome.
                 let may_resend = tries < MAX_TRIES && token >= fencing_token && has_room;
                 let resent = may_resend && self.send_start(state, number, key, io);
--- a/crates/cell/tests/cell/returns.rs
+++ b/crates/cell/tests/cell/returns.rs
@@ -589,3 +589,53 @@
         assert_eq!(sim.starts, 2, "{named}");
     }
 }
+
+fn end_worker(sim: &mut Sim, id: &str) {
+    let worker = sim.workers.get_mut(id).expect("worker");
+    worker.alive = false;
+    worker.running.clear();
+    sim.cut_workers.remove(id);
+    sim.ended_workers.insert(id.to_owned());
+}
+
+/// Guards against a task that runs twice, because its worker has deregistered, is cut off before the
+/// acknowledgement reaches it, and goes on for some seconds.
+#[test]
+fn run_of_a_deregistered_worker_that_is_cut_off_is_not_started_elsewhere() {
+    let mut sim = cell(1, 2);
+    sim.submit("batch", 1, job(vec![step(1, 20_000, 20_000)]));
+    let id = wait_for_hosts(&mut sim, 1, 1).remove(0);
+    sim.workers.get_mut(&id).expect("worker").record.draining = true;
+    sim.run(3_000);
+    let leader = sim.leader().expect("leader");
+    let notice = sim.workers[&id].deregistration();
+    sim.control_request(leader, notice);
+    sim.run(10);
+    sim.cut_workers.insert(id.clone());
+
+    // Without the acknowledgement the worker ends some seconds later.
+    sim.run(3_000);
+    end_worker(&mut sim, &id);
+    sim.run(40_000);
+
+    assert_eq!(sim.unfinished(1..2), Vec::<u64>::new());
+}
+
+/// Guards against a task that waits for its lease although its worker has ended as planned.
+#[test]
+fn run_of_a_deregistered_worker_that_has_ended_starts_elsewhere_at_once() {
+    let mut sim = cell(1, 2);
+    sim.submit("batch", 1, job(vec![step(1, 20_000, 20_000)]));
+    let id = wait_for_hosts(&mut sim, 1, 1).remove(0);
+    sim.workers.get_mut(&id).expect("worker").record.draining = true;
+    sim.run(3_000);
+    let leader = sim.leader().expect("leader");
+    let notice = sim.workers[&id].deregistration();
+    sim.control_request(leader, notice);
+    sim.run(10);
+
+    end_worker(&mut sim, &id);
+
+    // The wait of a renewal under way, its time limit, and the commits of the loss and the placement.
+    sim.run_until(1_500, |sim| !sim.hosts(1).is_empty());
+}
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -90,6 +90,9 @@
     pub silent_vms: BTreeSet<VmId>,
     /// Workers that no VM can reach.
     pub cut_workers: BTreeSet<String>,
+    /// Workers at whose addresses connections are refused. Calls to others that are down get no reply, as
+    /// after a loss of power.
+    pub ended_workers: BTreeSet<String>,
     pub crashes: Crashes,
     /// Workers whose heartbeats are lost.
     pub unheard_workers: BTreeSet<String>,
@@ -279,6 +282,7 @@
             silent_vms: BTreeSet::new(),
             workers: BTreeMap::new(),
             cut_workers: BTreeSet::new(),
+            ended_workers: BTreeSet::new(),
             crashes: Crashes::default(),
             unheard_workers: BTreeSet::new(),
             worker_link_ms: LINK_MS,
@@ -637,7 +641,10 @@
         let lost = self.random(100) < self.lost_replies_percent;
         let sent_ms = self.now_ms + self.turns.effects_delay_ms;
         self.turns.expect_reply(vm, call, sent_ms + timeout_ms);
-        if !reachable || lost {
+        if self.ended_workers.contains(&worker_id) {
+            let delay_ms = self.reply_delay_ms(&worker_id);
+            self.post(delay_ms, vm, replied(call, WorkerReply::NotListening));
+        } else if !reachable || lost {
             let reply = WorkerReply::NoReply;
             self.post(timeout_ms, vm, replied(call, reply));
         }
