Report a repeated request as uncertain if its route was removed

Cause: the first copy of the submission was accepted and its reply was lost; the second was refused for its queue before the job was looked up, and the entry VM passed 404 on. It took only 401 and 403 to a second copy as uncertain.

Change: one function decides for each reply whether it holds for all copies of a request, in a match without a default. Submissions and cancellations that were sent again get 504 for a refusal of the queue, the key or the owner.

--- a/crates/cell/src/entry.rs
+++ b/crates/cell/src/entry.rs
@@ -52,12 +52,14 @@
 }
 
 impl PendingRequest {
-    /// Returns the reply for the caller. If a submission was sent again after its key had been
-    /// revoked, the first copy may have been accepted, so that a refusal would be untrue.
+    /// Returns the reply for the caller. If the request was sent again, an earlier copy may have taken
+    /// effect, so that a refusal which tells only of the latest copy would be untrue.
     fn known_outcome(&self, reply: CallerReply) -> CallerReply {
-        let is_submit = matches!(self.request.request, CallerRequest::Submit(_));
-        let is_denied = matches!(reply, CallerReply::UnknownKey | CallerReply::ForeignJob);
-        if self.sent_again && is_submit && is_denied {
+        let has_effect = match self.request.request {
+            CallerRequest::Submit(_) | CallerRequest::Cancel => true,
+            CallerRequest::Status => false,
+        };
+        if self.sent_again && has_effect && !tells_of_all_copies(&reply) {
             CallerReply::Uncertain
         } else {
             reply
@@ -65,6 +67,23 @@
     }
 }
 
+/// Returns whether a reply to one copy of a request holds for all copies. A queue table that came into
+/// force between two copies may refuse the second before the job is looked up.
+fn tells_of_all_copies(reply: &CallerReply) -> bool {
+    match reply {
+        CallerReply::UnknownQueue | CallerReply::UnknownKey | CallerReply::ForeignJob => false,
+        // The leader has looked the job up, or the content is the same in each copy.
+        CallerReply::Accepted
+        | CallerReply::Job(_)
+        | CallerReply::Pending(_)
+        | CallerReply::Cancelled
+        | CallerReply::UnknownJob
+        | CallerReply::Invalid
+        | CallerReply::Refused { .. }
+        | CallerReply::Uncertain => true,
+    }
+}
+
 /// Latest status of a control VM.
 #[derive(Clone, Copy, Debug)]
 struct ControlVm {
--- a/crates/cell/tests/cell/faults.rs
+++ b/crates/cell/tests/cell/faults.rs
@@ -1,7 +1,7 @@
 //! Scheduling on a cell with faults. After each start the simulation checks that the task runs
 //! nowhere else, was not done before, and fits its worker.
 
-use acaciareel_cell::{CallerReply, ControlReply, ControlRequest, StepSpec};
+use acaciareel_cell::{CallerReply, CallerRequest, ControlReply, ControlRequest, StepSpec};
 
 use crate::sim::{Sim, control, entry, gang, job, queue, step};
 
@@ -509,6 +509,44 @@
     assert_eq!(sim.starts, 1);
 }
 
+/// Guards against a caller who is told that there is no such queue although its job runs or is cancelled:
+/// the first copy of the request took effect, its reply was lost, and the route was removed before the
+/// second (review/4).
+#[test]
+fn request_repeated_after_its_route_was_removed_is_uncertain() {
+    for cancel in [false, true] {
+        let mut sim = Sim::new(17, 3, 2);
+        sim.set_up(vec![queue("batch", 2, false)]);
+        let id = acaciareel_cell::JobId(5);
+        let path = format!("/batch/{id}");
+        if cancel {
+            sim.submit("batch", id.0, job(vec![step(1, 1_000, 30_000)]));
+            sim.run(500);
+        }
+        let request = if cancel {
+            CallerRequest::Cancel
+        } else {
+            sim.jobs.insert(id, job(vec![step(1, 1_000, 500)]));
+            CallerRequest::Submit(sim.jobs[&id].clone())
+        };
+        let call = sim.call(entry(1), path.clone(), request);
+        sim.run(10);
+        sim.silent_vms.insert(entry(1));
+
+        sim.put_table(vec![queue("other", 2, false)], Vec::new());
+        sim.run(300);
+        sim.silent_vms.clear();
+        sim.run_until(2_500, |sim| sim.replies.contains_key(&call));
+
+        assert_eq!(sim.replies[&call], CallerReply::Uncertain, "{cancel}");
+        assert_eq!(sim.starts, 1, "{cancel}");
+        let sent_once = sim.call(entry(1), path, CallerRequest::Cancel);
+        sim.run(200);
+        let reply = sim.replies.get(&sent_once);
+        assert_eq!(reply, Some(&CallerReply::UnknownQueue), "{cancel}");
+    }
+}
+
 /// Guards against a caller whose request was sent to a leader that is then cut off together with the
 /// entry VM, and who gets no reply before its deadline (brazos-tally inc-3871, 504 after 2.9 s in
 /// the leader's own failure domain). A caller waits 3 s and needs half a second to resend.
