--- a/crates/cell/src/leader/announcements.rs
+++ b/crates/cell/src/leader/announcements.rs
@@ -85,10 +85,8 @@
             return io.reply_control(origin, ControlReply::Done);
         }
         let known = state.worker_by_id(&worker.id);
-        let view = known.and_then(|number| self.workers.get_mut(&number));
-        if let Some(view) = view
-            && view.record.incarnation_started_ms == worker.incarnation_started_ms
-        {
+        let view = known.and_then(|number| self.incarnation_mut(worker.incarnation(number)));
+        if let Some(view) = view {
             if sequence < view.sequence {
                 return io.reply_control(origin, ControlReply::Done);
             }
