Share a fixture of two tests, and note labels only where a job requires one

Two tests of deregistered workers repeated eight lines of setup. The simulation searched all jobs for required labels at each event; it now remembers at submission whether one requires a label.

--- a/crates/cell/tests/cell/returns.rs
+++ b/crates/cell/tests/cell/returns.rs
@@ -590,6 +590,19 @@
     }
 }
 
+/// Starts a job of one long task, drains and deregisters its worker, and returns the worker's id.
+fn deregister_under_a_run(sim: &mut Sim) -> String {
+    sim.submit("batch", 1, job(vec![step(1, 20_000, 20_000)]));
+    let id = wait_for_hosts(sim, 1, 1).remove(0);
+    sim.workers.get_mut(&id).expect("worker").record.draining = true;
+    sim.run(3_000);
+    let leader = sim.leader().expect("leader");
+    let notice = sim.workers[&id].deregistration();
+    sim.control_request(leader, notice);
+    sim.run(10);
+    id
+}
+
 fn end_worker(sim: &mut Sim, id: &str) {
     let worker = sim.workers.get_mut(id).expect("worker");
     worker.alive = false;
@@ -603,14 +616,7 @@
 #[test]
 fn run_of_a_deregistered_worker_that_is_cut_off_is_not_started_elsewhere() {
     let mut sim = cell(1, 2);
-    sim.submit("batch", 1, job(vec![step(1, 20_000, 20_000)]));
-    let id = wait_for_hosts(&mut sim, 1, 1).remove(0);
-    sim.workers.get_mut(&id).expect("worker").record.draining = true;
-    sim.run(3_000);
-    let leader = sim.leader().expect("leader");
-    let notice = sim.workers[&id].deregistration();
-    sim.control_request(leader, notice);
-    sim.run(10);
+    let id = deregister_under_a_run(&mut sim);
     sim.cut_workers.insert(id.clone());
 
     // Without the acknowledgement the worker ends some seconds later.
@@ -625,14 +631,7 @@
 #[test]
 fn run_of_a_deregistered_worker_that_has_ended_starts_elsewhere_at_once() {
     let mut sim = cell(1, 2);
-    sim.submit("batch", 1, job(vec![step(1, 20_000, 20_000)]));
-    let id = wait_for_hosts(&mut sim, 1, 1).remove(0);
-    sim.workers.get_mut(&id).expect("worker").record.draining = true;
-    sim.run(3_000);
-    let leader = sim.leader().expect("leader");
-    let notice = sim.workers[&id].deregistration();
-    sim.control_request(leader, notice);
-    sim.run(10);
+    let id = deregister_under_a_run(&mut sim);
 
     end_worker(&mut sim, &id);
 
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -100,6 +100,8 @@
     pub worker_link_ms: u64,
     /// Further time that the replies of a worker take on their way.
     pub reply_delays_ms: BTreeMap<String, u64>,
+    /// Whether a submitted job requires a label.
+    checks_labels: bool,
     /// Labels of the workers by id, as the VM knew them before the event that it handles.
     labels: BTreeMap<String, Vec<String>>,
     /// Percentage of commands that are executed late and without a reply.
@@ -287,6 +289,7 @@
             unheard_workers: BTreeSet::new(),
             worker_link_ms: LINK_MS,
             reply_delays_ms: BTreeMap::new(),
+            checks_labels: false,
             labels: BTreeMap::new(),
             lost_replies_percent: 0,
             jobs: BTreeMap::new(),
@@ -685,8 +688,7 @@
 
     /// Notes the labels of the workers that a VM knows, if some job requires a label.
     fn note_labels(&mut self, vm: VmId) {
-        let mut steps = self.jobs.values().flat_map(|job| &job.steps);
-        if !steps.any(|step| step.required_label.is_some()) {
+        if !self.checks_labels {
             return;
         }
         let Some(state) = self.control_of(vm).map(Control::state) else {
@@ -1103,6 +1105,8 @@
 
     pub fn submit(&mut self, queue: &str, id: u64, spec: JobSpec) -> u64 {
         let id = JobId(id);
+        let mut steps = spec.steps.iter();
+        self.checks_labels |= steps.any(|step| step.required_label.is_some());
         self.jobs.insert(id, spec.clone());
         if let Some(policy) = &mut self.policy {
             policy.job_submitted(id, queue);
