--- a/review/harness-2/worker.rs
+++ b/review/harness-2/worker.rs
@@ -269,7 +269,7 @@
         match request.path.as_str() {
             "/acaciareel/run-start" => Some(self.run_start(&body)),
             "/acaciareel/run-stop" => Some(self.run_stop(&body)),
-            "/acaciareel/hold" => Some(self.hold(&body)),
+            "/acaciareel/hold" => self.hold(&body),
             _ => Some((404, "{}".to_owned())),
         }
     }
@@ -383,14 +383,15 @@
         (200, format!("{{\"clock_ms\":{}}}", self.clock_ms()))
     }
 
-    fn hold(&self, body: &Json) -> (u16, String) {
+    /// Answers a hold; `None` if the process ends meanwhile.
+    fn hold(&self, body: &Json) -> Option<(u16, String)> {
         let token = body.get("fencing_token").number().unwrap_or(0);
         let cursor = body.get("ack_cursor").number().unwrap_or(0);
         let wait_ms = body.get("wait_ms").number().unwrap_or(0).min(MAX_WAIT_MS);
         {
             let mut state = self.state.lock().unwrap();
             if token < state.token {
-                return self.refused("fence");
+                return Some(self.refused("fence"));
             }
             state.token = token;
             self.extend(&mut state, body);
@@ -406,6 +407,9 @@
             thread::sleep(Duration::from_millis(5));
         }
         let state = self.state.lock().unwrap();
+        if !state.alive {
+            return None;
+        }
         let running: Vec<String> = state
             .running
             .iter()
@@ -430,7 +434,7 @@
             running.join(","),
             ends.join(",")
         );
-        (200, reply)
+        Some((200, reply))
     }
 
     fn beat_forever(&self, control: &[SocketAddr], first_beat: Duration) {
