--- a/review/harness-2/cell.rs
+++ b/review/harness-2/cell.rs
@@ -4,6 +4,7 @@
 use std::{
     collections::BTreeMap,
     fs::{self, File},
+    io::Write,
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command, Stdio},
@@ -176,6 +177,11 @@
             "node {node} starts at {}, bootstrap {bootstrap}",
             self.ip(node)
         ));
+        // The script ends these processes if it is ended itself.
+        if let Ok(path) = std::env::var("PIDS") {
+            let mut pids = File::options().create(true).append(true).open(path)?;
+            writeln!(pids, "{}", child.id())?;
+        }
         self.processes.lock().unwrap()[node] = Some(child);
         Ok(())
     }
