Call a worker before its announcement replaces another

The worker got no work from then on.

Cause: an announcement with a later start replaced what was known under its id and at its address. The leader compared the starts that writers had put into heartbeats, and asked nobody at the address. Ruled out as causes: the fields that the heartbeat lacks and its unknown service; in virtual time a complete heartbeat of the configured service does the same.

Change: a worker or an incarnation without a record is called at the announced address, and stored only if that id answers with that start (leader/identity.rs). Until then its predecessors keep their runs, and nothing is started where the answer could come from the next incarnation. An announcement that contradicts the address, service or failure domain of the recorded incarnation is ignored and does not raise its sequence number. The simulated cell now delivers calls by address; a worker there refuses calls that name another id. The stand-in worker of acaciareeld's tests sends all fields.

It works because two processes cannot listen at one address: who answers there under the announced id and start has replaced whoever was there.

--- a/crates/acaciareeld/tests/cell/worker.rs
+++ b/crates/acaciareeld/tests/cell/worker.rs
@@ -302,6 +302,7 @@
         let clock_ms = state.lock().expect("worker").clock_ms();
         let body = json!({
             "service": "s", "address": address.to_string(), "zone": "a", "state": "ready",
+            "version": "v1", "slots": 8, "cold_remaining_ms": 0,
             "capacity": {"cpu": CAPACITY_MILLICORES, "mem_mb": 1_000, "gpu": 0},
             "labels": ["k", "r1"],
             "clock_ms": clock_ms, "sequence": sequence, "born": 1,
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -18,6 +18,7 @@
 mod authentication;
 mod backlog;
 mod callers;
+mod identity;
 mod isolation;
 mod pass;
 mod relay;
@@ -167,6 +168,7 @@
     pending_cancels: SortedVec<JobId, Vec<Origin>>,
     /// Jobs whose first confirmed run is being committed, sorted.
     pending_starts: Vec<JobId>,
+    verifications: identity::Verifications,
     /// Each worker's record that is being committed, and where the reply goes.
     pending_announcements: Vec<(WorkerRecord, Origin)>,
     /// Version of each queue table that is being committed, and where the reply goes.
@@ -244,6 +246,7 @@
             pending_submits: SortedVec::new(),
             pending_cancels: SortedVec::new(),
             pending_starts: Vec::new(),
+            verifications: identity::Verifications::default(),
             pending_announcements: Vec::new(),
             pending_tables: Vec::new(),
             active_jobs: Vec::new(),
@@ -351,10 +354,12 @@
         for origin in callers.chain(self.status_queries.take_all()) {
             reply_not_leader(origin, io);
         }
+        let unverified = self.verifications.take_origins();
         let announced = self
             .pending_announcements
             .drain(..)
-            .map(|(_, origin)| origin);
+            .map(|(_, origin)| origin)
+            .chain(unverified);
         let pending_tables = self.pending_tables.drain(..).map(|(_, origin)| origin);
         for origin in announced.chain(pending_tables) {
             io.reply_control(origin, ControlReply::Unavailable);
--- a/crates/cell/src/leader/announcements.rs
+++ b/crates/cell/src/leader/announcements.rs
@@ -1,6 +1,6 @@
 //! Requests of workers and operators: announcements, deregistrations and queue tables.
 
-use super::{Leader, worker::Departure};
+use super::{Leader, identity::Announcer, worker::Departure};
 use crate::{
     CellState, Command, ControlReply, ControlRequest, Deregistration, Origin, WorkerRecord, io::Io,
 };
@@ -85,6 +85,23 @@
             return io.reply_control(origin, ControlReply::Done);
         }
         let known = state.worker_by_id(&worker.id);
+        let record = known.and_then(|number| self.workers.get(&number));
+        let record = record.map(|view| &view.record);
+        let is_used = |service: &str| state.queues().names_service(service);
+        match Announcer::identify(record, &worker, is_used) {
+            Announcer::Recorded => {}
+            Announcer::Unverified => return self.verify(state, worker, origin, io),
+            Announcer::Other => {
+                let fields = vec![
+                    ("worker", worker.id),
+                    ("incarnation", worker.incarnation_started_ms.to_string()),
+                    ("address", worker.address),
+                    ("service", worker.service),
+                ];
+                io.log("announcement_contradicts", fields);
+                return io.reply_control(origin, ControlReply::Done);
+            }
+        }
         let view = known.and_then(|number| self.incarnation_mut(worker.incarnation(number)));
         if let Some(view) = view {
             if sequence < view.sequence {
@@ -97,6 +114,19 @@
                 view.update_clock(clock_ms, io.now_ms);
             }
         }
+        self.store_announcement(state, worker, origin, io);
+    }
+
+    /// Proposes the record of a worker that is known to have announced it, unless it is stored or
+    /// proposed already. The reply follows the commit.
+    pub(super) fn store_announcement(
+        &mut self,
+        state: &CellState,
+        worker: WorkerRecord,
+        origin: Origin,
+        io: &mut Io<'_>,
+    ) {
+        let known = state.worker_by_id(&worker.id);
         let mut pending = self.pending_announcements.iter().map(|(record, _)| record);
         let latest = pending.rfind(|record| record.id == worker.id);
         let stored = known.and_then(|number| self.workers.get(&number));
@@ -152,7 +182,7 @@
 
     /// Returns whether a later incarnation is known of the worker, or of another worker at its
     /// address.
-    fn is_superseded(&self, state: &CellState, worker: &WorkerRecord) -> bool {
+    pub(super) fn is_superseded(&self, state: &CellState, worker: &WorkerRecord) -> bool {
         let same_id = state.worker_by_id(&worker.id);
         let same_address = self.addresses.get(&worker.address).copied();
         let mut others = same_id.into_iter().chain(same_address);
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -83,10 +83,10 @@
 pub(super) type FreeCapacityByWorker = SortedVec<WorkerNumber, FreeCapacity>;
 
 impl WorkerView {
-    /// Returns whether the worker is responsive, not draining and not deregistered.
+    /// Returns whether the worker is responsive and neither draining nor departing.
     pub(super) fn accepts_work(&self, now_ms: Millis) -> bool {
         let since_contact_ms = now_ms.saturating_sub(self.last_contact_ms).0;
-        !self.record.draining && !self.has_deregistered() && since_contact_ms < UNRESPONSIVE_MS
+        !self.record.draining && !self.is_departing() && since_contact_ms < UNRESPONSIVE_MS
     }
 
     fn is_usable(&self, now_ms: Millis) -> bool {
@@ -307,7 +307,8 @@
             .workers
             .iter()
             .filter(|(_, view)| view.is_usable(now_ms) && !self.is_behind_silence(view))
-            .filter(|(_, view)| !view.is_isolated(now_ms));
+            .filter(|(_, view)| !view.is_isolated(now_ms))
+            .filter(|(_, view)| !self.verifications.concern(&view.record));
         let available = |view: &WorkerView| FreeCapacity {
             free: view.free,
             unreserved: view.free,
--- a/crates/cell/src/leader/relay.rs
+++ b/crates/cell/src/leader/relay.rs
@@ -10,7 +10,9 @@
 use acaciareel_types::{Millis, SortedVec, VmId};
 
 use super::Leader;
-use crate::{CellState, Effect, PeerMessage, WorkerNumber, WorkerReply, WorkerRequest, io::Io};
+use crate::{
+    CellState, Effect, PeerMessage, WorkerNumber, WorkerRecord, WorkerReply, WorkerRequest, io::Io,
+};
 
 /// Number of workers from which on calls are relayed.
 pub(crate) const MIN_WORKERS_FOR_RELAY: usize = 120;
@@ -27,11 +29,11 @@
 }
 
 impl Relays {
-    fn choose(&self, worker: WorkerNumber, failure_domain: &str) -> Option<VmId> {
+    fn choose(&self, target: &CallTarget) -> Option<VmId> {
         let same_domain: Vec<VmId> = self
             .vms
             .iter()
-            .filter(|(_, domain)| *domain == failure_domain)
+            .filter(|(_, domain)| **domain == target.failure_domain)
             .map(|(vm, _)| *vm)
             .collect();
         let all: Vec<VmId> = self.vms.keys().copied().collect();
@@ -40,10 +42,29 @@
         } else {
             &same_domain
         };
-        let count = u32::try_from(usable.len())
-            .ok()
-            .filter(|count| *count > 0)?;
-        usable.get((worker.0 % count) as usize).copied()
+        let chosen = target.spread.checked_rem(usable.len() as u64)?;
+        usable.get(usize::try_from(chosen).ok()?).copied()
+    }
+}
+
+/// The process that a call is meant for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct CallTarget {
+    address: String,
+    worker_id: String,
+    failure_domain: String,
+    /// Spreads targets over the relays of a failure domain.
+    spread: u64,
+}
+
+impl CallTarget {
+    pub fn new(record: &WorkerRecord, spread: u64) -> Self {
+        Self {
+            address: record.address.clone(),
+            worker_id: record.id.clone(),
+            failure_domain: record.failure_domain.clone(),
+            spread,
+        }
     }
 }
 
@@ -76,18 +97,28 @@
         timeout_ms: u64,
         io: &mut Io<'_>,
     ) {
-        let may_relay = self.workers.len() >= MIN_WORKERS_FOR_RELAY;
         let Some(view) = self.workers.get_mut(&number) else {
             return;
         };
         view.last_call_ms = io.now_ms;
-        let record = &view.record;
-        let (address, worker_id) = (record.address.clone(), record.id.clone());
-        let relay = if may_relay {
-            self.relays.choose(number, &record.failure_domain)
-        } else {
-            None
-        };
+        let target = CallTarget::new(&view.record, u64::from(number.0));
+        self.call_target(target, call, request, timeout_ms, io);
+    }
+
+    /// Calls a process at the address of a worker, directly or through a relay.
+    pub(super) fn call_target(
+        &mut self,
+        target: CallTarget,
+        call: u64,
+        request: WorkerRequest,
+        timeout_ms: u64,
+        io: &mut Io<'_>,
+    ) {
+        let may_relay = self.workers.len() >= MIN_WORKERS_FOR_RELAY;
+        let relay = may_relay.then(|| self.relays.choose(&target)).flatten();
+        let CallTarget {
+            address, worker_id, ..
+        } = target;
         let Some(relay) = relay else {
             return io.effect(Effect::CallWorker {
                 call,
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -22,7 +22,7 @@
 const MAX_RENEWAL_WAIT_MS: u64 = 1_800;
 /// Time limit of a worker's reply beyond the time for which it may hold back the reply. It covers
 /// about 30 ms of round trip and the delays of a leader that runs at a sixth of its speed.
-const REPLY_TIMEOUT_MS: u64 = 250;
+pub(super) const REPLY_TIMEOUT_MS: u64 = 250;
 /// Time for which the report that answers an overdue renewal is still read. The worker counts a
 /// completion as known once it has listed it, whether the report is in time or not.
 const LATE_REPORT_MS: u64 = 5_000;
--- a/crates/cell/src/leader/tenants.rs
+++ b/crates/cell/src/leader/tenants.rs
@@ -347,7 +347,7 @@
             let service = &view.record.service;
             if let Some(at) = tenants.services.iter().position(|known| known == service)
                 && !view.record.draining
-                && !view.has_deregistered()
+                && !view.is_departing()
             {
                 let capacity = Totals::of(&view.record.capacity, 1);
                 if let Some(shares) = tenants.shares.get_mut(at) {
--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -26,6 +26,11 @@
 /// Number of low bits of a fencing token that hold the worker's epoch; the term is above them.
 const EPOCH_BITS: u32 = 20;
 
+/// Returns the fencing token of a call to a worker of which this leader knows nothing.
+pub(super) fn first_token(term: u64) -> u64 {
+    term << EPOCH_BITS
+}
+
 /// Returns the longest time, on this VM's clock, that a lease granted until now can last.
 pub(super) fn longest_lease(lease_ms: u64) -> Millis {
     Millis(lease_ms * (1_000 + 2 * CLOCK_DRIFT_PERMILLE) / 1_000 + LEASE_MARGIN_MS)
@@ -188,15 +193,17 @@
     Logged,
 }
 
-/// How far an incarnation of a worker has come in its planned end.
+/// How far an incarnation of a worker has come in its end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Departure {
-    /// It has not deregistered.
+    /// Nothing shows that it ends.
     None,
     /// It has deregistered. Without the acknowledgement it may go on for some seconds.
     Deregistered,
     /// It has deregistered, and no process listens at its address any more.
     Ended,
+    /// The next incarnation is verified. Its record is being committed, which counts a crash.
+    Replaced,
 }
 
 /// State of a worker that only the leader holds.
@@ -303,8 +310,8 @@
         }
     }
 
-    /// Returns whether this incarnation has deregistered.
-    pub fn has_deregistered(&self) -> bool {
+    /// Returns whether this incarnation has deregistered or has been replaced.
+    pub fn is_departing(&self) -> bool {
         self.departure != Departure::None
     }
 
@@ -316,7 +323,7 @@
     /// Returns the fencing token of calls in a term. It grows with the term and, within a term,
     /// with the epoch.
     pub fn token(&self, term: u64) -> u64 {
-        (term << EPOCH_BITS) + self.epoch
+        first_token(term) + self.epoch
     }
 
     /// Stores a reading of the worker's clock unless an earlier one implies the same or a later
--- a/crates/cell/src/leader/worker_commands.rs
+++ b/crates/cell/src/leader/worker_commands.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Leader, WorkerCall,
-    worker::{Departure, LossReason, Phase, RunView},
+    worker::{Departure, LossReason, Phase, RunView, WorkerView},
 };
 use crate::{
     CellState, Effect, JobState, RunKey, StartRefusal, StepKey, TaskState, WorkerIncarnation,
@@ -72,7 +72,7 @@
         };
         // A later incarnation may have been committed together with the placements. They were made for
         // this one and are dropped when the leader handles the other.
-        if !io.holds_lease || !state.is_current(view.incarnation()) {
+        if !io.holds_lease || !state.is_current(view.incarnation()) || self.may_be_replaced(view) {
             return;
         }
         let due: Vec<RunKey> = view
@@ -95,6 +95,12 @@
         self.renew(number, io);
     }
 
+    /// Returns whether the next incarnation may be at the worker's address. It would carry out a start
+    /// that is meant for this one.
+    fn may_be_replaced(&self, view: &WorkerView) -> bool {
+        view.departure == Departure::Replaced || self.verifications.concern(&view.record)
+    }
+
     /// Sends one start. Returns whether it could be sent.
     fn send_start(
         &mut self,
@@ -117,6 +123,13 @@
         if task.run != key.run || task.state != TaskState::Placed(number) {
             return false;
         }
+        if self
+            .workers
+            .get(&number)
+            .is_none_or(|view| self.may_be_replaced(view))
+        {
+            return false;
+        }
         let checkpoint = if spec.gang {
             step.checkpoint.clone()
         } else {
@@ -177,6 +190,9 @@
         io: &mut Io<'_>,
     ) {
         self.relay_completed(call);
+        if let Some(verification) = self.verifications.take(call) {
+            return self.verification_replied(state, verification, reply, io);
+        }
         let worker_call = match (self.worker_calls.remove(&call), reply) {
             (Some(worker_call), WorkerReply::NoReply) => {
                 self.expect_late_report(call, &worker_call, io.now_ms);
--- a/crates/cell/src/model.rs
+++ b/crates/cell/src/model.rs
@@ -268,6 +268,12 @@
             .max_by_key(|row| row.path_prefix.len())
             .map(|row| (row, &path[row.path_prefix.len()..]))
     }
+
+    /// Returns whether a queue sends its tasks to a service.
+    #[must_use]
+    pub fn names_service(&self, service: &str) -> bool {
+        self.rows.iter().any(|row| row.service == service)
+    }
 }
 
 /// What a worker announces about itself.
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -11,6 +11,7 @@
 mod crashes;
 mod domain_preference;
 mod faults;
+mod foreign_heartbeats;
 mod incarnations;
 mod indexes;
 mod keys;
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -66,6 +66,8 @@
     process_epoch: u64,
     /// Call to reply to; `None` if the reply is lost.
     call: Option<CallOrigin>,
+    address: String,
+    /// Id of the worker that is meant; another one at the address refuses the command.
     worker_id: String,
     request: WorkerRequest,
 }
@@ -558,11 +560,14 @@
             Effect::CallWorker {
                 call,
                 for_vm,
+                address,
                 worker_id,
                 request,
                 timeout_ms,
-                ..
-            } => self.send_command(vm, (call, for_vm), worker_id, request, timeout_ms),
+            } => {
+                let worker = (address, worker_id);
+                self.send_command(vm, (call, for_vm), worker, request, timeout_ms);
+            }
             Effect::RequestAdvice {
                 call,
                 for_vm,
@@ -631,7 +636,7 @@
         &mut self,
         vm: VmId,
         call: CallOrigin,
-        worker_id: String,
+        (address, worker_id): (String, String),
         request: WorkerRequest,
         timeout_ms: u64,
     ) {
@@ -639,12 +644,13 @@
         let is_new = self.worker_calls.insert((call.1, call.0));
         assert!(is_new, "{} reuses call {}", call.1, call.0);
         self.check_label(&worker_id, &request);
-        let reachable = !self.cut_workers.contains(&worker_id)
-            && self.workers.get(&worker_id).is_some_and(|w| w.alive);
+        let listener = self.listener_at(&address);
+        let refuses_connections = listener.is_none() && self.ended_workers.contains(&worker_id);
+        let reachable = listener.is_some_and(|id| !self.cut_workers.contains(id));
         let lost = self.random(100) < self.lost_replies_percent;
         let sent_ms = self.now_ms + self.turns.effects_delay_ms;
         self.turns.expect_reply(vm, call, sent_ms + timeout_ms);
-        if self.ended_workers.contains(&worker_id) {
+        if refuses_connections {
             let delay_ms = self.reply_delay_ms(&worker_id);
             self.post(delay_ms, vm, replied(call, WorkerReply::NotListening));
         } else if !reachable || lost {
@@ -662,6 +668,7 @@
                 from: vm,
                 process_epoch: self.vms[&vm].process_epoch,
                 call: (!lost).then_some(call),
+                address,
                 worker_id,
                 request,
             };
@@ -670,6 +677,13 @@
         }
     }
 
+    /// Returns the id of the live worker that listens at an address.
+    fn listener_at(&self, address: &str) -> Option<&String> {
+        let mut workers = self.workers.iter();
+        let listener = workers.find(|(_, worker)| worker.alive && worker.record.address == address);
+        listener.map(|(id, _)| id)
+    }
+
     /// Checks that a start goes to a worker that has the label which the step requires, by the record
     /// that the leader knew before the event which it handles.
     fn check_label(&self, worker_id: &str, request: &WorkerRequest) {
@@ -713,12 +727,21 @@
         let WorkerCommand {
             from: vm,
             call,
+            address,
             worker_id,
             request,
             ..
         } = command;
         let vm = *vm;
         let now_ms = self.now_ms;
+        let listener = self.listener_at(address);
+        if listener.is_some_and(|id| id != worker_id) {
+            if let Some(call) = *call {
+                let reply = WorkerReply::Refused(StartRefusal::OtherLife);
+                self.post(self.worker_link_ms, vm, replied(call, reply));
+            }
+            return;
+        }
         let new_run = match request {
             WorkerRequest::Start { run, .. } => {
                 let spec = &self.jobs[&run.task.step.job].steps[run.task.step.step as usize];
