End the probation of a worker whatever runs on it

Cause: a worker on probation took a run only while it had none, and only a run that ended done ended the probation. A task that lasts kept both from coming. Each worker was on probation for the failures of one job, which failed on all of them. Ruled out: the order of the steps, suspects and workers kept for gangs (steps_wait: room=2, isolation=0, kept_workers=0).

Evidence: in virtual time, with the workers on probation added to the line steps_wait on (trial), all six workers have a share of failures of 0.66 to 0.83 and one run each, and 180 of 192 cores are free.

Change (leader/health.rs): a worker on probation gets one new run at a time beside what it runs, for 2 s each; the probation ends 10 s after the last failure without any further result; a failure is blamed on the step once it has failed on two other workers without a success, and on the task if it has failed elsewhere; at most a third of a service's workers are on probation. New: the log line worker_probation, the metric workers_on_probation, and the field on_probation of steps_wait.

It works because the end needs nothing to run, and because evidence from other workers decides whether a worker is charged at all.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -18,6 +18,7 @@
 mod authentication;
 mod backlog;
 mod callers;
+mod health;
 mod identity;
 mod isolation;
 mod pass;
@@ -185,6 +186,9 @@
     /// they ran at least.
     lost_runs: Vec<(RunKey, WorkerNumber, u64)>,
     speeds: Speeds,
+    failed_steps: health::FailedSteps,
+    /// Workers on probation in the current pass, sorted.
+    on_probation: Vec<WorkerNumber>,
     /// Workers reserved for gangs in the current pass, sorted.
     reserved_for_gangs: Vec<WorkerNumber>,
     /// Workers that drain for suspects, which must run alone, and the suspects' steps.
@@ -257,6 +261,8 @@
             speeds: Speeds::default(),
             tenants: tenants::Tenants::default(),
             backlog: backlog::Backlog::default(),
+            failed_steps: health::FailedSteps::default(),
+            on_probation: Vec::new(),
             reserved_for_gangs: Vec::new(),
             draining_for: SortedVec::new(),
             given_up: Vec::new(),
@@ -695,6 +701,7 @@
             self.advice.retain(|key, _| key.job != id);
         }
         self.scheduled_jobs.retain(|scheduled| *scheduled != id);
+        self.failed_steps.remove_job(id);
         if let Ok(at) = self.given_up.binary_search(&id) {
             self.given_up.remove(at);
         }
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -229,6 +229,7 @@
         self.update_forecasts(state, io.now_ms);
         self.refresh_tenants(state);
         self.update_first_reports(io.now_ms);
+        self.update_probation(io);
         let mut order: BinaryHeap<Reverse<(Rank, StepKey, Urgency)>> = self
             .steps
             .iter()
@@ -586,8 +587,8 @@
                 let here = view.runs.keys().filter(|run| run.task.step == key).count();
                 max.saturating_sub(u32::try_from(here).unwrap_or(u32::MAX))
             });
-            if view.health.on_probation(now_ms) {
-                max_tasks = max_tasks.min(u32::from(view.runs.is_empty()));
+            if self.on_probation.binary_search(&number).is_ok() {
+                max_tasks = max_tasks.min(u32::from(!view.has_trial(now_ms)));
             }
             let rack = spec.preferred_rack.as_deref();
             let previously_reserved =
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -288,7 +288,7 @@
             io.log("completions_incomplete", fields);
         }
         let mut completions = Vec::with_capacity(new.len());
-        let mut failed_job = None;
+        let mut failed_jobs = Vec::new();
         for (_, completion) in new {
             let run = view.runs.remove(&completion.run);
             let took_ms = run.as_ref();
@@ -307,14 +307,23 @@
             if completion.outcome != RunOutcome::Interrupted {
                 view.progress.run_ended(io.now_ms);
             }
+            let task = completion.run.task;
             match completion.outcome {
-                // Tasks of one job that fail together count once, because the job may be the cause.
-                RunOutcome::Failed if failed_job == Some(completion.run.task.step.job) => {}
                 RunOutcome::Failed => {
-                    failed_job = Some(completion.run.task.step.job);
-                    view.health.add_result(io.now_ms, true);
+                    let known = state.job(task.step.job).and_then(|job| job.task(task));
+                    let failed_on = known.and_then(|task| task.failed_on);
+                    let failed_elsewhere = failed_on.is_some_and(|other| other != number);
+                    let may_be_cause = self.failed_steps.add_failure(task.step, number);
+                    // Tasks of one job that fail together count once, because the job may be the cause.
+                    if may_be_cause && !failed_elsewhere && !failed_jobs.contains(&task.step.job) {
+                        failed_jobs.push(task.step.job);
+                        view.health.add_result(io.now_ms, true);
+                    }
+                }
+                RunOutcome::Done => {
+                    self.failed_steps.add_success(task.step);
+                    view.health.add_result(io.now_ms, false);
                 }
-                RunOutcome::Done => view.health.add_result(io.now_ms, false),
                 RunOutcome::Interrupted => {}
             }
             completions.push((completion, run));
--- a/crates/cell/src/leader/stalls/tests.rs
+++ b/crates/cell/src/leader/stalls/tests.rs
@@ -3,7 +3,7 @@
 use super::{
     RunProgress, StallReason, Stalls, WorkerEvidence, WorkerProgress, find_stalls, overrun_ms,
 };
-use crate::{JobId, RunKey, StepKey, TaskKey, leader::worker::Health, run_times::Expectation};
+use crate::{JobId, RunKey, StepKey, TaskKey, leader::health::Health, run_times::Expectation};
 
 const NOW_MS: Millis = Millis(100_000);
 
--- a/crates/cell/src/leader/waits.rs
+++ b/crates/cell/src/leader/waits.rs
@@ -121,6 +121,7 @@
             ("steps_waiting_for_isolation", isolation),
             ("held_millicores", self.waits.held_millicores),
             ("kept_workers", kept_workers),
+            ("workers_on_probation", self.on_probation.len() as u64),
             ("advice_calls_open", self.advice_calls.len() as u64),
             ("advice_requests", self.waits.requests_sent),
         ];
@@ -144,6 +145,7 @@
                 ("free_millicores", free.to_string()),
                 ("held_millicores", self.waits.held_millicores.to_string()),
                 ("kept_workers", kept_workers.to_string()),
+                ("on_probation", self.on_probation.len().to_string()),
                 ("capacity_millicores", capacity.to_string()),
                 ("advice_calls_open", self.advice_calls.len().to_string()),
                 ("advice_requests", requests.to_string()),
--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -3,7 +3,7 @@
 
 use acaciareel_types::{Millis, SortedVec};
 
-use super::{stalls::WorkerProgress, tenants::Charge};
+use super::{health::Health, stalls::WorkerProgress, tenants::Charge};
 use crate::{CellState, Demand, RunKey, WorkerIncarnation, WorkerNumber, WorkerRecord};
 
 /// A worker's clock may run slower than this VM's by this share, in thousandths (2%, bound of the
@@ -137,51 +137,6 @@
     }
 }
 
-/// Recent failures of a worker.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub(super) struct Health {
-    /// Decaying share of recent runs that failed or stalled, in thousandths.
-    pub failing_permille: u32,
-    /// End of the probation; during probation the worker takes one run at a time.
-    pub probation_until_ms: Millis,
-}
-
-/// Weight of the latest result in the share of failed runs, in thousandths.
-const RESULT_WEIGHT_PERMILLE: u32 = 300;
-/// Share of failed runs from which a worker is on probation; three consecutive failures reach it.
-const PROBATION_PERMILLE: u32 = 600;
-/// How long a worker stays on probation after a failure.
-const PROBATION_MS: u64 = 3_000;
-
-impl Health {
-    /// Adds a result to the share of failures. A failure that brings the share to the limit, or
-    /// leaves it above, starts the probation again.
-    pub fn add_result(&mut self, now_ms: Millis, failed: bool) {
-        let decayed = self.failing_permille * (1_000 - RESULT_WEIGHT_PERMILLE);
-        let added = if failed {
-            RESULT_WEIGHT_PERMILLE * 1_000
-        } else {
-            0
-        };
-        self.failing_permille = (decayed + added) / 1_000;
-        if failed && self.failing_permille >= PROBATION_PERMILLE {
-            self.probation_until_ms = now_ms.saturating_add(Millis(PROBATION_MS));
-        }
-    }
-
-    /// Puts the worker on probation at once: nearly all its runs stand still, which is as much
-    /// evidence as several failures in a row.
-    pub fn add_standstill(&mut self, now_ms: Millis) {
-        self.failing_permille = self.failing_permille.max(PROBATION_PERMILLE);
-        self.add_result(now_ms, true);
-    }
-
-    /// Returns whether the worker may have only one run at a time now.
-    pub fn on_probation(&self, now_ms: Millis) -> bool {
-        self.failing_permille >= PROBATION_PERMILLE || now_ms < self.probation_until_ms
-    }
-}
-
 /// Delay of a renewal that is needed while none is under way.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum RenewalDelay {
@@ -433,6 +388,13 @@
         free.unwrap_or_default()
     }
 
+    /// Returns whether a run shows at present whether the worker can be trusted, so that no other one
+    /// may join it while the worker is on probation.
+    pub fn has_trial(&self, now_ms: Millis) -> bool {
+        let is_trial = |run: &RunView| self.health.is_trial(run.started_ms, run.percent, now_ms);
+        self.runs.values().any(is_trial)
+    }
+
     /// Returns whether a run on the worker must be alone.
     pub fn is_isolated(&self, now_ms: Millis) -> bool {
         self.isolated_until_ms
--- a/crates/cell/src/leader/worker_commands.rs
+++ b/crates/cell/src/leader/worker_commands.rs
@@ -339,7 +339,11 @@
         });
         let has_room = view.has_room_for(&key, io.now_ms);
         match refusal {
-            StartRefusal::Unwilling => view.health.add_result(io.now_ms, true),
+            StartRefusal::Unwilling => {
+                if self.failed_steps.add_failure(key.task.step, number) {
+                    view.health.add_result(io.now_ms, true);
+                }
+            }
             StartRefusal::OtherLife => view.runs_reported = false,
             StartRefusal::Ticket => self.drop_ticket(key.task.step, number),
             StartRefusal::Fenced | StartRefusal::Old | StartRefusal::Late | StartRefusal::Room => {}
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -17,6 +17,7 @@
 mod keys;
 mod load;
 mod pending;
+mod probation;
 #[path = "../fixtures/records.rs"]
 mod records;
 mod recovery;
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -149,6 +149,8 @@
     caller_calls: BTreeMap<(VmId, u64), String>,
     /// Tasks of which a run has completed successfully.
     done: BTreeSet<TaskKey>,
+    /// Jobs whose runs fail after their work, on each worker.
+    pub hopeless_jobs: BTreeSet<JobId>,
     /// How far the time of day has been set back on all VMs.
     pub clock_behind_ms: u64,
     /// Work of a run, in milliseconds on a worker of usual speed.
@@ -320,6 +322,7 @@
             worker_calls: BTreeSet::new(),
             caller_calls: BTreeMap::new(),
             done: BTreeSet::new(),
+            hopeless_jobs: BTreeSet::new(),
             clock_behind_ms: 0,
             work_ms: |_, spec| spec.estimate_ms,
             domains,
@@ -896,9 +899,16 @@
             !spec.gang || ready[&(run.task.step, run.run)] >= spec.tasks
         });
         for run in finished {
-            self.done.insert(run.task);
+            let fails = self.hopeless_jobs.contains(&run.task.step.job);
+            if !fails {
+                self.done.insert(run.task);
+            }
             for worker in self.workers.values_mut() {
-                worker.finish(run);
+                if fails {
+                    worker.fail(run);
+                } else {
+                    worker.finish(run);
+                }
             }
         }
         let held_renewals = std::mem::take(&mut self.held_renewals);
