--- a/crates/cell/tests/cell/foreign_heartbeats.rs
+++ b/crates/cell/tests/cell/foreign_heartbeats.rs
@@ -1,6 +1,6 @@
 //! Heartbeats of other writers: software that is no worker announces a worker's id or address.
 
-use acaciareel_cell::{Control, ControlRequest, WorkerRecord};
+use acaciareel_cell::{Control, ControlRequest, StepSpec, WorkerRecord};
 
 use crate::sim::{Comeback, Sim, job, queue, step};
 
@@ -230,3 +230,41 @@
     }
     assert!(drawn.iter().all(|count| *count > 0), "{drawn:?}");
 }
+
+/// Guards against starts on a worker that has come back as another kind, while its announcement is
+/// being verified and committed: it would carry out what is meant for its predecessor.
+#[test]
+fn nothing_is_started_on_a_worker_whose_return_is_being_verified() {
+    let special = || StepSpec {
+        required_label: Some("special".to_owned()),
+        ..step(1, 100, 300)
+    };
+    let mut sim = cell(6);
+    sim.crashes.down_ms = 20;
+    sim.crashes.first_heartbeat_ms = 5;
+    let worker = sim.workers.get_mut("worker-1").expect("worker");
+    worker.record.labels.push("special".to_owned());
+    sim.run(2 * HEARTBEAT_MS);
+    sim.worker_link_ms = 50;
+    for id in 1..=40 {
+        sim.submit("batch", id, job(vec![special()]));
+        sim.run(10);
+    }
+    assert!(sim.starts > 20, "{}", sim.starts);
+
+    sim.crash_worker("worker-1");
+    let returned_ms = sim.now_ms + 20;
+    for id in 41..=200 {
+        sim.submit("batch", id, job(vec![special()]));
+        sim.run(5);
+        let worker = sim.workers.get_mut("worker-1").expect("worker");
+        if sim.now_ms == returned_ms {
+            worker.record.labels.retain(|label| label != "special");
+        }
+    }
+
+    // The announcement is sent after 5 ms and takes 5 ms; a start sent before takes 50 ms.
+    let starts = sim.crashes.starts_ms.values().flatten();
+    let late = starts.filter(|at_ms| **at_ms > returned_ms + 5 + 5 + 50 + 10);
+    assert_eq!(late.count(), 0);
+}
