Order incarnations by their verification, not by their starts

A worker whose clock was set back, and which comes back at once, never got work again, and its task never ran again: its announcements counted as late, a new id at the address was ignored, and reports with an earlier start were dropped although no call was missed, so that the leases of the former runs never ended.

Evidence: returns::incarnation_with_an_earlier_start_... fails on: the task has no run 1 s after the return, under the same id.

Change: the record of another incarnation replaces the stored one whatever start it names, since the leader has verified it. A report of another incarnation is that of a later one, because the call went to one verified before. An answer to a call from before another incarnation joined verifies nothing. Late announcements of a replaced incarnation are dropped.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -142,8 +142,6 @@
     term: u64,
     bounds: Bounds,
     workers: SortedVec<WorkerNumber, WorkerView>,
-    /// Worker with the latest incarnation start at each address.
-    addresses: SortedVec<String, WorkerNumber>,
     /// Failure domains of workers; the position of one is its number.
     domains: Vec<String>,
     /// Distinct label lists of workers; the position of a list is the number of its rack.
@@ -232,7 +230,6 @@
             term,
             bounds,
             workers: SortedVec::new(),
-            addresses: SortedVec::new(),
             domains: Vec::new(),
             racks: Vec::new(),
             steps: SortedVec::new(),
@@ -284,14 +281,15 @@
             view.inherited_lease_until_ms = io.now_ms.saturating_add(inherited_ms);
             view.announced_ms =
                 led_ms.map(|led_ms| led_ms.saturating_sub(Millis(ANNOUNCEMENT_INTERVAL_MS)));
-            leader.update_address(*number, &view.record);
             leader.workers.insert(*number, view);
         }
         for job in state.jobs().values() {
             leader.inherit_runs(state, job, io.now_ms);
             leader.refresh_job(state, job.id, io);
         }
-        for number in leader.superseded_workers() {
+        let numbers = leader.workers.keys().copied();
+        let succeeded = numbers.filter(|number| state.has_successor(*number));
+        for number in succeeded.collect::<Vec<_>>() {
             leader.remove_predecessor(number, io);
         }
         io.log(
@@ -492,7 +490,6 @@
             }
             view.recompute_free();
         }
-        self.update_address(number, &view.record);
         self.workers.insert(number, view);
         if reborn {
             // Placed for the earlier incarnation, and not sent to it.
@@ -511,37 +508,19 @@
         view.filter(|view| view.incarnation() == worker)
     }
 
-    /// Stores the worker at an address unless one with a later incarnation start is known there.
-    fn update_address(&mut self, number: WorkerNumber, record: &WorkerRecord) {
-        let known = self.addresses.get(&record.address);
-        let known = known.and_then(|number| self.workers.get(number));
-        let is_earlier = |view: &WorkerView| {
-            view.record.address != record.address
-                || view.record.incarnation_started_ms <= record.incarnation_started_ms
-        };
-        if known.is_none_or(is_earlier) {
-            self.addresses.insert(record.address.clone(), number);
-        }
-    }
-
-    /// Marks all runs as lost on the workers whose address belongs to a later incarnation, and
+    /// Marks all runs as lost on the workers at whose address this one has been verified since, and
     /// removes those workers.
     fn remove_predecessors(&mut self, state: &CellState, number: WorkerNumber, io: &mut Io<'_>) {
         let Some(view) = self.workers.get(&number) else {
             return;
         };
-        let record = &view.record;
-        let at_address = state.workers_at(&record.address).iter().copied();
-        let older: Vec<WorkerNumber> = at_address
-            .filter(|other| {
-                self.workers.get(other).is_some_and(|other| {
-                    other.record.address == record.address
-                        && other.record.incarnation_started_ms < record.incarnation_started_ms
-                })
-            })
-            .collect();
-        for older in older {
-            self.remove_predecessor(older, io);
+        let Some((last, predecessors)) = state.workers_at(&view.record.address).split_last() else {
+            return;
+        };
+        if *last == number {
+            for predecessor in predecessors {
+                self.remove_predecessor(*predecessor, io);
+            }
         }
     }
 
@@ -552,22 +531,6 @@
         }
     }
 
-    /// Returns the workers whose address belongs to a later incarnation of another worker.
-    fn superseded_workers(&self) -> Vec<WorkerNumber> {
-        let is_superseded = |record: &WorkerRecord| {
-            let holder = self.addresses.get(&record.address);
-            let holder = holder.and_then(|number| self.workers.get(number));
-            holder.is_some_and(|holder| {
-                holder.record.incarnation_started_ms > record.incarnation_started_ms
-            })
-        };
-        let superseded = self.workers.iter();
-        superseded
-            .filter(|(_, view)| is_superseded(&view.record))
-            .map(|(number, _)| *number)
-            .collect()
-    }
-
     /// Drops a removed worker, and examines the jobs of the runs that ended with it.
     fn worker_removed(
         &mut self,
@@ -577,11 +540,6 @@
         io: &mut Io<'_>,
     ) {
         let view = self.workers.remove(&number);
-        if let Some(view) = &view
-            && self.addresses.get(&view.record.address) == Some(&number)
-        {
-            self.addresses.remove(&view.record.address);
-        }
         let id = view.map_or_else(|| number.to_string(), |view| view.record.id);
         for key in lost {
             io.warn(
--- a/crates/cell/src/leader/announcements.rs
+++ b/crates/cell/src/leader/announcements.rs
@@ -2,7 +2,8 @@
 
 use super::{Leader, identity::Announcer, worker::Departure};
 use crate::{
-    CellState, Command, ControlReply, ControlRequest, Deregistration, Origin, WorkerRecord, io::Io,
+    CellState, Command, ControlReply, ControlRequest, Deregistration, Origin, WorkerNumber,
+    WorkerRecord, io::Io,
 };
 
 impl Leader {
@@ -81,14 +82,14 @@
         io: &mut Io<'_>,
     ) {
         worker.sequence = sequence;
-        if self.is_superseded(state, &worker) {
-            return io.reply_control(origin, ControlReply::Done);
-        }
         let known = state.worker_by_id(&worker.id);
         let record = known.and_then(|number| self.workers.get(&number));
         let record = record.map(|view| &view.record);
         let is_used = |service: &str| state.queues().names_service(service);
         match Announcer::identify(record, &worker, is_used) {
+            Announcer::Recorded if self.is_replaced(state, known) => {
+                return io.reply_control(origin, ControlReply::Done);
+            }
             Announcer::Recorded => {}
             Announcer::Unverified => return self.verify(state, worker, origin, io),
             Announcer::Other => {
@@ -117,6 +118,15 @@
         self.store_announcement(state, worker, origin, io);
     }
 
+    /// Returns whether another incarnation has been verified under the id of a recorded worker or at
+    /// its address, so that an announcement of the recorded one is late.
+    fn is_replaced(&self, state: &CellState, number: Option<WorkerNumber>) -> bool {
+        let view = number.and_then(|number| self.workers.get(&number));
+        view.is_some_and(|view| {
+            view.departure == Departure::Replaced || state.has_successor(view.number)
+        })
+    }
+
     /// Proposes the record of a worker that is known to have announced it, unless it is stored or
     /// proposed already. The reply follows the commit.
     pub(super) fn store_announcement(
@@ -149,7 +159,6 @@
         record: &WorkerRecord,
         io: &mut Io<'_>,
     ) -> bool {
-        let age = |record: &WorkerRecord| (record.incarnation_started_ms, record.sequence);
         let is_contained = |pending: &WorkerRecord| {
             // A drain stays in the record although a late announcement does not contain it.
             let draining = pending.draining || record.draining;
@@ -168,9 +177,15 @@
             .last()
             .unwrap_or(0);
         let announced = left > 0;
+        // A report tells of an incarnation before its first announcement, with sequence number 0.
+        let is_earlier = |pending: &WorkerRecord| {
+            let same_start = pending.incarnation_started_ms == record.incarnation_started_ms;
+            (same_start && pending.sequence < record.sequence)
+                || (!same_start && record.sequence == 0)
+        };
         let settled = self.pending_announcements.extract_if(.., |(pending, _)| {
             let of_worker = pending.id == record.id;
-            let is_settled = of_worker && (left > 0 || age(pending) < age(record));
+            let is_settled = of_worker && (left > 0 || is_earlier(pending));
             left -= u32::from(of_worker && left > 0);
             is_settled
         });
@@ -179,19 +194,4 @@
         }
         announced
     }
-
-    /// Returns whether a later incarnation is known of the worker, or of another worker at its
-    /// address.
-    pub(super) fn is_superseded(&self, state: &CellState, worker: &WorkerRecord) -> bool {
-        let same_id = state.worker_by_id(&worker.id);
-        let same_address = self.addresses.get(&worker.address).copied();
-        let mut others = same_id.into_iter().chain(same_address);
-        others.any(|number| {
-            self.workers.get(&number).is_some_and(|view| {
-                let record = &view.record;
-                let same = record.id == worker.id || record.address == worker.address;
-                same && record.incarnation_started_ms > worker.incarnation_started_ms
-            })
-        })
-    }
 }
--- a/crates/cell/src/leader/identity.rs
+++ b/crates/cell/src/leader/identity.rs
@@ -6,13 +6,13 @@
 //! worker that it does not know, and a worker that has started again, before the announcement changes
 //! anything: until then the workers that it would replace keep their runs.
 
-use acaciareel_types::SortedVec;
+use acaciareel_types::{Millis, SortedVec};
 
 use super::{
     Leader,
     relay::CallTarget,
     renewal::REPLY_TIMEOUT_MS,
-    worker::{self, Departure, WorkerView},
+    worker::{self, Departure},
 };
 use crate::{
     CellState, ControlReply, Origin, StartRefusal, WorkerRecord, WorkerReply, WorkerRequest, io::Io,
@@ -86,6 +86,8 @@
     record: WorkerRecord,
     /// Where the replies to the announcements go.
     origins: Vec<Origin>,
+    /// Time of the call.
+    called_ms: Millis,
 }
 
 /// Announced incarnations whose verification is under way. Each waits for one call, so that none
@@ -110,11 +112,15 @@
         None
     }
 
-    fn begin(&mut self, call: u64, record: WorkerRecord, origin: Origin) {
+    fn begin(&mut self, call: u64, record: WorkerRecord, origin: Origin, called_ms: Millis) {
         let key = AnnouncedIncarnation::from(&record);
         self.calls.insert(call, key.clone());
-        let origins = vec![origin];
-        self.open.insert(key, Verification { record, origins });
+        let verification = Verification {
+            record,
+            origins: vec![origin],
+            called_ms,
+        };
+        self.open.insert(key, verification);
     }
 
     /// Removes the verification that waits for a call.
@@ -164,7 +170,7 @@
         let token = view.map_or(worker::first_token(self.term), |view| view.token(self.term));
         let call = self.new_call();
         let target = CallTarget::new(&record, call);
-        self.verifications.begin(call, record, origin);
+        self.verifications.begin(call, record, origin, io.now_ms);
         let request = WorkerRequest::Renew {
             lease_until_ms: None,
             token,
@@ -183,24 +189,22 @@
         reply: &WorkerReply,
         io: &mut Io<'_>,
     ) {
-        let Verification { record, origins } = verification;
-        let answer = Answer::of(&record, reply);
-        if answer != Answer::Announced {
-            let fields = vec![
-                ("worker", record.id),
-                ("incarnation", record.incarnation_started_ms.to_string()),
-                ("address", record.address),
-                ("service", record.service),
-                ("answer", answer.as_str().to_owned()),
-            ];
-            io.log("announcement_rejected", fields);
-        } else if !self.is_superseded(state, &record) {
+        let Verification {
+            record,
+            origins,
+            called_ms,
+        } = verification;
+        let mut answer = Answer::of(&record, reply);
+        if self.has_joined_since(state, &record, called_ms) {
+            answer = Answer::None;
+        }
+        if answer == Answer::Announced {
             let known = state.worker_by_id(&record.id);
             let recorded = known.and_then(|number| self.workers.get_mut(&number));
-            let is_earlier = |view: &&mut WorkerView| {
-                view.record.incarnation_started_ms != record.incarnation_started_ms
-            };
-            if let Some(view) = recorded.filter(is_earlier) {
+            let started_ms = record.incarnation_started_ms;
+            if let Some(view) =
+                recorded.filter(|view| view.record.incarnation_started_ms != started_ms)
+            {
                 view.departure = Departure::Replaced;
             }
             for origin in origins {
@@ -208,14 +212,36 @@
             }
             return;
         }
-        let reply = match answer {
-            Answer::None => ControlReply::Unavailable,
-            Answer::Announced | Answer::Other => ControlReply::Done,
+        let fields = vec![
+            ("worker", record.id),
+            ("incarnation", record.incarnation_started_ms.to_string()),
+            ("address", record.address),
+            ("service", record.service),
+            ("answer", answer.as_str().to_owned()),
+        ];
+        io.log("announcement_rejected", fields);
+        let reply = if answer == Answer::None {
+            ControlReply::Unavailable
+        } else {
+            ControlReply::Done
         };
         for origin in origins {
             io.reply_control(origin, reply.clone());
         }
     }
+
+    /// Returns whether another incarnation with the id or at the address of a worker has joined after
+    /// a time. An answer to an earlier call may then be that of its predecessor.
+    fn has_joined_since(&self, state: &CellState, record: &WorkerRecord, at_ms: Millis) -> bool {
+        let at_address = state.workers_at(&record.address).last().copied();
+        let known = state.worker_by_id(&record.id).into_iter().chain(at_address);
+        let mut views = known.filter_map(|number| self.workers.get(&number));
+        views.any(|view| {
+            let same = view.record.id == record.id
+                && view.record.incarnation_started_ms == record.incarnation_started_ms;
+            !same && view.joined_ms > at_ms
+        })
+    }
 }
 
 /// Who answers at an announced address.
--- a/crates/cell/src/leader/identity/tests.rs
+++ b/crates/cell/src/leader/identity/tests.rs
@@ -1,5 +1,7 @@
 //! Whom the leader takes for the sender of an announcement.
 
+use acaciareel_types::Millis;
+
 use super::{Announcer, Answer, Verifications};
 use crate::{Origin, RenewalReport, StartRefusal, WorkerRecord, WorkerReply};
 
@@ -129,7 +131,7 @@
         address: "10.0.9.2:80".to_owned(),
         ..record()
     };
-    verifications.begin(1, record(), origin(1));
+    verifications.begin(1, record(), origin(1), Millis(5));
 
     let joined = [&later, &record()].map(|r| verifications.join(r.clone(), origin(2)));
     let other = verifications.join(elsewhere.clone(), origin(3));
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -208,12 +208,15 @@
         if let Some(reported_ms) = report.incarnation_started_ms
             && reported_ms != worker.started_ms
         {
-            if reported_ms > worker.started_ms {
+            // The call went to an incarnation that had been verified before, so that this one is later,
+            // whatever start it names. One that has been verified meanwhile is later still.
+            if view.departure != Departure::Replaced {
                 let mut record = view.record.clone();
                 record.incarnation_started_ms = reported_ms;
                 record.sequence = 0;
                 // The drain belongs to the incarnation that announced it.
                 record.draining = false;
+                view.departure = Departure::Replaced;
                 io.commands.push(Command::Worker(record));
             }
             view.next_renewal_ms = io.now_ms.saturating_add(Millis(RETRY_MS));
--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -75,7 +75,8 @@
     /// thousands of workers may come back under new ids at once: a tree, because each insert into a
     /// sorted vector moves half of the entries.
     numbers_by_id: BTreeMap<String, WorkerNumber>,
-    /// Sorted numbers of the workers at each address.
+    /// Numbers of the workers at each address, in the order in which they were verified there. All but
+    /// the last have ended and are being removed.
     numbers_by_address: BTreeMap<String, Vec<WorkerNumber>>,
     next_worker: u32,
     jobs: SortedVec<JobId, Box<Job>>,
@@ -91,6 +92,8 @@
     queues: QueueTable,
     workers: Vec<(WorkerNumber, WorkerRecord)>,
     next_worker: u32,
+    /// Entries of `numbers_by_address` with several workers, whose order matters.
+    shared_addresses: Vec<(String, Vec<WorkerNumber>)>,
     jobs: Vec<Job>,
     crashes: StoredCrashes,
     run_times: Vec<u8>,
@@ -127,14 +130,22 @@
         self.numbers_by_id.get(id).copied()
     }
 
-    /// Returns the numbers of the workers at an address, sorted. All but one have ended.
+    /// Returns the numbers of the workers at an address, in the order in which they were verified
+    /// there. All but the last have ended.
     #[must_use]
     pub fn workers_at(&self, address: &str) -> &[WorkerNumber] {
         let numbers = self.numbers_by_address.get(address);
         numbers.map_or(&[], Vec::as_slice)
     }
 
-    /// Returns whether no later incarnation of a worker has joined, and the worker is not removed.
+    /// Returns whether another worker has been verified at the address of this one since.
+    #[must_use]
+    pub fn has_successor(&self, worker: WorkerNumber) -> bool {
+        let record = self.workers.get(&worker);
+        record.is_some_and(|record| self.workers_at(&record.address).last() != Some(&worker))
+    }
+
+    /// Returns whether no further incarnation of a worker has joined, and the worker is not removed.
     #[must_use]
     pub fn is_current(&self, worker: WorkerIncarnation) -> bool {
         let record = self.workers.get(&worker.number);
@@ -289,9 +300,11 @@
         }
     }
 
-    /// Adds a worker or replaces its record. A record of an earlier announcement than the stored one
-    /// arrived late and changes nothing. A drain ends only with the incarnation: a record without it
-    /// is from before the drain, also if the worker does not number its announcements.
+    /// Adds a worker or replaces its record. The record of another incarnation is of a later one,
+    /// whatever start it names, because the leader has verified it. Within an incarnation, a record of
+    /// an earlier announcement than the stored one arrived late and changes nothing. A drain ends only
+    /// with the incarnation: a record without it is from before the drain, also if the worker does not
+    /// number its announcements.
     fn put_worker(&mut self, mut record: WorkerRecord) -> Change {
         let crashed = self.count_crashes(&record);
         let number = self.worker_by_id(&record.id).unwrap_or_else(|| {
@@ -301,20 +314,19 @@
             number
         });
         let known = self.workers.get(&number);
-        record.draining |= known.is_some_and(|known| {
-            known.draining && known.incarnation_started_ms == record.incarnation_started_ms
-        });
-        let age = |record: &WorkerRecord| (record.incarnation_started_ms, record.sequence);
-        if known.is_none_or(|known| age(known) <= age(&record)) {
-            if known.is_none_or(|known| known.address != record.address) {
-                let address = known.map(|known| known.address.clone());
-                self.forget_address(number, address.as_deref());
-                let address = record.address.clone();
-                let at_address = self.numbers_by_address.entry(address).or_default();
-                if let Err(at) = at_address.binary_search(&number) {
-                    at_address.insert(at, number);
-                }
-            }
+        let same =
+            known.filter(|known| known.incarnation_started_ms == record.incarnation_started_ms);
+        record.draining |= same.is_some_and(|known| known.draining);
+        let is_late = same.is_some_and(|known| known.sequence > record.sequence);
+        let stays = same.is_some_and(|known| known.address == record.address);
+        if !stays && !is_late {
+            let address = known.map(|known| known.address.clone());
+            self.forget_address(number, address.as_deref());
+            let address = record.address.clone();
+            let at_address = self.numbers_by_address.entry(address).or_default();
+            at_address.push(number);
+        }
+        if !is_late {
             self.workers.insert(number, record);
         }
         Change::Worker {
@@ -375,9 +387,8 @@
         crashed.sort_unstable();
         crashed.dedup();
         crashed.retain(|number| {
-            self.workers.get(number).is_some_and(|known| {
-                known.incarnation_started_ms < record.incarnation_started_ms && !known.draining
-            })
+            let known = self.workers.get(number);
+            known.is_some_and(|known| !known.draining)
         });
         let mut runs = Vec::new();
         for worker in crashed {
@@ -437,6 +448,12 @@
             queues: self.queues.clone(),
             workers: self.workers.iter().map(|(n, w)| (*n, w.clone())).collect(),
             next_worker: self.next_worker,
+            shared_addresses: self
+                .numbers_by_address
+                .iter()
+                .filter(|(_, numbers)| numbers.len() > 1)
+                .map(|(address, numbers)| (address.clone(), numbers.clone()))
+                .collect(),
             jobs: self.jobs.values().map(|job| Job::clone(job)).collect(),
             crashes: self.crashes.to_stored(),
             run_times: self.run_times.clone(),
@@ -466,6 +483,7 @@
             let address = record.address.clone();
             numbers_by_address.entry(address).or_default().push(*number);
         }
+        numbers_by_address.extend(stored.shared_addresses);
         Ok(Self {
             queues: stored.queues,
             numbers_by_id: numbers_by_id.collect(),
--- a/crates/cell/tests/cell/incarnations.rs
+++ b/crates/cell/tests/cell/incarnations.rs
@@ -2,6 +2,7 @@
 
 use acaciareel_cell::{
     CellState, Change, Command, JobId, RunKey, TaskState, WorkerIncarnation, WorkerNumber,
+    WorkerRecord,
 };
 
 use crate::{
@@ -133,3 +134,49 @@
         assert!(text.parse::<WorkerIncarnation>().is_err(), "{text}");
     }
 }
+
+/// Guards against the removal of the worker that is present, because its predecessor at the address
+/// names a later start, also after a restart from a snapshot.
+#[test]
+fn order_of_workers_at_an_address_is_that_of_their_records() {
+    let mut state = CellState::default();
+    let predecessor = worker(1, 100);
+    let successor = |started_ms| WorkerRecord {
+        id: "successor".to_owned(),
+        incarnation_started_ms: started_ms,
+        ..predecessor.clone()
+    };
+    state.apply(Command::Worker(successor(40)));
+    state.apply(Command::Worker(predecessor.clone()));
+    state.apply(Command::Worker(successor(50)));
+    let restored = CellState::from_bytes(&state.to_bytes()).expect("snapshot");
+
+    for state in [&state, &restored] {
+        let at_address = state.workers_at(&predecessor.address);
+        assert_eq!(at_address, [WorkerNumber(2), WorkerNumber(1)]);
+        assert!(state.has_successor(WorkerNumber(2)));
+        assert!(!state.has_successor(WorkerNumber(1)));
+    }
+    assert_eq!(state, restored);
+}
+
+/// Guards against a drain or a record that is undone by one of an earlier announcement of the same
+/// incarnation, which is committed late.
+#[test]
+fn record_of_an_earlier_announcement_changes_nothing() {
+    let mut state = CellState::default();
+    let announced = |sequence, draining| WorkerRecord {
+        sequence,
+        draining,
+        ..worker(1, PRESENT.started_ms)
+    };
+    state.apply(Command::Worker(announced(7, true)));
+
+    state.apply(Command::Worker(announced(6, false)));
+    let late = state.workers().get(&NUMBER).cloned();
+    state.apply(Command::Worker(announced(8, false)));
+    let later = state.workers().get(&NUMBER).cloned();
+
+    assert_eq!(late, Some(announced(7, true)));
+    assert_eq!(later, Some(announced(8, true)));
+}
--- a/crates/cell/tests/cell/returns.rs
+++ b/crates/cell/tests/cell/returns.rs
@@ -638,3 +638,50 @@
     // The wait of a renewal under way, its time limit, and the commits of the loss and the placement.
     sim.run_until(1_500, |sim| !sim.hosts(1).is_empty());
 }
+
+/// Starts a worker again whose time of day has been set back by an hour, so that its next incarnation
+/// has an earlier start. Returns the id of the incarnation.
+fn restart_with_an_earlier_start(sim: &mut Sim, id: &str, comeback: Comeback) -> String {
+    let before = sim.workers[id].record.clone();
+    sim.crashes.comeback = comeback;
+    sim.crashes.first_heartbeat_ms = 300;
+    sim.workers.get_mut(id).expect("worker").running.clear();
+    sim.workers.get_mut(id).expect("worker").alive = false;
+    sim.bring_back(id);
+    let known = sim.workers.iter();
+    let mut returned = known.filter(|(_, w)| w.alive && w.record.address == before.address);
+    let id = returned.next().expect("worker").0.clone();
+    let worker = sim.workers.get_mut(&id).expect("worker");
+    worker.record.incarnation_started_ms = before.incarnation_started_ms - 3_600;
+    id
+}
+
+/// Guards against a task that never runs again and a worker that gets no work any more, because the
+/// clock of the worker was set back and its next incarnation seems to be an earlier one.
+#[test]
+fn incarnation_with_an_earlier_start_replaces_the_recorded_one() {
+    for comeback in [Comeback::SameId, Comeback::NewId] {
+        for kill_leader in [false, true] {
+            let mut sim = cell(31, 4);
+            sim.submit("batch", 1, job(vec![step(1, 2_000, 20_000)]));
+            let host = wait_for_hosts(&mut sim, 1, 1).remove(0);
+            sim.run(500);
+
+            let returned = restart_with_an_earlier_start(&mut sim, &host, comeback);
+            sim.run(320);
+            if kill_leader {
+                let leader = sim.leader().expect("leader");
+                sim.kill(leader);
+            }
+
+            let case = format!("{comeback:?}, leader killed: {kill_leader}");
+            // The heartbeat, two calls, and with another leader an election and the next heartbeat.
+            sim.run(if kill_leader { 4_000 } else { 1_000 });
+            assert_eq!(sim.hosts(1).len(), 1, "{case}");
+            assert_eq!(sim.starts, 2, "{case}");
+            sim.submit("batch", 2, job(vec![step(4, 30_000, 500)]));
+            sim.run_until(3_000, |sim| sim.hosts(2).contains(&returned));
+            sim.run_until(30_000, |sim| sim.unfinished(1..=2).is_empty());
+        }
+    }
+}
