Limit every number and text that a request may name

Cause: the limit of 20,000 counted the tasks of all occurrences, which without tasks are none; Job::new then made a list of steps for each occurrence.

The receiving VM checks them and answers 400 with a reason that names the limit, and the leader checks again. A job beyond the limits that stands in a log is stored as failed, without its steps.

--- a/crates/acaciareeld/src/cell/inbound.rs
+++ b/crates/acaciareeld/src/cell/inbound.rs
@@ -207,7 +207,7 @@
         Ok(None) => return empty(StatusCode::METHOD_NOT_ALLOWED),
         Err(error) => {
             info!(event = "job_invalid", path, reason:% = error; "");
-            return platform_response(jobs::encode_reply(&CallerReply::Invalid));
+            return platform_response(jobs::encode_invalid(&error));
         }
     };
     let connection = shared.next_connection.fetch_add(1, Ordering::Relaxed);
@@ -269,7 +269,7 @@
         Err(ControlError::UnknownCall) => return empty(StatusCode::NOT_FOUND),
         Err(ControlError::Invalid(error)) => {
             info!(event = "control_body_invalid", path, reason:% = error; "");
-            return empty(StatusCode::BAD_REQUEST);
+            return platform_response(jobs::encode_invalid(&error));
         }
     };
     let is_announcement = matches!(request, ControlRequest::Announce { .. });
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -117,9 +117,17 @@
 }
 
 impl Job {
-    /// Creates a job without runs. A job without tasks is completed at once.
+    /// Creates a job without runs. A job without tasks is completed at once. One beyond the limits has
+    /// failed, without its steps: the log may contain jobs that a build with other limits accepted.
     #[must_use]
     pub fn new(id: JobId, queue: QueueRow, spec: JobSpec, accepted_unix_ms: u64) -> Self {
+        if spec.check().is_err() {
+            return Self {
+                state: JobState::Failed,
+                ended_unix_ms: accepted_unix_ms,
+                ..Self::new(id, queue, JobSpec::default(), accepted_unix_ms)
+            };
+        }
         let steps: Vec<_> = spec
             .steps
             .iter()
--- a/crates/cell/src/leader/announcements.rs
+++ b/crates/cell/src/leader/announcements.rs
@@ -3,7 +3,7 @@
 use super::{Leader, identity::Announcer, worker::Departure};
 use crate::{
     CellState, Command, ControlReply, ControlRequest, Deregistration, Origin, WorkerNumber,
-    WorkerRecord, io::Io,
+    WorkerRecord, io::Io, limits::LimitExceeded,
 };
 
 impl Leader {
@@ -22,7 +22,10 @@
                 worker,
                 clock_ms,
                 sequence,
-            } => self.announce(state, origin, worker, clock_ms, sequence, io),
+            } => match worker.check() {
+                Ok(()) => self.announce(state, origin, worker, clock_ms, sequence, io),
+                Err(error) => refuse(origin, &error, io),
+            },
             ControlRequest::Deregister(notice) => {
                 self.deregister(state, notice, io);
                 io.reply_control(origin, ControlReply::Done);
@@ -31,6 +34,9 @@
                 if table.version <= state.queues().version {
                     return io.reply_control(origin, ControlReply::Done);
                 }
+                if let Err(error) = table.check() {
+                    return refuse(origin, &error, io);
+                }
                 self.pending_tables.push((table.version, origin));
                 io.commands.push(Command::Queues(table));
             }
@@ -195,3 +201,9 @@
         announced
     }
 }
+
+/// Refuses a request beyond a limit that the VM which received it has not checked.
+fn refuse(origin: Origin, error: &LimitExceeded, io: &mut Io<'_>) {
+    io.warn("request_beyond_limit", vec![("reason", error.to_string())]);
+    io.reply_control(origin, ControlReply::Unavailable);
+}
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -7,8 +7,9 @@
     worker::{Departure, LossReason, Phase, RenewalDelay, RunView},
 };
 use crate::{
-    CellState, Command, Effect, RenewalReport, RunKey, RunOutcome, WorkerIncarnation, WorkerNumber,
-    WorkerRequest, io::Io, state::jobs_of,
+    CellState, Command, Effect, RenewalReport, RunCompletion, RunKey, RunOutcome,
+    WorkerIncarnation, WorkerNumber, WorkerRequest, io::Io, limits::bounded_checkpoint,
+    state::jobs_of,
 };
 
 /// Longest time for which a worker holds back the reply to a renewal until a run completes. While
@@ -275,7 +276,14 @@
             .completions
             .iter()
             .filter(|(completion_number, _)| *completion_number > view.completions_read)
-            .cloned()
+            .map(|(completion_number, completion)| {
+                let checkpoint = bounded_checkpoint(&completion.checkpoint).to_owned();
+                let completion = RunCompletion {
+                    checkpoint,
+                    ..*completion
+                };
+                (*completion_number, completion)
+            })
             .collect();
         let Some((through, _)) = new.last() else {
             return;
@@ -379,8 +387,9 @@
                     run.last_progress_ms = io.now_ms;
                     view.progress.run_advanced();
                 }
-                if run.checkpoint != reported.checkpoint {
-                    run.checkpoint.clone_from(&reported.checkpoint);
+                let checkpoint = bounded_checkpoint(&reported.checkpoint);
+                if run.checkpoint != checkpoint {
+                    checkpoint.clone_into(&mut run.checkpoint);
                     run.last_checkpoint_ms = Some(io.now_ms);
                 }
                 continue;
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -17,6 +17,7 @@
 mod io;
 mod job;
 mod leader;
+pub mod limits;
 mod message;
 mod model;
 mod placed_runs;
--- a/crates/cell/src/model.rs
+++ b/crates/cell/src/model.rs
@@ -4,7 +4,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{ApiKeyDigest, WorkerIncarnation, WorkerNumber};
+use crate::{
+    ApiKeyDigest, WorkerIncarnation, WorkerNumber,
+    limits::{
+        LimitExceeded, MAX_ADDRESS_BYTES, MAX_API_KEYS, MAX_LABELS, MAX_NAME_BYTES,
+        MAX_PAYLOAD_BYTES, MAX_ROWS, MAX_STEP_OCCURRENCES, MAX_STEPS, MAX_TASKS,
+    },
+};
 
 /// An amount of each resource that tasks share on a worker.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -57,7 +63,7 @@
     reason = "each flag is a property that the caller declares on its own"
 )]
 pub struct StepSpec {
-    /// Number of tasks; `MAX_TASKS` limits the sum over all steps and occurrences.
+    /// Number of tasks; [`MAX_TASKS`] limits the sum over all steps and occurrences.
     pub tasks: u32,
     /// Resources that each task needs.
     pub demand: Demand,
@@ -99,12 +105,6 @@
     pub occurrences: u32,
 }
 
-/// Most tasks of one job over all occurrences; bounds the memory that one request can take on the
-/// leader.
-const MAX_TASKS: u64 = 20_000;
-/// Most steps of one job.
-const MAX_STEPS: usize = 256;
-
 /// A job as its caller submits it.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct JobSpec {
@@ -124,18 +124,21 @@
         /// Position of the step, counted from 0.
         step: usize,
     },
-    /// The job has more tasks or steps than allowed.
-    TooLarge,
+    /// A number or a text of the job is too large.
+    Limit(LimitExceeded),
+}
+
+impl From<LimitExceeded> for JobSpecError {
+    fn from(exceeded: LimitExceeded) -> Self {
+        Self::Limit(exceeded)
+    }
 }
 
 impl fmt::Display for JobSpecError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::StepOrder { step } => write!(f, "step {step} depends on itself or a later step"),
-            Self::TooLarge => write!(
-                f,
-                "a job may have at most {MAX_STEPS} steps and {MAX_TASKS} tasks"
-            ),
+            Self::Limit(exceeded) => exceeded.fmt(f),
         }
     }
 }
@@ -147,22 +150,45 @@
     ///
     /// # Errors
     ///
-    /// Fails if a step depends on itself or a later step, or if the job has too many tasks or
-    /// steps.
+    /// Fails if a step depends on itself or a later step, or if a number or a text is beyond its
+    /// limit (see [`limits`](crate::limits)).
     pub fn check(&self) -> Result<(), JobSpecError> {
+        let occurrences = u64::from(self.occurrences());
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.tasks)).sum();
+        let steps = self.steps.len() as u64;
+        // Without steps, too, each occurrence takes memory.
+        let step_occurrences = steps.max(1).saturating_mul(occurrences);
+        let check = LimitExceeded::check;
+        check("steps", steps, MAX_STEPS)?;
+        check(
+            "tasks of all occurrences",
+            tasks.saturating_mul(occurrences),
+            MAX_TASKS,
+        )?;
+        check(
+            "steps of all occurrences",
+            step_occurrences,
+            MAX_STEP_OCCURRENCES,
+        )?;
+        LimitExceeded::check_bytes("bytes of the payload", &self.payload, MAX_PAYLOAD_BYTES)?;
         for (step, spec) in self.steps.iter().enumerate() {
-            if spec
-                .depends_on
-                .iter()
-                .any(|earlier| *earlier as usize >= step)
-            {
+            let earlier = |position: &u32| (*position as usize) < step;
+            if !spec.depends_on.iter().all(earlier) {
                 return Err(JobSpecError::StepOrder { step });
             }
-        }
-        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.tasks)).sum();
-        let occurrences = self.schedule.map_or(1, |s| u64::from(s.occurrences.max(1)));
-        if tasks.saturating_mul(occurrences) > MAX_TASKS || self.steps.len() > MAX_STEPS {
-            return Err(JobSpecError::TooLarge);
+            check(
+                "dependencies of a step",
+                spec.depends_on.len() as u64,
+                MAX_STEPS,
+            )?;
+            let names = [
+                ("bytes of a required label", &spec.required_label),
+                ("bytes of a preferred rack", &spec.preferred_rack),
+                ("bytes of an image", &spec.image),
+            ];
+            for (what, name) in names {
+                LimitExceeded::check_bytes(what, name.as_deref().unwrap_or(""), MAX_NAME_BYTES)?;
+            }
         }
         Ok(())
     }
@@ -269,6 +295,33 @@
             .map(|row| (row, &path[row.path_prefix.len()..]))
     }
 
+    /// Checks the sizes of the table.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a number of entries or a text is beyond its limit (see [`limits`](crate::limits)).
+    pub fn check(&self) -> Result<(), LimitExceeded> {
+        let keys = self.tenants.iter().map(|tenant| tenant.api_keys.len());
+        LimitExceeded::check("queues", self.rows.len() as u64, MAX_ROWS)?;
+        LimitExceeded::check("tenants", self.tenants.len() as u64, MAX_ROWS)?;
+        LimitExceeded::check("API keys", keys.sum::<usize>() as u64, MAX_API_KEYS)?;
+        let check_bytes = LimitExceeded::check_bytes;
+        for row in &self.rows {
+            check_bytes("bytes of a queue's name", &row.name, MAX_NAME_BYTES)?;
+            check_bytes("bytes of a service", &row.service, MAX_NAME_BYTES)?;
+            check_bytes("bytes of a host", &row.host, MAX_ADDRESS_BYTES)?;
+            check_bytes(
+                "bytes of a path prefix",
+                &row.path_prefix,
+                MAX_ADDRESS_BYTES,
+            )?;
+        }
+        for tenant in &self.tenants {
+            check_bytes("bytes of a tenant's name", &tenant.name, MAX_NAME_BYTES)?;
+        }
+        Ok(())
+    }
+
     /// Returns whether a queue sends its tasks to a service.
     #[must_use]
     pub fn names_service(&self, service: &str) -> bool {
@@ -309,6 +362,26 @@
         }
     }
 
+    /// Checks the sizes of the record.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the number of labels or a text is beyond its limit (see [`limits`](crate::limits)).
+    pub fn check(&self) -> Result<(), LimitExceeded> {
+        LimitExceeded::check("labels", self.labels.len() as u64, MAX_LABELS)?;
+        let names = [
+            ("bytes of a worker's id", &self.id),
+            ("bytes of an address", &self.address),
+            ("bytes of a service", &self.service),
+            ("bytes of a failure domain", &self.failure_domain),
+        ];
+        let labels = self.labels.iter().map(|label| ("bytes of a label", label));
+        for (what, name) in names.into_iter().chain(labels) {
+            LimitExceeded::check_bytes(what, name, MAX_NAME_BYTES)?;
+        }
+        Ok(())
+    }
+
     /// Returns whether both records say the same of a worker.
     #[must_use]
     pub fn says_same(&self, other: &Self) -> bool {
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -15,6 +15,7 @@
 mod incarnations;
 mod indexes;
 mod keys;
+mod limits;
 mod load;
 mod pending;
 mod probation;
