Believe the labels of a worker that has come back once they are committed

Cause: a report that tells of the next incarnation of a worker takes over the labels and the capacity of its predecessor, and marks them as unknown. The first announcement marked them as known when it arrived, before the record with the new ones was committed. A new leader did the same.

Evidence: nothing_is_started_by_the_labels_of_an_earlier_incarnation fails on (sent to worker-1 without special at 7485 ms).

Change: while they are unknown, an announcement marks them as known only if it says the same as the record; otherwise its commit does.

--- a/crates/cell/src/leader/announcements.rs
+++ b/crates/cell/src/leader/announcements.rs
@@ -116,7 +116,11 @@
             }
             view.sequence = sequence;
             view.last_contact_ms = io.now_ms;
-            view.announced_ms = Some(io.now_ms);
+            // A report tells of an incarnation without its labels and its capacity. The record has
+            // those of the one before, until the commit of the first announcement that differs.
+            if view.announced_ms.is_some() || view.record.says_same(&worker) {
+                view.announced_ms = Some(io.now_ms);
+            }
             if let Some(clock_ms) = clock_ms {
                 view.update_clock(clock_ms, io.now_ms);
             }
--- a/crates/cell/tests/cell/foreign_heartbeats.rs
+++ b/crates/cell/tests/cell/foreign_heartbeats.rs
@@ -268,3 +268,41 @@
     let late = starts.filter(|at_ms| **at_ms > returned_ms + 5 + 5 + 50 + 10);
     assert_eq!(late.count(), 0);
 }
+
+/// Guards against starts on a worker that has come back without the label which they require, and whose
+/// return a report has told before its first announcement: until that is committed, the record has
+/// the labels of its predecessor.
+#[test]
+fn nothing_is_started_by_the_labels_of_an_earlier_incarnation() {
+    let special = || StepSpec {
+        required_label: Some("special".to_owned()),
+        ..step(1, 100, 300)
+    };
+    for seed in 0..10 {
+        let mut sim = cell(seed);
+        sim.crashes.down_ms = 300;
+        sim.crashes.first_heartbeat_ms = 700;
+        let worker = sim.workers.get_mut("worker-1").expect("worker");
+        worker.record.labels.push("special".to_owned());
+        sim.run(2 * HEARTBEAT_MS);
+        let mut returned_ms = None;
+        for id in 1..=400 {
+            sim.submit("batch", id, job(vec![special()]));
+            sim.run(5);
+            if id == 40 {
+                sim.crash_worker("worker-1");
+            }
+            let worker = sim.workers.get_mut("worker-1").expect("worker");
+            if id > 40 && worker.alive && returned_ms.is_none() {
+                worker.record.labels.retain(|label| label != "special");
+                returned_ms = Some(sim.now_ms);
+            }
+        }
+
+        let returned_ms = returned_ms.expect("return");
+        let starts = sim.crashes.starts_ms.values().flatten();
+        // Before the leader knows of the return, starts may be under way.
+        let late = starts.filter(|at_ms| **at_ms > returned_ms + 400);
+        assert_eq!(late.count(), 0, "seed {seed}");
+    }
+}
