Record no failures of jobs that have ended

Runs of a job can fail after the job has failed or was cancelled. Their step was recorded once more, after the job's end had removed it, and the entry stayed until the next change of leader; the worker was charged, too. Found on reading the change; the test of health fails without the check of the job's state.

--- a/crates/cell/src/leader/health.rs
+++ b/crates/cell/src/leader/health.rs
@@ -11,7 +11,7 @@
 use acaciareel_types::{Millis, SortedVec};
 
 use super::Leader;
-use crate::{JobId, StepKey, WorkerNumber, io::Io};
+use crate::{CellState, JobId, JobState, StepKey, TaskKey, WorkerNumber, io::Io};
 
 /// Weight of the latest result in the share of failed runs, in thousandths.
 const RESULT_WEIGHT_PERMILLE: u32 = 300;
@@ -112,9 +112,20 @@
 }
 
 impl FailedSteps {
+    /// Records a failed run. Returns whether the worker may be the cause. What is left of a job that has
+    /// ended says nothing of a worker.
+    pub fn run_failed(&mut self, state: &CellState, task: TaskKey, worker: WorkerNumber) -> bool {
+        let job = state.job(task.step.job);
+        let Some(job) = job.filter(|job| job.state == JobState::Active) else {
+            return false;
+        };
+        let failed_on = job.task(task).and_then(|task| task.failed_on);
+        self.add_failure(task.step, worker, failed_on)
+    }
+
     /// Records a failed run of a step. `failed_on` is the worker of the latest failure of the same task
     /// before it. Returns whether the worker may be the cause.
-    pub fn add_failure(
+    fn add_failure(
         &mut self,
         step: StepKey,
         worker: WorkerNumber,
@@ -148,17 +159,17 @@
     pub(super) fn update_probation(&mut self, io: &mut Io<'_>) {
         let present = self.workers_on_probation(io.now_ms);
         let before = std::mem::replace(&mut self.on_probation, present);
-        let began = self.on_probation.iter().map(|number| (number, &before));
-        let ended = before.iter().map(|number| (number, &self.on_probation));
-        let changed = began.chain(ended);
-        for (number, _) in changed.filter(|(number, other)| other.binary_search(number).is_err()) {
+        let was_on = |number: &WorkerNumber| before.binary_search(number).is_ok();
+        let is_on = |number: &WorkerNumber| self.on_probation.binary_search(number).is_ok();
+        let began = self.on_probation.iter().filter(|number| !was_on(number));
+        let ended = before.iter().filter(|number| !is_on(number));
+        for number in began.chain(ended) {
             let Some(view) = self.workers.get(number) else {
                 continue;
             };
-            let on_probation = self.on_probation.binary_search(number).is_ok();
             let fields = vec![
                 ("worker", view.record.id.clone()),
-                ("on_probation", on_probation.to_string()),
+                ("on_probation", is_on(number).to_string()),
                 ("failing_permille", view.health.failing_permille.to_string()),
                 ("runs", view.runs.len().to_string()),
             ];
@@ -189,8 +200,8 @@
 }
 
 /// Decides which workers of one service are on probation: of those that would be, the ones that fail
-/// most. `failing` holds the share of failed runs of each of these, and `workers` is the number of all
-/// workers of the service.
+/// most, and at least one. `failing` holds the share of failed runs of each of these, and `workers` is
+/// the number of all workers of the service.
 fn limit_probation(mut failing: Vec<(u32, WorkerNumber)>, workers: usize) -> Vec<WorkerNumber> {
     failing.sort_unstable_by_key(|(permille, number)| (Reverse(*permille), *number));
     failing.truncate((workers / PROBATION_DIVISOR).max(1));
--- a/crates/cell/src/leader/health/tests.rs
+++ b/crates/cell/src/leader/health/tests.rs
@@ -3,7 +3,7 @@
 use acaciareel_types::Millis;
 
 use super::{FailedSteps, Health, limit_probation};
-use crate::{JobId, StepKey, WorkerNumber};
+use crate::{CellState, JobId, StepKey, TaskKey, WorkerNumber};
 
 const FAILED_MS: Millis = Millis(10_000);
 
@@ -139,3 +139,19 @@
     assert_eq!(limit_probation(failing[..1].to_vec(), 1), numbers(&[1]));
     assert_eq!(limit_probation(Vec::new(), 9), numbers(&[]));
 }
+
+/// Guards against entries that stay for ever, and against a worker that is charged, because runs of a
+/// job fail after the job has ended.
+#[test]
+fn failures_of_an_ended_job_are_not_recorded() {
+    let mut steps = FailedSteps::default();
+    let task = TaskKey {
+        step: step(1),
+        index: 0,
+    };
+
+    let blamed = steps.run_failed(&CellState::default(), task, WorkerNumber(1));
+
+    assert!(!blamed);
+    assert_eq!(steps, FailedSteps::default());
+}
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -321,9 +321,7 @@
             let task = completion.run.task;
             match completion.outcome {
                 RunOutcome::Failed => {
-                    let known = state.job(task.step.job).and_then(|job| job.task(task));
-                    let failed_on = known.and_then(|task| task.failed_on);
-                    let may_be_cause = self.failed_steps.add_failure(task.step, number, failed_on);
+                    let may_be_cause = self.failed_steps.run_failed(state, task, number);
                     // Tasks of one job that fail together count once, because the job may be the cause.
                     if may_be_cause && !failed_jobs.contains(&task.step.job) {
                         failed_jobs.push(task.step.job);
--- a/crates/cell/src/leader/worker_commands.rs
+++ b/crates/cell/src/leader/worker_commands.rs
@@ -340,7 +340,7 @@
         let has_room = view.has_room_for(&key, io.now_ms);
         match refusal {
             StartRefusal::Unwilling => {
-                if self.failed_steps.add_failure(key.task.step, number, None) {
+                if self.failed_steps.run_failed(state, key.task, number) {
                     view.health.add_result(io.now_ms, true);
                 }
             }
