Play heartbeats of other software with real processes

Five complete heartbeats at the address of a worker beside 20 jobs, one without all fields, and a job that is repeated without end. No task runs twice, and both refusals name their reason. Loopback addresses are spread over seven tests instead of six.

--- a/crates/acaciareeld/tests/cell/env.rs
+++ b/crates/acaciareeld/tests/cell/env.rs
@@ -65,10 +65,10 @@
     /// Starts the processes and `workers` workers, puts a configuration in force, and waits until
     /// the entry VM serves callers. `test_number` must differ between the tests of one process.
     pub async fn start(test_number: u8, workers: u8) -> Self {
-        let pid = u8::try_from(std::process::id() % 42).expect("fits into a byte");
+        let pid = u8::try_from(std::process::id() % 36).expect("fits into a byte");
         let mut cell = Self {
             folder: tempfile::tempdir().expect("temporary folder"),
-            block: 6 * pid + test_number,
+            block: 7 * pid + test_number,
             processes: Vec::new(),
             client: Client::builder(TokioExecutor::new()).build_http(),
             checks: Arc::default(),
@@ -392,6 +392,26 @@
         .await
     }
 
+    /// Submits a body that need not be a job and returns status and body of the response.
+    pub async fn submit_body(&self, id: u64, body: &str) -> Option<(u16, String)> {
+        let path = format!("/q/{id:016x}");
+        self.call("POST", self.callers_address(), &path, body).await
+    }
+
+    /// Sends a heartbeat of software that is no worker, with the address of the first worker, to a
+    /// control VM. Returns status and body of the response.
+    pub async fn send_foreign_heartbeat(&self, vm: usize, fields: &str) -> Option<(u16, String)> {
+        let address = SocketAddr::from(([127, 90, self.block, 100], 8080));
+        let body = format!(
+            r#"{{"service":"s","address":"{address}","zone":"a","state":"ready",
+                "capacity":{{"cpu":1000,"mem_mb":10,"gpu":0}},"labels":[],"clock_ms":4000,
+                "sequence":1,"born":1700000000000{fields}}}"#
+        );
+        let path = "/acaciareel/Instances.Heartbeat/agent";
+        self.call("POST", self.control_address(vm), path, &body)
+            .await
+    }
+
     /// Makes a caller's request with an `Authorization` header and returns the status and the
     /// `WWW-Authenticate` header of the response. Without `is_submission` it reads the
     /// state of the job.
--- a/crates/acaciareeld/tests/cell/main.rs
+++ b/crates/acaciareeld/tests/cell/main.rs
@@ -199,3 +199,37 @@
         assert!(!log.contains("clear-text"), "{log}");
     }
 }
+
+/// Guards against tasks that run twice, because other software announces the address of their worker,
+/// and against a refusal that does not name what is wrong.
+#[tokio::test]
+async fn heartbeats_of_other_software_change_nothing() {
+    let cell = Cell::start(6, 2).await;
+    let leader = cell.leader().await;
+    let complete = r#","version":"v1","slots":8,"cold_remaining_ms":0"#;
+
+    let mut ids = Vec::new();
+    let mut statuses = Vec::new();
+    for round in 0..5 {
+        ids.extend(submit(&cell, 4 * round..4 * round + 4, Duration::from_millis(20)).await);
+        let reply = cell.send_foreign_heartbeat(leader, complete).await;
+        statuses.push(reply.map(|(status, _)| status));
+    }
+    let incomplete = cell.send_foreign_heartbeat(leader, "").await;
+    let absurd = r#"{"spec":"text","steps":[{"count":0}],"repeat_count":4000000000}"#;
+    let absurd = cell.submit_body(99, absurd).await;
+    cell.wait_until_completed(&ids, Duration::from_secs(30))
+        .await;
+
+    let log = cell.log_of(leader);
+    assert_eq!(ids.len(), 20);
+    assert_eq!(statuses, [Some(200); 5]);
+    assert!(log.contains("event=announcement_rejected"), "{log}");
+    assert!(!log.contains("event=worker_joined worker=agent"), "{log}");
+    let is_refused = |reply: Option<(u16, String)>, reason: &str| {
+        reply.is_some_and(|(status, body)| status == 400 && body.contains(reason))
+    };
+    assert!(is_refused(incomplete, "missing field"));
+    assert!(is_refused(absurd, "limit of 20000"));
+    assert_eq!(cell.violations(), Vec::<String>::new());
+}
