Do not try a step again at once on a worker on which it failed

A sound job failed after three attempts within 165 ms on one worker that failed everything, while the others were full.

Change: for 500 ms after a failure, a worker gets no run of the same step. Only the step's own failures count, so that others cannot keep it from the only worker of a kind.

Measured: probation::task_is_not_tried_again_at_once_where_it_failed fails without the check (condition not met within 3000 ms) and passes with it; sound_jobs_run_beside_as_many_hopeless_ones still passes.

--- a/crates/cell/src/leader/health.rs
+++ b/crates/cell/src/leader/health.rs
@@ -25,9 +25,12 @@
 /// Time after which a run on a worker on probation no longer keeps others from it. A job may stand
 /// still for 3 s (rule of the users).
 const TRIAL_MS: u64 = 2_000;
-/// Time after a failure in which a worker on probation gets no run. One that fails its runs at once
-/// would otherwise take a new one with every pass, and use up the attempts of the jobs.
+/// Time after a failure in which a worker on probation gets no run, and in which no worker gets runs of
+/// a step that it has failed. A worker that fails its runs at once would otherwise take a new one with
+/// every pass, and use up the attempts of the jobs, while the others are full.
 const PAUSE_MS: u64 = 500;
+/// Most workers that are remembered for a step.
+const MAX_WORKERS_PER_STEP: usize = 8;
 /// Number of other workers on which runs of a step must have failed, while none succeeded, for a
 /// further failure to count against the step only.
 const WORKERS_TO_BLAME_STEP: usize = 2;
@@ -105,22 +108,29 @@
     }
 }
 
-/// Steps of which runs have failed, with the workers on which they did since the last success.
+/// Steps of which runs have failed, with the workers on which they did since the last success and the
+/// times of the latest failures there.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub(super) struct FailedSteps {
-    workers: SortedVec<StepKey, Vec<WorkerNumber>>,
+    workers: SortedVec<StepKey, Vec<(WorkerNumber, Millis)>>,
 }
 
 impl FailedSteps {
     /// Records a failed run. Returns whether the worker may be the cause. What is left of a job that has
     /// ended says nothing of a worker.
-    pub fn run_failed(&mut self, state: &CellState, task: TaskKey, worker: WorkerNumber) -> bool {
+    pub fn run_failed(
+        &mut self,
+        state: &CellState,
+        task: TaskKey,
+        worker: WorkerNumber,
+        now_ms: Millis,
+    ) -> bool {
         let job = state.job(task.step.job);
         let Some(job) = job.filter(|job| job.state == JobState::Active) else {
             return false;
         };
         let failed_on = job.task(task).and_then(|task| task.failed_on);
-        self.add_failure(task.step, worker, failed_on)
+        self.add_failure(task.step, (worker, now_ms), failed_on)
     }
 
     /// Records a failed run of a step. `failed_on` is the worker of the latest failure of the same task
@@ -128,19 +138,28 @@
     fn add_failure(
         &mut self,
         step: StepKey,
-        worker: WorkerNumber,
+        (worker, now_ms): (WorkerNumber, Millis),
         failed_on: Option<WorkerNumber>,
     ) -> bool {
         let workers = self.workers.get_or_insert_with(step, Vec::new);
-        let others = workers.iter().filter(|other| **other != worker).count();
-        // More workers than these change nothing.
-        if !workers.contains(&worker) && workers.len() <= WORKERS_TO_BLAME_STEP {
-            workers.push(worker);
+        workers.retain(|(other, _)| *other != worker);
+        let others = workers.len();
+        if others >= MAX_WORKERS_PER_STEP {
+            workers.remove(0);
         }
+        workers.push((worker, now_ms));
         let task_failed_elsewhere = failed_on.is_some_and(|other| other != worker);
         others < WORKERS_TO_BLAME_STEP && !task_failed_elsewhere
     }
 
+    /// Returns the workers that have just failed runs of a step and get no others for now. Only the
+    /// step's own failures count, so that other jobs cannot keep it from the only worker of a kind.
+    pub fn pausing_workers(&self, step: StepKey, now_ms: Millis) -> Vec<WorkerNumber> {
+        let failed = self.workers.get(&step).into_iter().flatten();
+        let recent = failed.filter(|(_, at_ms)| now_ms.saturating_sub(*at_ms).0 < PAUSE_MS);
+        recent.map(|(worker, _)| *worker).collect()
+    }
+
     /// Records a run of a step that has ended successfully: it can be done.
     pub fn add_success(&mut self, step: StepKey) {
         self.workers.remove(&step);
--- a/crates/cell/src/leader/health/tests.rs
+++ b/crates/cell/src/leader/health/tests.rs
@@ -97,13 +97,14 @@
 #[test]
 fn step_that_fails_on_other_workers_is_blamed() {
     let mut steps = FailedSteps::default();
-    let fails_on =
-        |steps: &mut FailedSteps, worker| steps.add_failure(step(1), WorkerNumber(worker), None);
+    let fails_on = |steps: &mut FailedSteps, worker| {
+        steps.add_failure(step(1), (WorkerNumber(worker), FAILED_MS), None)
+    };
 
     let first = [1, 1, 2, 3, 4, 1].map(|worker| fails_on(&mut steps, worker));
     steps.add_success(step(1));
     let after_success = [5, 5, 6, 7].map(|worker| fails_on(&mut steps, worker));
-    let of_another_step = steps.add_failure(step(2), WorkerNumber(8), None);
+    let of_another_step = steps.add_failure(step(2), (WorkerNumber(8), FAILED_MS), None);
     steps.remove_job(JobId(1));
     let after_removal = fails_on(&mut steps, 8);
 
@@ -120,7 +121,7 @@
 
     let blamed = failed_on.map(|failed_on| {
         let mut steps = FailedSteps::default();
-        steps.add_failure(step(1), WorkerNumber(1), failed_on)
+        steps.add_failure(step(1), (WorkerNumber(1), FAILED_MS), failed_on)
     });
 
     assert_eq!(blamed, [true, true, false]);
@@ -150,8 +151,24 @@
         index: 0,
     };
 
-    let blamed = steps.run_failed(&CellState::default(), task, WorkerNumber(1));
+    let blamed = steps.run_failed(&CellState::default(), task, WorkerNumber(1), FAILED_MS);
 
     assert!(!blamed);
     assert_eq!(steps, FailedSteps::default());
 }
+
+/// Guards against a step that is tried again at once where it has just failed, and against one that
+/// never is.
+#[test]
+fn step_pauses_on_the_worker_on_which_it_failed() {
+    let mut steps = FailedSteps::default();
+    for worker in 1..=10 {
+        steps.add_failure(step(1), (WorkerNumber(worker), FAILED_MS), None);
+    }
+    steps.add_failure(step(1), (WorkerNumber(10), after(300)), None);
+
+    let pausing = [0, 490, 500, 800].map(|ms| steps.pausing_workers(step(1), after(ms)).len());
+
+    assert_eq!(pausing, [8, 8, 1, 0]);
+    assert!(steps.pausing_workers(step(2), FAILED_MS).is_empty());
+}
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -566,6 +566,7 @@
     ) -> Vec<Candidate> {
         let tasks = job.step(key).into_iter().flat_map(|step| &step.tasks);
         let failed_on: Vec<WorkerNumber> = tasks.filter_map(|task| task.failed_on).collect();
+        let pausing = self.failed_steps.pausing_workers(key, now_ms);
         let advice = self.advice.get(&key);
         // Long-running tasks are spread: some of them must be at work at any time.
         let domain_places = if spec.long_running {
@@ -580,6 +581,7 @@
             if !view.suits(spec, &job.queue)
                 || self.drains_for_others(number, suspects_of)
                 || self.speeds.is_closed(number)
+                || pausing.contains(&number)
             {
                 return None;
             }
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -321,7 +321,7 @@
             let task = completion.run.task;
             match completion.outcome {
                 RunOutcome::Failed => {
-                    let may_be_cause = self.failed_steps.run_failed(state, task, number);
+                    let may_be_cause = self.failed_steps.run_failed(state, task, number, io.now_ms);
                     // Tasks of one job that fail together count once, because the job may be the cause.
                     if may_be_cause && !failed_jobs.contains(&task.step.job) {
                         failed_jobs.push(task.step.job);
--- a/crates/cell/src/leader/worker_commands.rs
+++ b/crates/cell/src/leader/worker_commands.rs
@@ -340,7 +340,11 @@
         let has_room = view.has_room_for(&key, io.now_ms);
         match refusal {
             StartRefusal::Unwilling => {
-                if self.failed_steps.run_failed(state, key.task, number) {
+                let now_ms = io.now_ms;
+                if self
+                    .failed_steps
+                    .run_failed(state, key.task, number, now_ms)
+                {
                     view.health.add_result(io.now_ms, true);
                 }
             }
--- a/crates/cell/tests/cell/probation.rs
+++ b/crates/cell/tests/cell/probation.rs
@@ -177,3 +177,31 @@
         assert_eq!(sim.unfinished(100..400), [0_u64; 0], "{millicores}");
     }
 }
+
+/// Guards against a sound task that uses up its attempts within milliseconds on a worker that fails
+/// everything for a second, because the other one is full.
+#[test]
+fn task_is_not_tried_again_at_once_where_it_failed() {
+    let mut sim = Sim::new(7, 3, 2);
+    sim.set_up(vec![queue("batch", 2, false)]);
+    sim.submit("batch", 1, job(vec![step(1, 32_000, 20_000)]));
+    sim.run(500);
+    let full = sim.hosts(1).remove(0);
+    let other = if full == "worker-0" {
+        "worker-1"
+    } else {
+        "worker-0"
+    };
+
+    sim.submit("batch", 2, job(vec![step(1, 2_000, 300)]));
+    for _ in 0..90 {
+        let worker = sim.workers.get_mut(other).expect("worker");
+        let running: Vec<_> = worker.running.keys().copied().collect();
+        for run in running {
+            worker.fail(run);
+        }
+        sim.run(10);
+    }
+
+    sim.run_until(IDLE_LIMIT_MS, |sim| sim.unfinished(2..=2).is_empty());
+}
