Draw what workers, other writers and the platform may say

Rules are checked at each start; at the end each sound job is completed, unless one of its tasks has failed three times or two workers have crashed under it, the tasks that last are at work, and every worker takes a run.

--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -38,3 +38,4 @@
 mod waits;
 mod wide_gangs;
 mod worker;
+mod worker_messages;
