--- a/crates/cell/src/leader/tests.rs
+++ b/crates/cell/src/leader/tests.rs
@@ -4,9 +4,9 @@
 
 use super::Leader;
 use crate::{
-    AdviceCost, Bounds, CellState, Command, Demand, Effect, FinishedRun, JobId, QueueRow,
-    RenewalReport, ReportedRun, RunKey, SpeedClass, StepKey, TaskKey, WorkerNumber, WorkerRecord,
-    WorkerReply, WorkerRequest, io::Io,
+    AdviceCost, Bounds, CellState, Command, ControlReply, ControlRequest, Demand, Effect,
+    FinishedRun, JobId, Origin, QueueRow, RenewalReport, ReportedRun, RunKey, SpeedClass, StepKey,
+    TaskKey, WorkerNumber, WorkerRecord, WorkerReply, WorkerRequest, io::Io,
 };
 
 const NOW_MS: Millis = Millis(10_000);
@@ -231,3 +231,39 @@
     assert!(while_incomplete);
     assert!(!is_counted(&fixture));
 }
+
+/// Guards against a worker that is removed although it is present, because a late announcement of its
+/// predecessor at the address is recorded after the predecessor's removal.
+#[test]
+fn announcement_of_a_replaced_worker_is_not_recorded() {
+    let mut fixture = Fixture::new();
+    let successor = WorkerRecord {
+        id: "successor".to_owned(),
+        ..record(REBORN.0, 2)
+    };
+    let change = fixture.state.apply(Command::Worker(successor));
+    fixture.act(|leader, state, io| leader.handle_change(state, change, io));
+    let late = WorkerRecord {
+        draining: true,
+        ..record(REBORN.0, 1)
+    };
+    let request = ControlRequest::Announce {
+        worker: late,
+        clock_ms: None,
+        sequence: 9,
+    };
+
+    let mut commands = Vec::new();
+    let mut io = io(&mut fixture.effects, &mut commands);
+    let origin = Origin::Control { connection: 1 };
+    fixture
+        .leader
+        .control_request(&fixture.state, origin, request, &mut io);
+
+    assert_eq!(commands, []);
+    let reply = Effect::ReplyControl {
+        connection: 1,
+        reply: ControlReply::Done,
+    };
+    assert!(fixture.effects.contains(&reply));
+}
--- a/crates/cell/tests/cell/returns.rs
+++ b/crates/cell/tests/cell/returns.rs
@@ -685,3 +685,18 @@
         }
     }
 }
+
+/// Guards against a task that never runs again, because only the reports of its worker, which has come
+/// back with an earlier start, tell of the return: its heartbeats are lost.
+#[test]
+fn report_with_an_earlier_start_ends_the_runs_of_the_recorded_incarnation() {
+    let mut sim = cell(33, 4);
+    sim.submit("batch", 1, job(vec![step(1, 2_000, 20_000)]));
+    let host = wait_for_hosts(&mut sim, 1, 1).remove(0);
+    sim.run(500);
+
+    let returned = restart_with_an_earlier_start(&mut sim, &host, Comeback::SameId);
+    sim.unheard_workers.insert(returned);
+
+    sim.run_until(3_000, |sim| sim.starts == 2 && sim.hosts(1).len() == 1);
+}
