--- a/crates/cell/tests/cell/worker_messages.rs
+++ b/crates/cell/tests/cell/worker_messages.rs
@@ -220,7 +220,10 @@
             Draw::ForeignStart if shift_ms.is_multiple_of(2) => {
                 record.incarnation_started_ms += shift_ms * 1_000;
             }
-            Draw::ForeignStart => record.incarnation_started_ms -= shift_ms,
+            Draw::ForeignStart => {
+                let started_ms = record.incarnation_started_ms;
+                record.incarnation_started_ms = started_ms.saturating_sub(shift_ms);
+            }
             Draw::ForeignAddress => {
                 record.incarnation_started_ms += shift_ms;
                 "10.9.9.9:80".clone_into(&mut record.address);
@@ -278,7 +281,8 @@
                 };
                 self.crash(id, comeback);
                 if let Some(worker) = self.at_address(&record.address) {
-                    worker.record.incarnation_started_ms = record.incarnation_started_ms - shift_ms;
+                    let started_ms = record.incarnation_started_ms;
+                    worker.record.incarnation_started_ms = started_ms.saturating_sub(shift_ms);
                 }
             }
             _ => {
