Share what several places of the change wrote again

WorkerRecord::is_announced names the meaning of the sequence number 0, which four places knew by themselves. The two log lines on announcements share their fields, checkpoints and tickets one check of their length, and the tests one way to fail the runs of a worker. No behaviour changes.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -279,8 +279,7 @@
         for (number, record) in state.workers().iter() {
             let mut view = leader.make_view(*number, record.clone(), io.now_ms);
             view.inherited_lease_until_ms = io.now_ms.saturating_add(inherited_ms);
-            // An incarnation of which only a report has told has not announced its labels and capacity.
-            let announced = led_ms.filter(|_| record.sequence > 0);
+            let announced = led_ms.filter(|_| record.is_announced());
             view.announced_ms =
                 announced.map(|led_ms| led_ms.saturating_sub(Millis(ANNOUNCEMENT_INTERVAL_MS)));
             leader.workers.insert(*number, view);
--- a/crates/cell/src/leader/advice_requests.rs
+++ b/crates/cell/src/leader/advice_requests.rs
@@ -11,7 +11,7 @@
 use crate::{
     AdviceCost, AdviceRequest, AdviceResponse, Effect, JobId, JobSpec, PeerMessage, QueueRow,
     SpeedPreference, StepKey, StepSpec, WorkerNumber, domain_places, hash, io::Io,
-    limits::MAX_TOKEN_BYTES,
+    limits::is_bounded_token,
 };
 
 /// Workers named in one request. Each worker makes the call longer.
@@ -265,9 +265,9 @@
             }
             let view = self.workers.get(&number);
             let id = view.map(|view| &view.record.id);
-            let row = rows.iter().find(|(allowed, ticket)| {
-                Some(allowed) == id && ticket.len() as u64 <= MAX_TOKEN_BYTES
-            });
+            let row = rows
+                .iter()
+                .find(|(allowed, ticket)| Some(allowed) == id && is_bounded_token(ticket));
             if let Some((_, text)) = row {
                 // The permission holds for the worker, but the ticket only for the incarnation.
                 let same_incarnation = view.is_some_and(|view| view.incarnation() == *worker);
--- a/crates/cell/src/leader/announcements.rs
+++ b/crates/cell/src/leader/announcements.rs
@@ -1,6 +1,10 @@
 //! Requests of workers and operators: announcements, deregistrations and queue tables.
 
-use super::{Leader, identity::Announcer, worker::Departure};
+use super::{
+    Leader,
+    identity::{Announcer, announcement_fields},
+    worker::Departure,
+};
 use crate::{
     CellState, Command, ControlReply, ControlRequest, Deregistration, Origin, WorkerNumber,
     WorkerRecord, io::Io, limits::LimitExceeded,
@@ -99,13 +103,7 @@
             Announcer::Recorded => {}
             Announcer::Unverified => return self.verify(state, worker, origin, io),
             Announcer::Other => {
-                let fields = vec![
-                    ("worker", worker.id),
-                    ("incarnation", worker.incarnation_started_ms.to_string()),
-                    ("address", worker.address),
-                    ("service", worker.service),
-                ];
-                io.log("announcement_contradicts", fields);
+                io.log("announcement_contradicts", announcement_fields(&worker));
                 return io.reply_control(origin, ControlReply::Done);
             }
         }
@@ -187,11 +185,11 @@
             .last()
             .unwrap_or(0);
         let announced = left > 0;
-        // A report tells of an incarnation before its first announcement, with sequence number 0.
+        // A report tells of an incarnation before its first announcement.
         let is_earlier = |pending: &WorkerRecord| {
             let same_start = pending.incarnation_started_ms == record.incarnation_started_ms;
             (same_start && pending.sequence < record.sequence)
-                || (!same_start && record.sequence == 0)
+                || (!same_start && !record.is_announced())
         };
         let settled = self.pending_announcements.extract_if(.., |(pending, _)| {
             let of_worker = pending.id == record.id;
--- a/crates/cell/src/leader/identity.rs
+++ b/crates/cell/src/leader/identity.rs
@@ -32,8 +32,8 @@
 impl Announcer {
     /// Decides who announces `announced`. `is_used` tells whether the queue table names a service.
     ///
-    /// A record without an announcement (sequence number 0) stems from a report, which contains
-    /// neither the service nor the failure domain of the incarnation. A service that the table does
+    /// A record without an announcement contains neither the service nor the failure domain of the
+    /// incarnation. A service that the table does
     /// not name cannot keep out one that it names: the recorded one may be that of another writer,
     /// which announced an incarnation before the worker did.
     pub fn identify(
@@ -52,7 +52,7 @@
         let same_place = record.service == announced.service
             && record.failure_domain == announced.failure_domain;
         let is_replaceable =
-            record.sequence == 0 || (!is_used(&record.service) && is_used(&announced.service));
+            !record.is_announced() || (!is_used(&record.service) && is_used(&announced.service));
         if same_place || is_replaceable {
             Self::Recorded
         } else {
@@ -212,13 +212,8 @@
             }
             return;
         }
-        let fields = vec![
-            ("worker", record.id),
-            ("incarnation", record.incarnation_started_ms.to_string()),
-            ("address", record.address),
-            ("service", record.service),
-            ("answer", answer.as_str().to_owned()),
-        ];
+        let mut fields = announcement_fields(&record);
+        fields.push(("answer", answer.as_str().to_owned()));
         io.log("announcement_rejected", fields);
         let reply = if answer == Answer::None {
             ControlReply::Unavailable
@@ -244,6 +239,16 @@
     }
 }
 
+/// Returns the fields of a log line that says whom an announcement names.
+pub(super) fn announcement_fields(record: &WorkerRecord) -> Vec<(&'static str, String)> {
+    vec![
+        ("worker", record.id.clone()),
+        ("incarnation", record.incarnation_started_ms.to_string()),
+        ("address", record.address.clone()),
+        ("service", record.service.clone()),
+    ]
+}
+
 /// Who answers at an announced address.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Answer {
--- a/crates/cell/src/limits.rs
+++ b/crates/cell/src/limits.rs
@@ -66,9 +66,17 @@
 
 impl Error for LimitExceeded {}
 
+/// Returns whether a checkpoint or a ticket is within its limit.
+pub(crate) fn is_bounded_token(text: &str) -> bool {
+    text.len() as u64 <= MAX_TOKEN_BYTES
+}
+
 /// Returns a checkpoint that a worker reports, or none if it is too long: its task then starts from
 /// the beginning. Dropping the report would punish the other tasks of the worker.
 pub(crate) fn bounded_checkpoint(checkpoint: &str) -> &str {
-    let fits = checkpoint.len() as u64 <= MAX_TOKEN_BYTES;
-    if fits { checkpoint } else { "" }
+    if is_bounded_token(checkpoint) {
+        checkpoint
+    } else {
+        ""
+    }
 }
--- a/crates/cell/src/model.rs
+++ b/crates/cell/src/model.rs
@@ -348,7 +348,8 @@
     pub capacity: Demand,
     /// Whether the worker is draining and accepts no new runs.
     pub draining: bool,
-    /// Number of the announcement that brought this record, in its incarnation. The leader sets it.
+    /// Number of the announcement that brought this record, in its incarnation; 0 if a report did. The
+    /// leader sets it.
     pub sequence: u64,
 }
 
@@ -382,6 +383,13 @@
         Ok(())
     }
 
+    /// Returns whether the record contains an announcement. Otherwise only a report has told of the
+    /// incarnation, and the rest is that of the one before.
+    #[must_use]
+    pub fn is_announced(&self) -> bool {
+        self.sequence > 0
+    }
+
     /// Returns whether both records say the same of a worker.
     #[must_use]
     pub fn says_same(&self, other: &Self) -> bool {
--- a/crates/cell/tests/cell/probation.rs
+++ b/crates/cell/tests/cell/probation.rs
@@ -49,10 +49,7 @@
     }
     for _ in 0..600 {
         let worker = sim.workers.get_mut(id).expect("worker");
-        let failing: Vec<_> = worker.running.keys().copied().collect();
-        for run in failing.into_iter().filter(|run| !lasting.contains_key(run)) {
-            worker.fail(run);
-        }
+        worker.fail_runs(|run| !lasting.contains_key(run));
         sim.run(10);
     }
 }
@@ -143,18 +140,14 @@
 
 /// Fails all runs of a worker, except a long-running one, for 30 s of load. Each job has ten tasks.
 /// Returns how many runs it failed.
-fn fail_under_load(sim: &mut Sim, id: &str, millicores: u32) -> u32 {
+fn fail_under_load(sim: &mut Sim, id: &str, millicores: u32) -> usize {
     let lasting = sim.workers[id].running.clone();
     let mut failed = 0;
     for job_id in 100..400 {
         sim.submit("batch", job_id, job(vec![step(10, millicores, 400)]));
         for _ in 0..10 {
             let worker = sim.workers.get_mut(id).expect("worker");
-            let failing: Vec<_> = worker.running.keys().copied().collect();
-            for run in failing.into_iter().filter(|run| !lasting.contains_key(run)) {
-                worker.fail(run);
-                failed += 1;
-            }
+            failed += worker.fail_runs(|run| !lasting.contains_key(run)).len();
             sim.run(10);
         }
     }
@@ -196,10 +189,7 @@
     sim.submit("batch", 2, job(vec![step(1, 2_000, 300)]));
     for _ in 0..90 {
         let worker = sim.workers.get_mut(other).expect("worker");
-        let running: Vec<_> = worker.running.keys().copied().collect();
-        for run in running {
-            worker.fail(run);
-        }
+        worker.fail_runs(|_| true);
         sim.run(10);
     }
 
--- a/crates/cell/tests/cell/worker.rs
+++ b/crates/cell/tests/cell/worker.rs
@@ -180,9 +180,7 @@
             }
         }
         if self.fails {
-            for run in self.running.keys().copied().collect::<Vec<_>>() {
-                self.complete(run, RunOutcome::Failed);
-            }
+            self.fail_runs(|_| true);
         }
         self.carried_us += step_ms * self.speed_permille;
         let work_ms = self.carried_us / 1_000;
@@ -232,6 +230,16 @@
         }
     }
 
+    /// Ends the selected runs with failures, and returns them.
+    pub fn fail_runs(&mut self, is_selected: impl Fn(&RunKey) -> bool) -> Vec<RunKey> {
+        let running = self.running.keys().copied();
+        let failing: Vec<RunKey> = running.filter(is_selected).collect();
+        for run in &failing {
+            self.fail(*run);
+        }
+        failing
+    }
+
     pub fn has_completions(&self) -> bool {
         !self.completions.is_empty()
     }
--- a/crates/cell/tests/cell/worker_messages.rs
+++ b/crates/cell/tests/cell/worker_messages.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use acaciareel_cell::{
-    ControlRequest, Deregistration, JobId, RunKey, StepKey, StepSpec, TaskKey, WorkerRecord,
+    ControlRequest, Deregistration, JobId, StepKey, StepSpec, TaskKey, WorkerRecord,
 };
 use acaciareel_types::VmId;
 
@@ -307,10 +307,7 @@
                 let Some(worker) = self.sim.workers.get_mut(id) else {
                     continue;
                 };
-                let running: Vec<_> = worker.running.keys().copied().collect();
-                let of_jobs = |run: &RunKey| run.task.step.job != LASTING;
-                for run in running.into_iter().filter(of_jobs) {
-                    worker.fail(run);
+                for run in worker.fail_runs(|run| run.task.step.job != LASTING) {
                     *self.failures.entry(run.task).or_default() += 1;
                 }
             }
