review: case 12, a deregistration without an answer; cases in the order of their gravity

A worker that deregisters while it is cut off in one direction works on, as the pages say; at the first refused connection the leader gives up its runs and starts them elsewhere. The refused jobs are case 13, the workers that have left case 14.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Plays the case `back-after-a-minute`: exit code 1 if the rule was broken, 0 if it held, 2 if it could not run. Needs the build
-# of the deploy file and of review/build-3.sh. TROUBLE=0 leaves the disruption out.
+# Plays the case `left-worker`: exit code 1 if the rule was broken, 0 if it held, 2 if it could not run.
+# Needs the build of the deploy file and of review/build-3.sh. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/review-3/harness ] || exit 2
-exec target/review-3/harness back-after-a-minute review/14/record.txt
+[ -x target/review-3/harness ] && [ -x target/release/acaciareeld ] || exit 2
+exec target/review-3/harness left-worker review/14/record.txt
--- a/review/harness-3/cases.rs
+++ b/review/harness-3/cases.rs
@@ -25,6 +25,7 @@
         "refused-and-run" => refused_and_run(trouble, record),
         "idle-fleet" => idle_fleet(trouble, record),
         "kept-workers" => kept_workers(trouble, record),
+        "unheard-deregistration" => unheard_deregistration(trouble, record),
         "left-worker" => left_worker(trouble, record),
         "two-voters" => two_voters(trouble, record),
         "back-after-a-minute" => back_after_a_minute(trouble, record),
@@ -64,6 +65,9 @@
         fleet,
         workers,
     };
+    if site.workers.is_empty() {
+        return Ok(site);
+    }
     // All workers have announced themselves by then.
     thread::sleep(Duration::from_secs(3));
     let first = format!("{}{:016x}", WARM.0, 1);
@@ -534,3 +538,74 @@
          beside 3 idle workers: the worker that had left was waited for; it started again after {again_s:?} s"
     )))
 }
+
+/// TWICE: a worker that leaves is cut off in one direction, and its task is started elsewhere while it runs.
+fn unheard_deregistration(trouble: bool, record: &Arc<Record>) -> Result<Verdict, String> {
+    let cell = Cell::new((SEEDS, 1), false, record).ok_or("no free addresses")?;
+    let routes: [Route; 2] = [WARM, ("/lohu930/", 2, 2, 4.0, 3_000)];
+    let mut site = start(cell, 0, &routes, record)?;
+    let error = |error: std::io::Error| error.to_string();
+    let mut gates = Vec::new();
+    for number in 0..6 {
+        let announced = site.cell.worker_address(number);
+        let listens_at = site.cell.worker_address(number + 50);
+        let place = (ZONES[number % SEEDS], SERVICE);
+        gates.push(proxy::Gate::start(announced, listens_at).map_err(error)?);
+        let id = format!("i-{number}");
+        let worker = site.fleet.start_behind(&id, (announced, listens_at), place);
+        site.workers.push(worker.map_err(error)?);
+    }
+    thread::sleep(Duration::from_secs(3));
+    let id = "00000000000000b7";
+    let path = format!("/lohu930/{id}");
+    let steps = "{\"count\":1,\"cpu\":2000,\"mem_mb\":256,\"estimate_ms\":16000}";
+    if !site.cell.submit(&path, &job("ms=16000", steps)) {
+        return Err("the job was not accepted".to_owned());
+    }
+    let begun = wait(Duration::from_secs(5), || {
+        starts(&site.fleet.seen(), id).next().is_some()
+    });
+    let task = format!("{id}.0.0.0");
+    let at = site.workers.iter().position(|worker| worker.runs(&task));
+    let Some(at) = at.filter(|_| begun) else {
+        return Err("the job did not begin".to_owned());
+    };
+    let worker = &site.workers[at];
+    thread::sleep(Duration::from_secs(2));
+    worker.drain();
+    thread::sleep(Duration::from_secs(4));
+    let Some(connection) = worker.open_connection() else {
+        return Err("the worker's heartbeat was not acknowledged".to_owned());
+    };
+    let since = Instant::now();
+    if trouble {
+        record.line("nothing that is sent to the worker arrives; connections to it are refused");
+        gates[at].refuse();
+        thread::sleep(Duration::from_millis(300));
+        if !worker.deregister_unheard(&connection) {
+            return Err("the deregistration was not sent".to_owned());
+        }
+    }
+    // It ends anyway, some seconds later.
+    let mut twice = None;
+    while since.elapsed() < Duration::from_millis(4_300) {
+        let running = site.workers.iter().filter(|worker| worker.runs(&task));
+        if running.count() > 1 {
+            twice.get_or_insert_with(|| since.elapsed().as_secs_f64());
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    if trouble {
+        worker.end();
+    } else if !worker.leave() {
+        return Err("the deregistration was not acknowledged".to_owned());
+    }
+    thread::sleep(Duration::from_secs(3));
+    Ok(match twice {
+        None => Verdict::Held,
+        Some(after_s) => Verdict::Broken(format!(
+            "task {task} ran twice at the same time from {after_s:.1} s after the begin of the cut to 4.3 s, on \
+             two workers that were up"
+        )),
+    })
+}
--- a/review/harness-3/proxy.rs
+++ b/review/harness-3/proxy.rs
@@ -4,8 +4,8 @@
     io::{Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
         mpsc,
     },
     thread,
@@ -63,3 +63,57 @@
         }
     });
 }
+
+/// Passes connections on until it refuses them, as behind a cut that refuses.
+pub struct Gate {
+    refuses: AtomicBool,
+    open: Mutex<Vec<TcpStream>>,
+}
+
+impl Gate {
+    /// Passes connections to `from` on to `to`.
+    pub fn start(from: SocketAddr, to: SocketAddr) -> std::io::Result<Arc<Self>> {
+        let listener = TcpListener::bind(from)?;
+        listener.set_nonblocking(true)?;
+        let gate = Arc::new(Self {
+            refuses: AtomicBool::new(false),
+            open: Mutex::default(),
+        });
+        let serving = Arc::clone(&gate);
+        thread::spawn(move || serving.serve(&listener, to));
+        Ok(gate)
+    }
+
+    /// Refuses new connections from now on, and ends the open ones.
+    pub fn refuse(&self) {
+        self.refuses.store(true, Ordering::SeqCst);
+        for stream in self.open.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn serve(&self, listener: &TcpListener, to: SocketAddr) {
+        let usual: Delay = Arc::default();
+        while !self.refuses.load(Ordering::SeqCst) {
+            let Ok((stream, _)) = listener.accept() else {
+                thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            let _ = (stream.set_nonblocking(false), stream.set_nodelay(true));
+            let Ok(target) = TcpStream::connect(to) else {
+                continue;
+            };
+            let _ = target.set_nodelay(true);
+            let copies = [&stream, &target].map(TcpStream::try_clone);
+            let ends = [&stream, &target].map(TcpStream::try_clone);
+            if let ([Ok(stream_copy), Ok(target_copy)], [Ok(stream_end), Ok(target_end)]) =
+                (copies, ends)
+            {
+                self.open.lock().unwrap().extend([stream_end, target_end]);
+                pass(stream, target_copy, Arc::clone(&usual));
+                pass(target, stream_copy, Arc::clone(&usual));
+            }
+        }
+        // The listener is closed here.
+    }
+}
--- a/review/harness-3/worker.rs
+++ b/review/harness-3/worker.rs
@@ -6,10 +6,11 @@
 
 use std::{
     collections::BTreeMap,
-    net::SocketAddr,
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -96,6 +97,12 @@
     /// Set once the worker drains, and once its machine is gone.
     draining: AtomicBool,
     gone: AtomicBool,
+    /// Number of the latest heartbeat.
+    sequence: AtomicU64,
+    /// Node that acknowledged the latest heartbeat.
+    endpoint: Mutex<Option<SocketAddr>>,
+    /// Set once nothing that is sent to the worker arrives any more.
+    hears_nothing: AtomicBool,
     /// Number of the next starts that get no answer and are carried out late.
     unanswered: AtomicUsize,
 }
@@ -132,11 +139,21 @@
         });
     }
 
-    /// Starts a worker.
+    /// Starts a worker that listens at the address that it announces.
     pub fn start(
         self: &Arc<Self>,
         id: &str,
         address: SocketAddr,
+        place: (&str, &str),
+    ) -> std::io::Result<Arc<Worker>> {
+        self.start_behind(id, (address, address), place)
+    }
+
+    /// Starts a worker that announces an address and listens at another one, behind a proxy.
+    pub fn start_behind(
+        self: &Arc<Self>,
+        id: &str,
+        (address, listens_at): (SocketAddr, SocketAddr),
         (zone, service): (&str, &str),
     ) -> std::io::Result<Arc<Worker>> {
         let worker = Arc::new(Worker {
@@ -151,10 +168,13 @@
             cut: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             gone: AtomicBool::new(false),
+            sequence: AtomicU64::new(0),
+            endpoint: Mutex::default(),
+            hears_nothing: AtomicBool::new(false),
             unanswered: AtomicUsize::new(0),
         });
         let called = Arc::clone(&worker);
-        http::serve(address, move |request| called.answer(&request))?;
+        http::serve(listens_at, move |request| called.answer(&request))?;
         let beating = Arc::clone(&worker);
         thread::spawn(move || beating.send_heartbeats());
         let working = Arc::clone(&worker);
@@ -194,24 +214,62 @@
         self.draining.store(true, Ordering::SeqCst);
     }
 
-    /// Deregisters the worker, and ends it with all that runs on it; its machine is taken away, so that
-    /// nothing answers at its address. Returns whether the deregistration was acknowledged.
-    pub fn leave(&self) -> bool {
-        let path = format!("/acaciareel/Instances.Deregister/{}", self.id);
+    /// Sends a heartbeat to the node that acknowledges them, on a connection that stays open.
+    pub fn open_connection(&self) -> Option<TcpStream> {
+        let to = (*self.endpoint.lock().unwrap())?;
+        let stream = TcpStream::connect(to).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
+        let body = self.heartbeat();
+        self.post(&stream, "Heartbeat", &body)?;
+        let acknowledged = (&stream).read(&mut [0; 4_096]).ok()? > 0;
+        acknowledged.then_some(stream)
+    }
+
+    /// Sends the deregistration on an open connection. What comes back is lost, and so is all that is
+    /// sent to the worker from here on; it goes on.
+    pub fn deregister_unheard(&self, connection: &TcpStream) -> bool {
+        self.hears_nothing.store(true, Ordering::SeqCst);
         let body = format!("{{\"born\":{}}}", self.born);
-        let mut nodes = self.fleet.control.iter();
-        let acknowledged = nodes.any(|node| beat(*node, &path, &body).is_some());
-        self.gone.store(true, Ordering::SeqCst);
+        let sent = self.post(connection, "Deregister", &body).is_some();
         let text = format!(
-            "{} has deregistered, acknowledged {acknowledged}, and is gone",
+            "{} has sent its deregistration, and gets no answer",
             self.id
         );
         self.fleet.record.line(&text);
+        sent
+    }
+
+    fn post(&self, mut connection: &TcpStream, call: &str, body: &str) -> Option<()> {
+        let text = format!(
+            "POST /acaciareel/Instances.{call}/{} HTTP/1.1\r\nHost: control\r\n\
+             Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+            self.id,
+            body.len()
+        );
+        connection.write_all(text.as_bytes()).ok()
+    }
+
+    /// Ends the worker with all that runs on it.
+    pub fn end(&self) {
+        self.gone.store(true, Ordering::SeqCst);
+        self.fleet.record.line(&format!("{} is gone", self.id));
         let mut state = self.state();
         for ((task, run), _) in std::mem::take(&mut state.running) {
             self.fleet
                 .note(&self.id, (&task, run), "gone with its worker");
         }
+    }
+
+    /// Deregisters the worker, and ends it with all that runs on it; its machine is taken away, so that
+    /// nothing answers at its address. Returns whether the deregistration was acknowledged.
+    pub fn leave(&self) -> bool {
+        let path = format!("/acaciareel/Instances.Deregister/{}", self.id);
+        let body = format!("{{\"born\":{}}}", self.born);
+        let mut nodes = self.fleet.control.iter();
+        let acknowledged = nodes.any(|node| beat(*node, &path, &body).is_some());
+        let text = format!("{} has deregistered, acknowledged {acknowledged}", self.id);
+        self.fleet.record.line(&text);
+        self.end();
         acknowledged
     }
 
@@ -232,46 +290,43 @@
 
     // ---- heartbeats ----
 
+    /// Returns the next heartbeat.
+    fn heartbeat(&self) -> String {
+        let draining = self.draining.load(Ordering::SeqCst);
+        format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":8,\
+             \"state\":\"{}\",\"cold_remaining_ms\":0,\"capacity\":{{\"cpu\":{CPU},\"mem_mb\":{MEM_MB},\
+             \"gpu\":0}},\"labels\":[\"a\",\"r1-1\"],\"clock_ms\":{},\"sequence\":{},\"born\":{}}}",
+            self.service,
+            self.address,
+            self.zone,
+            if draining { "draining" } else { "ready" },
+            self.clock_ms(),
+            self.sequence.fetch_add(1, Ordering::SeqCst) + 1,
+            self.born
+        )
+    }
+
     fn send_heartbeats(&self) {
-        let mut sequence = 0;
-        let mut endpoint: Option<SocketAddr> = None;
         let mut next_node = 0;
-        loop {
+        while !self.gone.load(Ordering::SeqCst) {
             let began = Instant::now();
-            sequence += 1;
-            let state = if self.draining.load(Ordering::SeqCst) {
-                "draining"
-            } else {
-                "ready"
-            };
-            if self.gone.load(Ordering::SeqCst) {
-                return;
-            }
-            let body = format!(
-                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":8,\
-                 \"state\":\"{state}\",\"cold_remaining_ms\":0,\"capacity\":{{\"cpu\":{CPU},\
-                 \"mem_mb\":{MEM_MB},\"gpu\":0}},\"labels\":[\"a\",\"r1-1\"],\"clock_ms\":{},\
-                 \"sequence\":{sequence},\"born\":{}}}",
-                self.service,
-                self.address,
-                self.zone,
-                self.clock_ms(),
-                self.born
-            );
+            let body = self.heartbeat();
             let path = format!("/acaciareel/Instances.Heartbeat/{}", self.id);
-            // Behind the cut each attempt fails; the worker goes on with the next node.
+            // Behind a cut each attempt fails; the worker goes on with the next node.
             for _ in 0..self.fleet.control.len() {
-                if self.cut.load(Ordering::SeqCst) {
-                    endpoint = None;
+                let order = Ordering::SeqCst;
+                if self.cut.load(order) || self.hears_nothing.load(order) {
+                    *self.endpoint.lock().unwrap() = None;
                     break;
                 }
-                let to =
-                    endpoint.unwrap_or(self.fleet.control[next_node % self.fleet.control.len()]);
-                if let Some(named) = beat(to, &path, &body) {
-                    endpoint = named.or(endpoint);
+                let endpoint = *self.endpoint.lock().unwrap();
+                let node = self.fleet.control[next_node % self.fleet.control.len()];
+                if let Some(named) = beat(endpoint.unwrap_or(node), &path, &body) {
+                    *self.endpoint.lock().unwrap() = named.or(endpoint);
                     break;
                 }
-                endpoint = None;
+                *self.endpoint.lock().unwrap() = None;
                 next_node += 1;
             }
             thread::sleep(HEARTBEAT.saturating_sub(began.elapsed()));
