--- a/review/harness-3/cases.rs
+++ b/review/harness-3/cases.rs
@@ -418,6 +418,13 @@
         return Err("no seed leads".to_owned());
     };
     let killed = (leader + 1) % SEEDS;
+    // The leader loses its disk, or the other voter if VICTIM is `voter`.
+    let is_voter = std::env::var("VICTIM").as_deref() == Ok("voter");
+    let wiped = if is_voter {
+        (leader + 2) % SEEDS
+    } else {
+        leader
+    };
     record.line(&format!(
         "node {leader} leads; the other seeds vote too, and node 3 has joined"
     ));
@@ -447,9 +454,9 @@
             }
             record.line("the leader has removed the killed node from the voters");
         }
-        cell.kill_node(leader, true);
+        cell.kill_node(wiped, true);
         thread::sleep(Duration::from_millis(1_000));
-        cell.start_node(leader, false)
+        cell.start_node(wiped, false)
             .map_err(|error| error.to_string())?;
         thread::sleep(Duration::from_millis(3_000).saturating_sub(began.elapsed()));
         cell.start_node(killed, false)
