--- a/review/harness-3/cases.rs
+++ b/review/harness-3/cases.rs
@@ -27,6 +27,7 @@
         "kept-workers" => kept_workers(trouble, record),
         "unheard-deregistration" => unheard_deregistration(trouble, record),
         "left-worker" => left_worker(trouble, record),
+        "planned-replacement" => planned_replacement(trouble, record),
         "two-voters" => two_voters(trouble, record),
         "back-after-a-minute" => back_after_a_minute(trouble, record),
         _ => Err(format!("unknown case {name}")),
@@ -49,7 +50,11 @@
     record: &Arc<Record>,
 ) -> Result<Site, String> {
     let error = |error: std::io::Error| error.to_string();
-    cell.start().map_err(error)?;
+    match cell.spare {
+        Some(spare) => cell.start_without(spare),
+        None => cell.start(),
+    }
+    .map_err(error)?;
     if !cell.configure(&config(1, routes)) {
         return Err("the configuration was not acknowledged".to_owned());
     }
@@ -616,3 +621,72 @@
         )),
     })
 }
+
+/// RECOVER: a core machine is replaced as planned, and another one loses its disk a moment later.
+fn planned_replacement(trouble: bool, record: &Arc<Record>) -> Result<Verdict, String> {
+    const NEW: usize = SEEDS;
+    let mut cell = Cell::new((SEEDS + 1, 1), false, record).ok_or("no free addresses")?;
+    cell.spare = Some(NEW);
+    let routes: [Route; 1] = [WARM];
+    let site = start(cell, 2, &routes, record)?;
+    let cell = &site.cell;
+    let leads = |node: &usize| cell.log(*node).contains("event=leader_started");
+    let Some(leader) = (0..SEEDS).find(leads) else {
+        return Err("no seed leads".to_owned());
+    };
+    let (replaced, lost) = ((leader + 1) % SEEDS, (leader + 2) % SEEDS);
+    let path = "/warm000/00000000000000f2";
+    let steps = "{\"count\":1,\"cpu\":1000,\"mem_mb\":256,\"estimate_ms\":3000}";
+    if !cell.submit(path, &job("ms=3000", steps)) {
+        return Err("the job was not accepted".to_owned());
+    }
+    record.line(&format!(
+        "node {leader} leads; node {NEW} comes at another address"
+    ));
+    cell.start_node(NEW, false)
+        .map_err(|error| error.to_string())?;
+    thread::sleep(from_env("JOIN_MS", 2_000));
+    if !cell.log(NEW).contains("role=Learner") {
+        return Err("the new machine did not join".to_owned());
+    }
+    cell.stop_node(replaced);
+    if trouble {
+        thread::sleep(from_env("DELAY_MS", 1_200));
+        cell.kill_node(lost, true);
+        thread::sleep(Duration::from_millis(1_000));
+        cell.start_node(lost, false)
+            .map_err(|error| error.to_string())?;
+        record.line("all machines are back");
+    }
+    // `recovery_s` later.
+    thread::sleep(Duration::from_secs(12));
+    let answers: Vec<String> = (0..10)
+        .map(|_| {
+            thread::sleep(Duration::from_millis(500));
+            cell.state_of(path)
+        })
+        .collect();
+    let served = answers
+        .iter()
+        .filter(|answer| *answer == "completed")
+        .count();
+    if served >= 3 {
+        return Ok(Verdict::Held);
+    }
+    thread::sleep(Duration::from_secs(40));
+    let last = cell.state_of(path);
+    Ok(Verdict::Broken(format!(
+        "from `recovery_s` after all machines are back, {served} of 10 requests about an accepted job were \
+         served ({}); a minute later: {last}",
+        answers[0]
+    )))
+}
+
+/// Milliseconds from an environment variable.
+fn from_env(name: &str, default_ms: u64) -> Duration {
+    let text = std::env::var(name).ok();
+    Duration::from_millis(
+        text.and_then(|text| text.parse().ok())
+            .unwrap_or(default_ms),
+    )
+}
--- a/review/harness-3/cell.rs
+++ b/review/harness-3/cell.rs
@@ -37,9 +37,11 @@
 
 unsafe extern "C" {
     fn prctl(option: i32, argument: u64) -> i32;
+    fn kill(process: i32, signal: i32) -> i32;
 }
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: u64 = 9;
+const SIGTERM: i32 = 15;
 
 /// A small deployment; dropping it ends its processes.
 pub struct Cell {
@@ -47,6 +49,8 @@
     block: [u8; 2],
     control: usize,
     entries: usize,
+    /// Control node that starts later, if any.
+    pub spare: Option<usize>,
     proxied: bool,
     processes: Mutex<Vec<Option<Child>>>,
     record: Arc<Record>,
@@ -98,6 +102,7 @@
             block,
             control,
             entries,
+            spare: None,
             proxied,
             processes: Mutex::new((0..nodes).map(|_| None).collect()),
             record: Arc::clone(record),
@@ -139,7 +144,8 @@
             PEERS_PORT
         };
         let role = if is_control { "control" } else { "entry" };
-        let (hold_max_ms, stop_timeout_ms) = BOUNDS[usize::from(self.control > SEEDS)];
+        let (hold_max_ms, stop_timeout_ms) =
+            BOUNDS[usize::from(self.control > SEEDS && self.spare.is_none())];
         let mut fields = BTreeMap::from([
             ("node_name", format!("node-{node}")),
             ("role", role.to_owned()),
@@ -192,6 +198,23 @@
         (0..self.control + self.entries).try_for_each(|node| self.start_node(node, true))
     }
 
+    /// Starts all nodes but one with empty disks.
+    pub fn start_without(&self, left_out: usize) -> std::io::Result<()> {
+        let mut nodes = (0..self.control + self.entries).filter(|node| *node != left_out);
+        nodes.try_for_each(|node| self.start_node(node, true))
+    }
+
+    /// Ends a process with SIGTERM. Returns once it has ended.
+    pub fn stop_node(&self, node: usize) {
+        self.record.line(&format!("node {node} gets SIGTERM"));
+        if let Some(child) = &mut self.processes.lock().unwrap()[node] {
+            // SAFETY: the process is a child that has not been waited for.
+            unsafe { kill(child.id() as i32, SIGTERM) };
+            let _ = child.wait();
+        }
+        self.record.line(&format!("node {node} has ended"));
+    }
+
     /// Starts the process of a node.
     pub fn start_node(&self, node: usize, bootstrap: bool) -> std::io::Result<()> {
         let settings = self.write_settings(node, bootstrap)?;
