--- a/review/harness-4/ended.rs
+++ b/review/harness-4/ended.rs
@@ -56,7 +56,14 @@
             proxy::start(front, control, messages)?;
             controls.push(front);
         }
-        cell.start_worker(&format!("w{n}"), listens, announced, CPU, &controls)?;
+        cell.start_worker(
+            &format!("w{n}"),
+            usize::from(n) % 3,
+            listens,
+            announced,
+            CPU,
+            &controls,
+        )?;
         into.push(inbound);
     }
     let route = r#""target_duration_ms":1000,"priority":0,"max_attempts":4,"slack_factor":4.0"#;
--- a/review/harness-4/kept.rs
+++ b/review/harness-4/kept.rs
@@ -34,7 +34,7 @@
     let controls = cell.controls(ports.control);
     for n in 0..WORKERS {
         let at = cell.address(101 + n, ports.workers);
-        cell.start_worker(&format!("w{n}"), at, at, CPU, &controls)?;
+        cell.start_worker(&format!("w{n}"), usize::from(n) % 3, at, at, CPU, &controls)?;
     }
     let urgent = r#""target_duration_ms":300,"priority":0,"max_attempts":4,"slack_factor":1.4"#;
     let watch = r#""target_duration_ms":2500,"priority":1,"max_attempts":4,"slack_factor":4.0"#;
--- a/review/harness-4/refused.rs
+++ b/review/harness-4/refused.rs
@@ -56,10 +56,12 @@
         ZONES[leader], ZONES[zone]
     ));
     cell.start_machine(ENTRY, true, zone)?;
+    // The workers stand in the third zone, which is not cut.
+    let workers_in = (leader + 2) % 3;
     for n in 0..WORKERS {
         let at = cell.address(101 + n, ports.workers);
         let controls = cell.controls(ports.control);
-        cell.start_worker(&format!("w{n}"), at, at, CPU, &controls)?;
+        cell.start_worker(&format!("w{n}"), workers_in, at, at, CPU, &controls)?;
     }
     if !cell.wait_until_ready(ENTRY) {
         return Ok(Verdict::NotRun(
