--- a/review/harness-4/main.rs
+++ b/review/harness-4/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod json;
 mod kept;
+mod large;
 mod proxy;
 mod refused;
 mod suspects;
@@ -62,6 +63,7 @@
         "ended" => ended::run(&mut cell, trouble),
         "crashes" => crashes::run(&mut cell, trouble),
         "kept" => kept::run(&mut cell, trouble),
+        "large" => large::run(&mut cell, trouble),
         "suspects" => suspects::run(&mut cell, trouble),
         _ => Ok(Verdict::NotRun("unknown script".to_owned())),
     };
