--- a/review/20/run.sh
+++ b/review/17/run.sh
@@ -3,4 +3,4 @@
 # disruption out. Needs the build of the deploy file and review/build-4.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-4/harness ] && [ -x target/release/acaciareeld ] || exit 2
-exec target/review-4/harness kept review/20/record.txt
+exec target/review-4/harness kept review/17/record.txt
