--- a/review/harness-4/kept.rs
+++ b/review/harness-4/kept.rs
@@ -2,6 +2,7 @@
 //! one more worker, keeps all others for itself.
 
 use std::{
+    collections::BTreeSet,
     io, thread,
     time::{Duration, Instant},
 };
@@ -14,15 +15,18 @@
 const URGENT: &str = "/urgent/";
 const WATCH: &str = "/watch/";
 const LASTING: &str = "5c0e7a21d94b36f8";
-const LASTING_CPU: u64 = 1_000;
-/// Run time of the tasks of the urgent queue.
-const USUAL_MS: u64 = 36_000;
-/// Run time of one of them.
-const LONG_MS: u64 = 90_000;
-/// The gang is handed in so long after the start, and the task that lasts fails one second later.
-const GANG_AT: Duration = Duration::from_secs(38);
-const FAILS_MS: u64 = 39_000;
-const LENGTH: Duration = Duration::from_secs(62);
+/// Sizes of the tasks. Two of the gang have room on a worker, but not beside the one that lasts.
+const LASTING_CPU: u64 = 5_000;
+const TASK_CPU: u64 = 4_000;
+const GANG: u8 = 2 * WORKERS;
+/// Run time of the other tasks.
+const RUN_MS: u64 = 12_000;
+/// Times from the start on. The usual tasks of the queue have ended then, and the task that lasts fails
+/// soon after the gang has been handed in.
+const ORDINARY_AT: Duration = Duration::from_secs(14);
+const GANG_AT: Duration = Duration::from_millis(14_300);
+const FAILS_MS: u64 = 15_300;
+const LENGTH: Duration = Duration::from_secs(30);
 /// The rule: from 6 s after its last run, for 3 s.
 const AFTER_RUN_MS: u64 = 6_000;
 const STANDS_MS: u64 = 3_000;
@@ -49,26 +53,33 @@
     } else {
         "lasts".to_owned()
     };
-    let hand_in = |prefix: &str, job: &str, spec: &str, step: &str| {
-        let body = format!(r#"{{"spec":"{spec}","steps":[{{"mem_mb":256,{step}}}]}}"#);
+    let hand_in = |prefix: &str, job: &str, spec: &str, steps: &str| {
+        let body = format!(r#"{{"spec":"{spec}","steps":[{steps}]}}"#);
         let (status, _) = cell.client(ENTRY, "POST", &format!("{prefix}{job}"), &body);
         cell.note(format!("client hands in {prefix}{job}: {body}: {status}"));
         status == 200
     };
-    let lasting = format!(r#""count":1,"cpu":{LASTING_CPU},"estimate_ms":400,"long_running":true"#);
+    let lasting = format!(
+        r#"{{"mem_mb":256,"count":1,"cpu":{LASTING_CPU},"estimate_ms":400,"long_running":true}}"#
+    );
     let mut accepted = hand_in(WATCH, LASTING, &spec, &lasting);
-    // The usual work: one task on each worker, beside the one that lasts.
-    let cpu = CPU - LASTING_CPU;
-    for n in 0..WORKERS {
-        let ms = if n == 0 { LONG_MS } else { USUAL_MS };
-        let usual = format!(r#""count":1,"cpu":{cpu},"estimate_ms":{ms}"#);
-        let job = format!("{:016x}", 0xb1600 + u64::from(n));
-        accepted &= hand_in(URGENT, &job, &format!("ms={ms}"), &usual);
+    let tasks = |count: u8| {
+        format!(r#""mem_mb":256,"count":{count},"cpu":{TASK_CPU},"estimate_ms":{RUN_MS}"#)
+    };
+    let spec = format!("ms={RUN_MS}");
+    let ordinary = format!("{{{}}}", tasks(1));
+    for n in 0..u64::from(WORKERS) {
+        accepted &= hand_in(URGENT, &format!("{:016x}", 0xb1000 + n), &spec, &ordinary);
         thread::sleep(Duration::from_millis(100));
     }
+    thread::sleep(ORDINARY_AT.saturating_sub(began.elapsed()));
+    accepted &= hand_in(URGENT, "00000000000b1600", &spec, &ordinary);
     thread::sleep(GANG_AT.saturating_sub(began.elapsed()));
-    let gang = format!(r#""count":{WORKERS},"cpu":{CPU},"estimate_ms":{USUAL_MS},"gang":true"#);
-    accepted &= hand_in(URGENT, "00000000000b1700", &format!("ms={USUAL_MS}"), &gang);
+    let (first, next) = (tasks(GANG), tasks(2));
+    let gang = format!(
+        r#"{{{first},"gang":true}},{{{next},"depends_on":[0]}},{{{next},"depends_on":[1]}}"#
+    );
+    accepted &= hand_in(URGENT, "00000000000b1700", &spec, &gang);
     if !accepted {
         return Ok(Verdict::NotRun("a job was not accepted".to_owned()));
     }
@@ -92,24 +103,28 @@
         return Ok(Verdict::Held("the task that lasts runs on".to_owned()));
     };
     let next = of_task("start", 2).unwrap_or(until);
-    // Other runs that began or went on while the task had no run.
-    let runs = lines.iter().filter(|(at, id, line)| {
-        let end = line.replacen("start", "end", 1);
-        let ended = |(at, by, line): &(u64, String, String)| {
-            by == id && line.starts_with(&format!("{end} ")) && *at <= failed
-        };
-        line.starts_with("start ")
-            && !line.contains(LASTING)
-            && *at < next
-            && !lines.iter().any(ended)
-    });
-    let idle = usize::from(WORKERS).saturating_sub(runs.count());
+    // Workers that run nothing from `from` to `to`.
+    let idle = |from: u64, to: u64| {
+        let busy = lines.iter().filter(|(at, id, line)| {
+            let end = line.replacen("start", "end", 1);
+            let ended = |(at, by, line): &(u64, String, String)| {
+                by == id && line.starts_with(&format!("{end} ")) && *at <= from
+            };
+            line.starts_with("start ") && *at < to && !lines.iter().any(ended)
+        });
+        let busy: BTreeSet<&String> = busy.map(|(_, id, _)| id).collect();
+        usize::from(WORKERS) - busy.len()
+    };
+    let (from, to) = (failed + AFTER_RUN_MS, failed + AFTER_RUN_MS + STANDS_MS);
+    let idle = idle(from, to);
     let text = format!(
-        "the task that lasts had no run for {} ms, while {idle} of {WORKERS} workers ran nothing",
-        next - failed
+        "the task that lasts had no run for {} ms; {idle} of {WORKERS} workers ran nothing from {AFTER_RUN_MS} \
+         ms to {} ms after its end",
+        next - failed,
+        to - failed
     );
-    // One idle worker has room for eight such tasks.
-    Ok(if next - failed > AFTER_RUN_MS + STANDS_MS && idle >= 2 {
+    // Each idle worker has room for one such task.
+    Ok(if next > to && idle >= 2 {
         Verdict::Broken(text)
     } else {
         Verdict::Held(text)
