--- a/review/harness-4/cell.rs
+++ b/review/harness-4/cell.rs
@@ -18,7 +18,7 @@
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 const CONTROLS: u8 = 3;
 pub const HOST: &str = "Host: jobs.example\r\n";
-pub const PREFIX: &str = "/work/";
+pub const PREFIX: &str = "/queue/";
 
 /// Ports of the deployment; the same on all machines.
 #[derive(Clone, Copy)]
