Let restarts use the workers that a waiting gang keeps

Cause: withhold() sets the free capacity of a kept worker to nothing for all steps after it, however long they have waited. steps_wait shows kept_workers=8 and 240 of 256 cores free while the task has 8 candidates and no slots. Ruled out: isolation (isolation=0), tickets and advice (0), the pause after a failure (0.5 s, one worker).

Change: since when a task waits for another run is kept for each task, from the end of its run until a worker confirms the next one. A long-running task may use held capacity after 2 s, workers with a suspect on trial after 4 s, first where the gang loses the fewest tasks. Waiting steps tell held_room from room in the log and the gauges.

Why it works: the end of the wait depends on the task's own time only, which no gang can move.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -8,8 +8,8 @@
 
 use crate::{
     CallerReply, CellState, Change, Command, ControlReply, Effect, Job, JobId, JobState, Origin,
-    PeerMessage, RunKey, Speeds, StepKey, TaskState, WorkerIncarnation, WorkerNumber, WorkerRecord,
-    ids::calls_of_epoch, io::Io, limits::JOB_MEMORY,
+    PeerMessage, RunKey, Speeds, StepKey, TaskKey, TaskState, WorkerIncarnation, WorkerNumber,
+    WorkerRecord, ids::calls_of_epoch, io::Io, limits::JOB_MEMORY,
 };
 
 mod advice;
@@ -26,6 +26,7 @@
 mod relay;
 mod renewal;
 mod reservations;
+mod restarts;
 mod run_times;
 mod speeds;
 mod stalls;
@@ -192,6 +193,7 @@
     on_probation: Vec<WorkerNumber>,
     /// Workers reserved for gangs in the current pass, sorted.
     reserved_for_gangs: Vec<WorkerNumber>,
+    restarts: restarts::Restarts,
     /// Workers that drain for suspects, which must run alone, and the suspects' steps.
     draining_for: SortedVec<WorkerNumber, StepKey>,
     /// Jobs whose failure after too many crashes is being committed, sorted.
@@ -265,6 +267,7 @@
             failed_steps: health::FailedSteps::default(),
             on_probation: Vec::new(),
             reserved_for_gangs: Vec::new(),
+            restarts: restarts::Restarts::default(),
             draining_for: SortedVec::new(),
             given_up: Vec::new(),
             previously_reserved: Vec::new(),
@@ -597,7 +600,8 @@
                 let gang = job.step_spec(key).is_some_and(|spec| spec.gang);
                 let tasks = (0u32..).zip(&progress.tasks);
                 let is_waiting = |(_, task): &(u32, &crate::Task)| task.state == TaskState::Waiting;
-                let waiting: Vec<u32> = tasks.filter(is_waiting).map(|(i, _)| i).collect();
+                let waiting = tasks.filter(is_waiting);
+                let waiting: Vec<u32> = waiting.map(|(index, _)| index).collect();
                 let partial = gang && !waiting.is_empty() && waiting.len() < progress.tasks.len();
                 let proposing = self.steps.get(&key).is_some_and(|s| !s.proposed.is_empty());
                 if partial && !proposing {
@@ -609,6 +613,15 @@
                     }
                     continue;
                 }
+                for index in &waiting {
+                    if progress.tasks[*index as usize].run > 0 {
+                        let task = TaskKey {
+                            step: key,
+                            index: *index,
+                        };
+                        self.restarts.note(task, io.now_ms);
+                    }
+                }
                 let account = self.tenants.account(job);
                 let entry = self.steps.get_or_insert_with(key, WaitingStep::default);
                 entry.waiting = waiting;
@@ -621,6 +634,7 @@
     /// that a task with a crash runs again.
     fn run_confirmed(&mut self, state: &CellState, run: RunKey, io: &mut Io<'_>) {
         let id = run.task.step.job;
+        self.restarts.end(run.task);
         if state.crash_count(run.task).crashes > 0 {
             io.commands.push(Command::Confirmed(run));
         }
@@ -665,6 +679,7 @@
         }
         self.scheduled_jobs.retain(|scheduled| *scheduled != id);
         self.failed_steps.remove_job(id);
+        self.restarts.remove_job(id);
         if let Ok(at) = self.given_up.binary_search(&id) {
             self.given_up.remove(at);
         }
--- a/crates/cell/src/leader/isolation.rs
+++ b/crates/cell/src/leader/isolation.rs
@@ -4,11 +4,14 @@
 //! Most suspects are innocent, so the worker takes other tasks again after a while, and no suspect
 //! waits for ever: it then runs beside others.
 
-use acaciareel_types::Millis;
+use std::cmp::Reverse;
+
+use acaciareel_types::{Millis, SortedVec};
 
 use super::{
     Leader,
     pass::{FreeCapacityByWorker, counted_demand},
+    restarts::CapacityScope,
     worker::{Phase, WorkerView},
 };
 use crate::{
@@ -59,6 +62,8 @@
     pub tasks: Vec<u32>,
     /// Whether the tasks are suspects.
     pub suspects: bool,
+    /// Capacity that the tasks may use.
+    pub scope: CapacityScope,
 }
 
 /// Workers on which a group of tasks may be placed.
@@ -140,13 +145,14 @@
         true
     }
 
-    /// Returns the waiting tasks of a step without a proposed placement: the suspects, and the
-    /// others. A gang stays together.
+    /// Returns the waiting tasks of a step without a proposed placement, by what they may use: those that
+    /// are no suspects first, and of these those that may use most. A gang stays together.
     pub(super) fn task_groups(
         &self,
         state: &CellState,
         key: StepKey,
         spec: &StepSpec,
+        now_ms: Millis,
     ) -> Vec<TaskGroup> {
         let Some(step) = self.steps.get(&key) else {
             return Vec::new();
@@ -155,25 +161,32 @@
         let waiting = step.waiting.iter().copied();
         let waiting = waiting.filter(|index| !is_proposed(index));
         let job = state.job(key.job);
-        let is_suspect = |index: u32| {
+        let kind = |index: u32| {
             let task = TaskKey { step: key, index };
-            job.is_some_and(|job| state.must_run_alone(job, task))
+            let suspects = job.is_some_and(|job| state.must_run_alone(job, task));
+            (suspects, Reverse(self.capacity_scope(spec, task, now_ms)))
         };
-        let (suspects, others): (Vec<u32>, Vec<u32>) = if spec.gang {
-            let waiting: Vec<u32> = waiting.collect();
-            if is_suspect(0) {
-                (waiting, Vec::new())
-            } else {
-                (Vec::new(), waiting)
-            }
-        } else {
-            waiting.partition(|index| is_suspect(*index))
+        if spec.gang {
+            let tasks: Vec<u32> = waiting.collect();
+            let (suspects, Reverse(scope)) = kind(0);
+            let group = TaskGroup {
+                tasks,
+                suspects,
+                scope,
+            };
+            return Vec::from_iter((!group.tasks.is_empty()).then_some(group));
+        }
+        let mut groups: SortedVec<(bool, Reverse<CapacityScope>), Vec<u32>> = SortedVec::new();
+        for index in waiting {
+            let tasks = groups.get_or_insert_with(kind(index), Vec::new);
+            tasks.push(index);
+        }
+        let group = |((suspects, Reverse(scope)), tasks)| TaskGroup {
+            tasks,
+            suspects,
+            scope,
         };
-        let groups = [(others, false), (suspects, true)];
-        let groups = groups.into_iter().filter(|(tasks, _)| !tasks.is_empty());
-        groups
-            .map(|(tasks, suspects)| TaskGroup { tasks, suspects })
-            .collect()
+        groups.into_iter().map(group).collect()
     }
 
     /// Ends the reservations of steps without waiting suspects, and of workers that cannot be used.
@@ -181,11 +194,12 @@
         &mut self,
         state: &CellState,
         free_capacity: &FreeCapacityByWorker,
+        now_ms: Millis,
     ) {
         let mut draining_for = std::mem::take(&mut self.draining_for);
         draining_for.retain(|number, key| {
             let spec = state.job(key.job).and_then(|job| job.step_spec(*key));
-            let groups = spec.map(|spec| self.task_groups(state, *key, spec));
+            let groups = spec.map(|spec| self.task_groups(state, *key, spec, now_ms));
             let waits = groups.is_some_and(|groups| groups.iter().any(|group| group.suspects));
             waits && free_capacity.contains_key(number)
         });
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -9,6 +9,7 @@
     Leader, Phase, RunView,
     advice_requests::MAX_WORKERS_PER_REQUEST,
     isolation::{GroupCandidates, TaskGroup},
+    restarts::CapacityScope,
     waits::WaitReason,
     worker::WorkerView,
 };
@@ -243,7 +244,7 @@
             .collect();
         let mut limit = WorkLimit::new(self.pass_cursor.take());
         let mut free_capacity = self.free_capacity(io.now_ms);
-        self.release_drained(state, &free_capacity);
+        self.release_drained(state, &free_capacity, io.now_ms);
         let mut reserving = Reserving::default();
         self.waits.held_millicores = 0;
         let mut last_examined = None;
@@ -275,7 +276,7 @@
             let most = self.tasks_until_class_changes(state, job, spec, times);
             let proposed_before = self.proposed_tasks(key);
             let kept_before = self.release_withheld(key);
-            for mut group in self.task_groups(state, key, spec) {
+            for mut group in self.task_groups(state, key, spec, io.now_ms) {
                 let proposed = self.proposed_tasks(key) - proposed_before;
                 group.tasks.truncate(most - proposed.min(most));
                 self.keep_to_cap((state, job, spec), urgency.timeliness, &mut group.tasks);
@@ -304,21 +305,35 @@
 
     /// Returns the free capacity of all usable workers.
     pub(super) fn free_capacity(&self, now_ms: Millis) -> FreeCapacityByWorker {
-        let usable = self
-            .workers
-            .iter()
-            .filter(|(_, view)| view.is_usable(now_ms) && !self.is_behind_silence(view))
-            .filter(|(_, view)| !view.is_isolated(now_ms))
-            .filter(|(_, view)| !self.verifications.concern(&view.record));
         let available = |view: &WorkerView| FreeCapacity {
             free: view.free,
             unreserved: view.free,
         };
-        usable
+        self.usable_workers(now_ms)
+            .filter(|(_, view)| !view.is_isolated(now_ms))
             .map(|(number, view)| (*number, available(view)))
             .collect()
     }
 
+    fn usable_workers(&self, now_ms: Millis) -> impl Iterator<Item = (&WorkerNumber, &WorkerView)> {
+        self.workers
+            .iter()
+            .filter(move |(_, view)| view.is_usable(now_ms) && !self.is_behind_silence(view))
+            .filter(|(_, view)| !self.verifications.concern(&view.record))
+    }
+
+    /// Returns the given free capacity, and workers with a suspect on trial as if they had none.
+    fn free_capacity_with_trials(
+        &self,
+        free_capacity: &FreeCapacityByWorker,
+        now_ms: Millis,
+    ) -> FreeCapacityByWorker {
+        let available = |number: &WorkerNumber| free_capacity.get(number).copied();
+        self.usable_workers(now_ms)
+            .map(|(number, _)| (*number, available(number).unwrap_or_default()))
+            .collect()
+    }
+
     /// Returns the processor shares that are free on the selected workers that accept work, and that
     /// they have.
     pub(super) fn millicores_of(
@@ -405,6 +420,8 @@
                 WaitReason::Advice
             } else if alone_until_ms.is_some() {
                 WaitReason::Isolation
+            } else if self.has_held_room(&demand, &candidates) {
+                WaitReason::HeldRoom
             } else {
                 WaitReason::Room
             };
@@ -480,14 +497,16 @@
         free_capacity: &FreeCapacityByWorker,
         io: &mut Io<'_>,
     ) -> GroupCandidates {
-        let suspects_of = group.suspects.then_some(key);
-        let candidates = self.candidates(
-            job,
-            spec,
-            (key, urgency),
-            (free_capacity, suspects_of),
-            io.now_ms,
-        );
+        let with_trials;
+        let available = if group.scope == CapacityScope::Trials {
+            with_trials = self.free_capacity_with_trials(free_capacity, io.now_ms);
+            &with_trials
+        } else {
+            free_capacity
+        };
+        let mut candidates =
+            self.candidates(job, spec, (key, urgency), (available, group), io.now_ms);
+        self.open_held_capacity(state, (key, spec), group, &mut candidates);
         if group.suspects {
             return self.suspect_candidates(
                 (state, job),
@@ -561,9 +580,11 @@
         job: &Job,
         spec: &StepSpec,
         (key, urgency): (StepKey, Urgency),
-        (free_capacity, suspects_of): (&FreeCapacityByWorker, Option<StepKey>),
+        (free_capacity, group): (&FreeCapacityByWorker, &TaskGroup),
         now_ms: Millis,
     ) -> Vec<Candidate> {
+        let suspects_of = group.suspects.then_some(key);
+        let keeps_off_drained = group.scope == CapacityScope::Unheld;
         let tasks = job.step(key).into_iter().flat_map(|step| &step.tasks);
         let failed_on: Vec<WorkerNumber> = tasks.filter_map(|task| task.failed_on).collect();
         let pausing = self.failed_steps.pausing_workers(key, now_ms);
@@ -579,7 +600,7 @@
         let candidate = |number: WorkerNumber, available: &FreeCapacity| {
             let view = self.workers.get(&number)?;
             if !view.suits(spec, &job.queue)
-                || self.drains_for_others(number, suspects_of)
+                || keeps_off_drained && self.drains_for_others(number, suspects_of)
                 || self.speeds.is_closed(number)
                 || pausing.contains(&number)
             {
--- a/crates/cell/src/leader/waits.rs
+++ b/crates/cell/src/leader/waits.rs
@@ -27,6 +27,8 @@
     Advice,
     /// Too few workers that may run the step have free capacity.
     Room,
+    /// Workers that may run the step have free capacity, which is held for other steps.
+    HeldRoom,
     /// The chosen workers have free capacity, and some tickets have expired or are missing.
     Tickets,
     /// Suspects wait for workers of their own.
@@ -39,6 +41,7 @@
         match self {
             Self::Advice => "advice",
             Self::Room => "room",
+            Self::HeldRoom => "held_room",
             Self::Tickets => "tickets",
             Self::Isolation => "isolation",
         }
@@ -96,7 +99,7 @@
             return;
         }
         self.waits.last_ms = io.now_ms;
-        let mut counts = [0u64; 5];
+        let mut counts = [0u64; 6];
         let mut kept_workers = 0;
         let mut oldest = Vec::new();
         for (key, step) in self.steps.iter() {
@@ -112,11 +115,12 @@
                 }
             }
         }
-        let [not_examined, advice, room, tickets, isolation] = counts;
+        let [not_examined, advice, room, held_room, tickets, isolation] = counts;
         let figures = [
             ("steps_not_examined", not_examined),
             ("steps_waiting_for_advice", advice),
             ("steps_waiting_for_room", room),
+            ("steps_waiting_for_held_room", held_room),
             ("steps_waiting_for_tickets", tickets),
             ("steps_waiting_for_isolation", isolation),
             ("held_millicores", self.waits.held_millicores),
@@ -140,6 +144,7 @@
                 ("not_examined", not_examined.to_string()),
                 ("advice", advice.to_string()),
                 ("room", room.to_string()),
+                ("held_room", held_room.to_string()),
                 ("tickets", tickets.to_string()),
                 ("isolation", isolation.to_string()),
                 ("free_millicores", free.to_string()),
--- /dev/null
+++ b/crates/cell/tests/cell/held_room.rs
@@ -0,0 +1,121 @@
+//! Work that waits beside free capacity that is held for other steps.
+
+use acaciareel_cell::{Demand, JobId, JobSpec, QueueRow, RunKey, StepSpec};
+
+use crate::sim::{Sim, gang, job, queue, service, step};
+
+/// Longest time for which a long-running task may be missing while there is capacity for it (rule
+/// LOST of the users: 6 s after its last run, and 3 s more).
+const RESTART_MS: u64 = 9_000;
+const SAMPLE_MS: u64 = 100;
+/// Id of the job whose long-running task fails.
+const SERVICE: u64 = 1;
+const GANG: u64 = 2;
+/// Id of the job for whose end gangs have to wait.
+const STRAGGLER: u64 = 3;
+/// Id of the first of the jobs that have run before, so that run times are known.
+const FIRST_EARLIER: u64 = 100;
+/// Run time of tasks of the urgent queue.
+const RUN_MS: u64 = 12_000;
+/// Demand of an urgent task; two fit on a worker.
+const TASK_MILLICORES: u32 = 16_000;
+/// Demand of a long-running task. No urgent task fits beside it.
+const SERVICE_MILLICORES: u32 = 16_100;
+
+/// Creates a cell whose gangs come before its long-running tasks. Tasks of 12 s are known to it.
+fn cell(workers: u32) -> Sim {
+    let mut sim = Sim::new(1, 3, workers);
+    let urgent = QueueRow {
+        slack_permille: 1_500,
+        target_ms: 300,
+        ..queue("urgent", 0, false)
+    };
+    sim.set_up(vec![urgent, queue("watch", 1, false)]);
+    sim.submit("watch", SERVICE, job(vec![service(1, SERVICE_MILLICORES)]));
+    sim.run(500);
+    for id in (FIRST_EARLIER..).take(workers as usize) {
+        sim.submit("urgent", id, urgent_job());
+    }
+    sim.run(RUN_MS + 2_000);
+    assert_eq!(sim.at_work(SERVICE), [0]);
+    sim
+}
+
+fn urgent_job() -> JobSpec {
+    job(vec![step(1, TASK_MILLICORES, RUN_MS)])
+}
+
+/// Submits a gang that needs all of so many workers, with two more steps after it.
+fn submit_gang(sim: &mut Sim, workers: u32) {
+    let after = |step_before: u32| StepSpec {
+        depends_on: vec![step_before],
+        ..step(2, TASK_MILLICORES, RUN_MS)
+    };
+    let wide = gang(2 * workers, TASK_MILLICORES, RUN_MS);
+    sim.submit("urgent", GANG, job(vec![wide, after(0), after(1)]));
+}
+
+/// Lets the run of the long-running task end as failed.
+fn fail_service(sim: &mut Sim) {
+    let is_service = |run: &RunKey| run.task.step.job == JobId(SERVICE);
+    let workers = sim.workers.values_mut().filter(|worker| worker.alive);
+    let failed: usize = workers
+        .map(|worker| worker.fail_runs(is_service).len())
+        .sum();
+    assert_eq!(failed, 1);
+}
+
+/// Returns the time until the long-running task is at work, at most `limit_ms`.
+fn restart_ms(sim: &mut Sim, limit_ms: u64) -> u64 {
+    let began_ms = sim.now_ms;
+    while sim.at_work(SERVICE).is_empty() && sim.now_ms < began_ms + limit_ms {
+        sim.run(SAMPLE_MS);
+    }
+    sim.now_ms - began_ms
+}
+
+/// Guards against a long-running task that stands still beside idle workers, all of which a waiting
+/// gang keeps (review/17).
+#[test]
+fn long_running_task_restarts_beside_a_gang_that_keeps_all_workers() {
+    let mut sim = cell(8);
+    sim.submit("urgent", STRAGGLER, urgent_job());
+    sim.run(100);
+    submit_gang(&mut sim, 8);
+    sim.run(2_300);
+
+    fail_service(&mut sim);
+    let restart_ms = restart_ms(&mut sim, 2 * RESTART_MS);
+
+    assert!(restart_ms <= RESTART_MS, "{restart_ms} ms");
+}
+
+/// Guards against a gang that never starts because a long-running task takes one of the workers that it
+/// keeps, while another worker would do.
+#[test]
+fn gang_starts_without_the_worker_that_a_restart_took() {
+    let mut sim = cell(8);
+    let full_worker = step(1, 2 * TASK_MILLICORES, RUN_MS);
+    for id in STRAGGLER..STRAGGLER + 2 {
+        sim.submit("urgent", id, job(vec![full_worker.clone()]));
+    }
+    sim.run(100);
+    submit_gang(&mut sim, 6);
+    // The task's own worker shrinks, so that its next run has to take another one.
+    let host = sim.hosts(SERVICE).remove(0);
+    let now_ms = sim.now_ms;
+    let worker = sim.workers.get_mut(&host).expect("worker");
+    let small = Demand {
+        cpu_millicores: SERVICE_MILLICORES / 2,
+        ..worker.record.capacity
+    };
+    worker.set_capacity(now_ms, small);
+    sim.run(2_300);
+
+    fail_service(&mut sim);
+    let restart_ms = restart_ms(&mut sim, 2 * RESTART_MS);
+    sim.run_until(RUN_MS, |sim| sim.hosts(GANG).len() == 6);
+
+    assert!(restart_ms <= RESTART_MS, "{restart_ms} ms");
+    assert_eq!(sim.at_work(SERVICE), [0]);
+}
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -12,6 +12,7 @@
 mod domain_preference;
 mod faults;
 mod foreign_heartbeats;
+mod held_room;
 mod incarnations;
 mod indexes;
 mod job_memory;
