Keep the wait of each long-running suspect by itself

Cause: the time since which suspects wait was kept for the step, and Leader::propose reset it with each suspect that got a worker of its own. A worker that becomes empty every 1.4 s kept the 2 s from passing.

Change: a long-running suspect waits from the end of its own run; the suspects of a step are placed in groups by their waits and crashes. A restart that has waited for 4 s no longer keeps off workers on probation or closed as very slow either.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -123,7 +123,7 @@
     waiting: Vec<u32>,
     /// Positions from `waiting` whose placement is proposed and not yet committed, sorted.
     proposed: Vec<u32>,
-    /// Time since which suspects of the step have waited for a worker of their own.
+    /// Time since which suspects of the step have waited for a worker of their own, and none got one.
     suspects_since_ms: Option<Millis>,
     /// Tenant and service whose usage the step will count for.
     account: Option<tenants::Account>,
--- a/crates/cell/src/leader/isolation.rs
+++ b/crates/cell/src/leader/isolation.rs
@@ -55,13 +55,39 @@
     now_ms.saturating_add(Millis(trial_ms))
 }
 
+/// What decides whether suspects still wait for workers of their own.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct SuspectWait {
+    /// How long each has waited at least: the longest of the times after which suspects may do more.
+    waited_ms: Reverse<u64>,
+    /// Whether none has more crashes than make a suspect.
+    few_crashes: bool,
+}
+
+impl SuspectWait {
+    fn new(waited_ms: u64, early_after_ms: u64, few_crashes: bool) -> Self {
+        let reached = [
+            early_after_ms,
+            SHARE_LONG_RUNNING_AFTER_MS,
+            SHARE_ALWAYS_AFTER_MS,
+        ];
+        let reached = reached
+            .into_iter()
+            .filter(|after_ms| *after_ms <= waited_ms);
+        Self {
+            waited_ms: Reverse(reached.max().unwrap_or(0)),
+            few_crashes,
+        }
+    }
+}
+
 /// Waiting tasks of a step that are placed together.
 #[derive(Clone, Debug)]
 pub(super) struct TaskGroup {
     /// Positions of the tasks, sorted.
     pub tasks: Vec<u32>,
-    /// Whether the tasks are suspects.
-    pub suspects: bool,
+    /// Set if the tasks are suspects.
+    pub suspects: Option<SuspectWait>,
     /// Capacity that the tasks may use.
     pub scope: CapacityScope,
 }
@@ -161,22 +187,50 @@
         let waiting = step.waiting.iter().copied();
         let waiting = waiting.filter(|index| !is_proposed(index));
         let job = state.job(key.job);
+        let early_after_ms = match job {
+            Some(job) if spec.gang && job.queue.advice.is_some() => SHARE_ADVISED_GANG_AFTER_MS,
+            _ => SHARE_AFTER_MS,
+        };
+        let is_suspect = |index: u32| {
+            let task = TaskKey { step: key, index };
+            job.is_some_and(|job| state.must_run_alone(job, task))
+        };
+        let has_few_crashes =
+            |index: u32| state.crash_count(TaskKey { step: key, index }).may_share();
+        let waiting: Vec<u32> = waiting.collect();
+        let mut suspects = waiting
+            .iter()
+            .filter(|index| spec.gang || is_suspect(**index));
+        let all_have_few_crashes = suspects.all(|index| has_few_crashes(*index));
+        let since_ms = step.suspects_since_ms.unwrap_or(now_ms);
+        let step_waited_ms = now_ms.saturating_sub(since_ms).0;
         let kind = |index: u32| {
             let task = TaskKey { step: key, index };
-            let suspects = job.is_some_and(|job| state.must_run_alone(job, task));
-            (suspects, Reverse(self.capacity_scope(spec, task, now_ms)))
+            let wait = || {
+                // A job may fail for crashes that its tasks did not cause, so they share workers only
+                // once none of the step gets one of its own any more. Long-running ones never fail a job.
+                let (waited_ms, few_crashes) = if spec.long_running && !spec.gang {
+                    let waited_ms = self.restarts.waited_ms(task, now_ms);
+                    (waited_ms.unwrap_or(0), has_few_crashes(index))
+                } else {
+                    (step_waited_ms, all_have_few_crashes)
+                };
+                SuspectWait::new(waited_ms, early_after_ms, few_crashes)
+            };
+            let scope = self.capacity_scope(spec, task, now_ms);
+            (is_suspect(index).then(wait), Reverse(scope))
         };
         if spec.gang {
-            let tasks: Vec<u32> = waiting.collect();
             let (suspects, Reverse(scope)) = kind(0);
             let group = TaskGroup {
-                tasks,
+                tasks: waiting,
                 suspects,
                 scope,
             };
             return Vec::from_iter((!group.tasks.is_empty()).then_some(group));
         }
-        let mut groups: SortedVec<(bool, Reverse<CapacityScope>), Vec<u32>> = SortedVec::new();
+        let mut groups: SortedVec<(Option<SuspectWait>, Reverse<CapacityScope>), Vec<u32>> =
+            SortedVec::new();
         for index in waiting {
             let tasks = groups.get_or_insert_with(kind(index), Vec::new);
             tasks.push(index);
@@ -200,7 +254,8 @@
         draining_for.retain(|number, key| {
             let spec = state.job(key.job).and_then(|job| job.step_spec(*key));
             let groups = spec.map(|spec| self.task_groups(state, *key, spec, now_ms));
-            let waits = groups.is_some_and(|groups| groups.iter().any(|group| group.suspects));
+            let waits =
+                groups.is_some_and(|groups| groups.iter().any(|group| group.suspects.is_some()));
             waits && free_capacity.contains_key(number)
         });
         self.draining_for = draining_for;
@@ -221,22 +276,19 @@
         &mut self,
         (state, job): (&CellState, &Job),
         (key, spec): (StepKey, &StepSpec),
-        tasks: &[u32],
+        (tasks, wait): (&[u32], SuspectWait),
         candidates: Vec<Candidate>,
         io: &mut Io<'_>,
     ) -> GroupCandidates {
         let now_ms = io.now_ms;
-        let waited_ms = self.suspects_waited_ms(key, now_ms);
-        let few_crashes = tasks.iter().all(|index| {
-            let index = *index;
-            state.crash_count(TaskKey { step: key, index }).may_share()
-        });
-        let share_early_after_ms = if spec.gang && job.queue.advice.is_some() {
-            SHARE_ADVISED_GANG_AFTER_MS
-        } else {
-            SHARE_AFTER_MS
-        };
-        let waited_long_enough = waited_ms >= share_early_after_ms;
+        if let Some(step) = self.steps.get_mut(&key) {
+            step.suspects_since_ms.get_or_insert(now_ms);
+        }
+        let SuspectWait {
+            waited_ms: Reverse(waited_ms),
+            few_crashes,
+        } = wait;
+        let waited_long_enough = waited_ms > 0;
         // Half of the capacity is free, so only gaps on all workers keep the suspects waiting.
         let shares_early =
             waited_long_enough && !spec.long_running && self.is_half_free(job, now_ms);
@@ -275,13 +327,6 @@
         }
     }
 
-    /// Returns how long suspects of a step have waited for workers of their own.
-    fn suspects_waited_ms(&mut self, key: StepKey, now_ms: Millis) -> u64 {
-        let since_ms = self.steps.get_mut(&key);
-        let since_ms = since_ms.map(|step| *step.suspects_since_ms.get_or_insert(now_ms));
-        now_ms.saturating_sub(since_ms.unwrap_or(now_ms)).0
-    }
-
     /// Returns whether more than half of the capacity of a job's service is free.
     fn is_half_free(&self, job: &Job, now_ms: Millis) -> bool {
         let of_service = |view: &WorkerView| view.record.service == job.queue.service;
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -498,7 +498,7 @@
         io: &mut Io<'_>,
     ) -> GroupCandidates {
         let with_trials;
-        let available = if group.scope == CapacityScope::Trials {
+        let available = if group.scope == CapacityScope::Doubtful {
             with_trials = self.free_capacity_with_trials(free_capacity, io.now_ms);
             &with_trials
         } else {
@@ -507,11 +507,11 @@
         let mut candidates =
             self.candidates(job, spec, (key, urgency), (available, group), io.now_ms);
         self.open_held_capacity(state, (key, spec), group, &mut candidates);
-        if group.suspects {
+        if let Some(suspects) = group.suspects {
             return self.suspect_candidates(
                 (state, job),
                 (key, spec),
-                &group.tasks,
+                (&group.tasks, suspects),
                 candidates,
                 io,
             );
@@ -583,8 +583,9 @@
         (free_capacity, group): (&FreeCapacityByWorker, &TaskGroup),
         now_ms: Millis,
     ) -> Vec<Candidate> {
-        let suspects_of = group.suspects.then_some(key);
+        let suspects_of = group.suspects.map(|_| key);
         let keeps_off_drained = group.scope == CapacityScope::Unheld;
+        let keeps_off_doubtful = group.scope < CapacityScope::Doubtful;
         let tasks = job.step(key).into_iter().flat_map(|step| &step.tasks);
         let failed_on: Vec<WorkerNumber> = tasks.filter_map(|task| task.failed_on).collect();
         let pausing = self.failed_steps.pausing_workers(key, now_ms);
@@ -601,7 +602,7 @@
             let view = self.workers.get(&number)?;
             if !view.suits(spec, &job.queue)
                 || keeps_off_drained && self.drains_for_others(number, suspects_of)
-                || self.speeds.is_closed(number)
+                || keeps_off_doubtful && self.speeds.is_closed(number)
                 || pausing.contains(&number)
             {
                 return None;
@@ -610,7 +611,7 @@
                 let here = view.runs.keys().filter(|run| run.task.step == key).count();
                 max.saturating_sub(u32::try_from(here).unwrap_or(u32::MAX))
             });
-            if self.on_probation.binary_search(&number).is_ok() {
+            if keeps_off_doubtful && self.on_probation.binary_search(&number).is_ok() {
                 max_tasks = max_tasks.min(u32::from(view.may_take_trial(now_ms)));
             }
             let rack = spec.preferred_rack.as_deref();
--- a/crates/cell/src/leader/restarts.rs
+++ b/crates/cell/src/leader/restarts.rs
@@ -14,8 +14,9 @@
 /// Wait after which a restart may use capacity that is held for gangs and suspects. It lets a gang
 /// start that lacks little, and leaves most of the 9 s that callers accept (rule of the users).
 const USE_HELD_AFTER_MS: u64 = 2_000;
-/// Wait after which a restart may use workers with a suspect on trial. Shorter trials end by themselves.
-const USE_TRIALS_AFTER_MS: u64 = 4_000;
+/// Wait after which a restart may use workers that it avoids until then: a run on one of them is better
+/// than none. Short trials of suspects end before.
+const USE_DOUBTFUL_AFTER_MS: u64 = 4_000;
 /// Added to the risk of workers whose room is held for others, so that they are chosen last.
 const HELD_RISK: u32 = 1_000;
 
@@ -26,15 +27,15 @@
     Unheld,
     /// What is held for waiting gangs, and workers that drain for suspects.
     Held,
-    /// Workers that are closed while a suspect runs on them.
-    Trials,
+    /// Workers with a suspect on trial, on probation, or that have turned very slow.
+    Doubtful,
 }
 
 impl CapacityScope {
     /// Returns the scope for a task that has waited so long for a restart.
     pub fn of_restart(waited_ms: u64) -> Self {
-        if waited_ms >= USE_TRIALS_AFTER_MS {
-            Self::Trials
+        if waited_ms >= USE_DOUBTFUL_AFTER_MS {
+            Self::Doubtful
         } else if waited_ms >= USE_HELD_AFTER_MS {
             Self::Held
         } else {
@@ -109,7 +110,7 @@
             let Some(view) = self.workers.get(&candidate.worker) else {
                 continue;
             };
-            let drains = self.drains_for_others(candidate.worker, group.suspects.then_some(key));
+            let drains = self.drains_for_others(candidate.worker, group.suspects.map(|_| key));
             if candidate.free == view.free && !drains {
                 continue;
             }
--- a/crates/cell/src/leader/restarts/tests.rs
+++ b/crates/cell/src/leader/restarts/tests.rs
@@ -26,7 +26,7 @@
             CapacityScope::Unheld,
             CapacityScope::Held,
             CapacityScope::Held,
-            CapacityScope::Trials,
+            CapacityScope::Doubtful,
         ]
     );
 }
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -24,6 +24,7 @@
 #[path = "../fixtures/records.rs"]
 mod records;
 mod recovery;
+mod restart_waits;
 mod returns;
 mod run_times;
 mod scale;
--- a/crates/cell/tests/cell/suspects.rs
+++ b/crates/cell/tests/cell/suspects.rs
@@ -170,6 +170,30 @@
     assert_eq!((at_work, sim.at_work(1).len()), (40, 40));
 }
 
+/// Guards against long-running suspects whose wait begins anew each time that one of them gets a worker of
+/// its own (review/16).
+#[test]
+fn services_restart_while_workers_become_empty_one_by_one() {
+    let mut sim = cell(8);
+    sim.crashes.down_ms = 2_000;
+    for number in 0..7 {
+        let spec = step(1, 32_000, 10_000 + 1_400 * number);
+        sim.submit("batch", 10 + number, job(vec![spec]));
+    }
+    sim.run(500);
+    sim.submit("watch", 1, job(vec![service(12, 1_200)]));
+    for _ in 0..2 {
+        let host = wait_for_hosts(&mut sim, 1);
+        sim.run(1_500);
+        sim.crash_worker(&host[0]);
+        sim.run(2_000);
+    }
+
+    sim.run(RESTART_MS - 2_000);
+
+    assert_eq!(sim.at_work(1).len(), 12);
+}
+
 /// Guards against a suspect that waits for ever for a worker without runs, because each worker has
 /// a long-running task.
 #[test]
