Hold no room for gangs that fit on no set of workers

Cause: reserve() sets room aside for any gang that lacks room; steps with large slack get only the rest. It did not ask whether the gang fits at all.

Change: a gang keeps or reserves room only if it fits on all usable workers of its service once the runs have ended that end by themselves. A worker with a long-running task counts with the room that the task leaves, for keeping too; before, it was never kept. The unit test of that now gives the worker no room beside its endless runs, as the closure is gone; the rule it checks is the same.

The opposite mistake has a test that holds before and after: a wide gang starts among narrow jobs, beside a small long-running task on each worker.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -331,6 +331,7 @@
                 let demand = pass::counted_demand(spec);
                 let mut inherited = RunView::new(demand, phase, None, now_ms);
                 inherited.charge = self.tenants.charge(job, Some(spec));
+                inherited.long_running = spec.long_running;
                 if state.must_run_alone(job, key) {
                     inherited.alone_until_ms = Some(isolation::trial_end(
                         spec,
--- a/crates/cell/src/leader/isolation.rs
+++ b/crates/cell/src/leader/isolation.rs
@@ -303,7 +303,7 @@
                 alone_until_ms: None,
             };
         }
-        self.drain_for_suspects(state, (key, spec), tasks.len(), &candidates, io);
+        self.drain_for_suspects((key, spec), tasks.len(), &candidates, io);
         let may_close = self.may_close(key, spec, now_ms);
         let isolated = candidates.iter().filter_map(|candidate| {
             let view = self.workers.get(&candidate.worker)?;
@@ -357,7 +357,6 @@
     /// with the least in use are chosen, and none with long-running tasks, which never end.
     fn drain_for_suspects(
         &mut self,
-        state: &CellState,
         (key, spec): (StepKey, &StepSpec),
         tasks: usize,
         candidates: &[Candidate],
@@ -379,7 +378,7 @@
                 let capacity = view.record.capacity.cpu_millicores;
                 // A worker that a gang keeps for itself counts as full.
                 let used_millicores = capacity.saturating_sub(candidate.free.cpu_millicores);
-                let can_drain = !view.has_long_running(state) && !view.is_isolated(io.now_ms);
+                let can_drain = !view.has_long_running() && !view.is_isolated(io.now_ms);
                 let is_new = is_new(view, io.now_ms);
                 can_drain.then_some((is_new, used_millicores, candidate.worker))
             })
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -434,14 +434,7 @@
             }
             let step = (key, spec, urgency, tasks);
             let workers = (candidates.as_slice(), kept_before);
-            self.reserve_for_gang(
-                (state, job),
-                step,
-                workers,
-                free_capacity,
-                reserving,
-                io.now_ms,
-            );
+            self.reserve_for_gang(job, step, workers, free_capacity, reserving, io.now_ms);
             return candidate_count;
         };
         for worker in &chosen {
@@ -525,17 +518,19 @@
     /// Reserves capacity for a gang that lacks room.
     fn reserve_for_gang(
         &mut self,
-        (state, job): (&CellState, &Job),
+        job: &Job,
         (key, spec, urgency, tasks): (StepKey, &StepSpec, Urgency, u32),
         (candidates, kept_before): (&[Candidate], &[WorkerNumber]),
         free_capacity: &mut FreeCapacityByWorker,
         reserving: &mut Reserving,
         now_ms: Millis,
     ) {
+        if !self.may_ever_fit(&job.queue, spec, tasks, free_capacity) {
+            return;
+        }
         // A gang with large slack can still wait for others to end.
         if !urgency.has_large_slack {
             self.keep_workers(
-                state,
                 (key, spec, tasks),
                 (candidates, kept_before),
                 free_capacity,
@@ -552,6 +547,28 @@
         }
     }
 
+    /// Returns whether a gang fits on all usable workers together once the runs have ended that end by
+    /// themselves. Room that is reserved for another one would only keep others waiting.
+    fn may_ever_fit(
+        &self,
+        queue: &QueueRow,
+        spec: &StepSpec,
+        tasks: u32,
+        free_capacity: &FreeCapacityByWorker,
+    ) -> bool {
+        let demand = counted_demand(spec);
+        let most_per_worker = spec.max_per_worker.unwrap_or(u32::MAX);
+        let workers = free_capacity.keys().filter_map(|n| self.workers.get(n));
+        let mut slots = workers
+            .filter(|view| view.suits(spec, queue))
+            .map(|view| demand.times_in(&view.most_free).min(most_per_worker))
+            .scan(0_u32, |sum, slots| {
+                *sum = sum.saturating_add(slots);
+                Some(*sum)
+            });
+        slots.any(|sum| sum >= tasks)
+    }
+
     /// Requests advice about further workers for a step that found too few, if it may.
     fn widen_advice(
         &mut self,
@@ -682,7 +699,7 @@
             .filter_map(|candidate| {
                 let view = self.workers.get(&candidate.worker)?;
                 let wanted = candidate.slots(demand) + 1;
-                let fits = demand.times_in(&view.record.capacity) >= wanted;
+                let fits = demand.times_in(&view.most_free) >= wanted;
                 let wanted_millicores = demand.cpu_millicores.saturating_mul(wanted);
                 let lack = wanted_millicores.saturating_sub(candidate.free.cpu_millicores);
                 fits.then_some((lack, candidate.worker))
@@ -738,6 +755,7 @@
             let mut view = RunView::new(demand, Phase::Proposed, ticket, io.now_ms);
             view.alone_until_ms = alone_until_ms;
             view.charge = self.tenants.charge(job, Some(spec));
+            view.long_running = spec.long_running;
             if let Some(worker) = self.workers.get_mut(worker) {
                 worker.add_run(run, view);
             }
--- a/crates/cell/src/leader/reservations.rs
+++ b/crates/cell/src/leader/reservations.rs
@@ -10,7 +10,7 @@
     Leader,
     pass::{FreeCapacity, FreeCapacityByWorker, counted_demand},
 };
-use crate::{CellState, Demand, StepKey, StepSpec, WorkerNumber, placement::Candidate};
+use crate::{Demand, StepKey, StepSpec, WorkerNumber, placement::Candidate};
 
 /// Share of the usable workers that all gangs together may keep, in thousandths. Kept workers are idle
 /// in part until they are empty enough. A single gang may keep more.
@@ -25,7 +25,7 @@
     pub worker: WorkerNumber,
     /// Tasks that have room now.
     pub slots: u32,
-    /// Tasks that have room once the worker's other runs have ended.
+    /// Tasks that have room once the runs have ended that end by themselves.
     pub slots_if_empty: u32,
     /// Processor share in use.
     pub used_millicores: u32,
@@ -34,13 +34,8 @@
 }
 
 /// Returns the workers that a gang of `tasks` keeps, sorted: those that it has kept so far, then those
-/// that lack the least, without those that never become empty. Returns none if the gang does not fit on
-/// all of them together.
-pub(super) fn workers_to_keep(
-    tasks: u32,
-    mut options: Vec<KeepOption>,
-    becomes_empty: impl Fn(WorkerNumber) -> bool,
-) -> Vec<WorkerNumber> {
+/// that lack the least. Returns none if the gang does not fit on all of them together.
+pub(super) fn workers_to_keep(tasks: u32, mut options: Vec<KeepOption>) -> Vec<WorkerNumber> {
     options.sort_unstable_by_key(|option| {
         let lacking = option.slots_if_empty.saturating_sub(option.slots);
         (!option.kept, lacking, option.used_millicores, option.worker)
@@ -51,7 +46,7 @@
         if slots >= tasks {
             break;
         }
-        if option.slots_if_empty > 0 && becomes_empty(option.worker) {
+        if option.slots_if_empty > 0 {
             slots += option.slots_if_empty;
             kept.push(option.worker);
         }
@@ -107,7 +102,6 @@
     /// Lets a gang that lacks room keep workers, if it may.
     pub(super) fn keep_workers(
         &mut self,
-        state: &CellState,
         (key, spec, tasks): (StepKey, &StepSpec, u32),
         (candidates, kept_before): (&[Candidate], &[WorkerNumber]),
         free_capacity: &mut FreeCapacityByWorker,
@@ -126,23 +120,20 @@
             return;
         }
         let option = |candidate: &Candidate| {
-            let capacity = self.workers.get(&candidate.worker)?.record.capacity;
+            let view = self.workers.get(&candidate.worker)?;
+            let capacity = view.record.capacity;
             Some(KeepOption {
                 worker: candidate.worker,
                 slots: candidate.slots(&demand),
-                slots_if_empty: demand.times_in(&capacity).min(candidate.max_tasks),
+                slots_if_empty: demand.times_in(&view.most_free).min(candidate.max_tasks),
                 used_millicores: capacity
                     .cpu_millicores
                     .saturating_sub(candidate.free.cpu_millicores),
                 kept: kept_before.binary_search(&candidate.worker).is_ok(),
             })
         };
-        let becomes_empty = |worker: WorkerNumber| {
-            let view = self.workers.get(&worker);
-            view.is_some_and(|view| !view.has_long_running(state))
-        };
         let options = candidates.iter().filter_map(option).collect();
-        let kept = workers_to_keep(tasks, options, becomes_empty);
+        let kept = workers_to_keep(tasks, options);
         if kept.is_empty() {
             return;
         }
--- a/crates/cell/src/leader/reservations/tests.rs
+++ b/crates/cell/src/leader/reservations/tests.rs
@@ -27,7 +27,7 @@
         option(4, 0, 20_000),
     ];
 
-    let kept = workers_to_keep(5, options, |_| true);
+    let kept = workers_to_keep(5, options);
 
     assert_eq!(kept, numbers(&[2, 3, 4]));
 }
@@ -41,7 +41,7 @@
     };
     let options = vec![option(2, 2, 0), option(3, 2, 0), kept_so_far];
 
-    let kept = workers_to_keep(4, options, |_| true);
+    let kept = workers_to_keep(4, options);
 
     assert_eq!(kept, numbers(&[1, 2]));
 }
@@ -51,17 +51,21 @@
 fn nothing_is_kept_for_a_gang_that_does_not_fit() {
     let options = vec![option(1, 2, 0), option(2, 0, 30_000)];
 
-    let kept = workers_to_keep(5, options, |_| true);
+    let kept = workers_to_keep(5, options);
 
     assert_eq!(kept, Vec::new());
 }
 
-/// Guards against waiting for a worker whose runs never end.
+/// Guards against waiting for a worker whose runs never end and leave no room.
 #[test]
 fn workers_that_never_become_empty_are_not_kept() {
-    let options = vec![option(1, 1, 2_000), option(2, 0, 30_000)];
+    let full_for_good = KeepOption {
+        slots_if_empty: 0,
+        ..option(1, 0, 2_000)
+    };
+    let options = vec![full_for_good, option(2, 0, 30_000)];
 
-    let kept = workers_to_keep(2, options, |worker| worker != WorkerNumber(1));
+    let kept = workers_to_keep(2, options);
 
     assert_eq!(kept, numbers(&[2]));
 }
--- a/crates/cell/src/leader/restarts.rs
+++ b/crates/cell/src/leader/restarts.rs
@@ -148,9 +148,8 @@
         let Some((gang, view)) = gang.zip(self.workers.get(&worker)) else {
             return 0;
         };
-        let capacity = view.record.capacity;
-        let left = gang.times_in(&capacity.minus(demand, 1));
-        gang.times_in(&capacity).saturating_sub(left)
+        let left = gang.times_in(&view.most_free.minus(demand, 1));
+        gang.times_in(&view.most_free).saturating_sub(left)
     }
 }
 
--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -4,7 +4,7 @@
 use acaciareel_types::{Millis, SortedVec};
 
 use super::{health::Health, stalls::WorkerProgress, tenants::Charge};
-use crate::{CellState, Demand, RunKey, WorkerIncarnation, WorkerNumber, WorkerRecord};
+use crate::{Demand, RunKey, WorkerIncarnation, WorkerNumber, WorkerRecord};
 
 /// A worker's clock may run slower than this VM's by this share, in thousandths (2%, bound of the
 /// platform).
@@ -115,6 +115,8 @@
     pub alone_until_ms: Option<Millis>,
     /// What the run counts for its tenant.
     pub charge: Option<Charge>,
+    /// Whether the run does not end by itself.
+    pub long_running: bool,
 }
 
 impl RunView {
@@ -133,6 +135,7 @@
             stopping: false,
             alone_until_ms: None,
             charge: None,
+            long_running: false,
         }
     }
 }
@@ -210,6 +213,8 @@
     pub completions_acknowledged: u64,
     pub runs: SortedVec<RunKey, RunView>,
     pub free: Demand,
+    /// Capacity that is free once all runs have ended that end by themselves.
+    pub most_free: Demand,
     /// Whether the runs may have changed since they were last counted for their tenants.
     pub usage_changed: bool,
     /// Time until which the worker takes no further runs, because one must be alone.
@@ -257,6 +262,7 @@
             completions_acknowledged: 0,
             runs: SortedVec::new(),
             free,
+            most_free: free,
             usage_changed: true,
             isolated_until_ms: None,
             health: Health::default(),
@@ -376,6 +382,7 @@
         let ends = self.runs.values().filter_map(|run| run.alone_until_ms);
         self.isolated_until_ms = ends.max();
         self.free = self.free_beside(|_, _| true);
+        self.most_free = self.free_beside(|_, run| run.long_running);
     }
 
     /// Returns the capacity that the counted runs leave free. A worker that has shrunk below them
@@ -419,12 +426,8 @@
     }
 
     /// Returns whether the worker has runs that do not end by themselves.
-    pub fn has_long_running(&self, state: &CellState) -> bool {
-        self.runs.keys().any(|run| {
-            let step = run.task.step;
-            let spec = state.job(step.job).and_then(|job| job.step_spec(step));
-            spec.is_some_and(|spec| spec.long_running)
-        })
+    pub fn has_long_running(&self) -> bool {
+        self.runs.values().any(|run| run.long_running)
     }
 
     /// Returns whether the worker has something to report, or completions to be acknowledged.
--- a/crates/cell/tests/cell/held_room.rs
+++ b/crates/cell/tests/cell/held_room.rs
@@ -7,6 +7,8 @@
 /// Longest time for which a long-running task may be missing while there is capacity for it (rule
 /// LOST of the users: 6 s after its last run, and 3 s more).
 const RESTART_MS: u64 = 9_000;
+/// Longest time for which a job may have nothing running beside free capacity (rule LOST of the users).
+const STANDSTILL_MS: u64 = 3_000;
 const SAMPLE_MS: u64 = 100;
 /// Id of the job whose long-running task fails.
 const SERVICE: u64 = 1;
@@ -30,7 +32,13 @@
         target_ms: 300,
         ..queue("urgent", 0, false)
     };
-    sim.set_up(vec![urgent, queue("watch", 1, false)]);
+    // Its jobs cannot wait for the room that is reserved for gangs.
+    let narrow = QueueRow {
+        slack_permille: 1_100,
+        target_ms: 300,
+        ..queue("narrow", 1, false)
+    };
+    sim.set_up(vec![urgent, queue("watch", 1, false), narrow]);
     sim.submit("watch", SERVICE, job(vec![service(1, SERVICE_MILLICORES)]));
     sim.run(500);
     for id in (FIRST_EARLIER..).take(workers as usize) {
@@ -119,3 +127,49 @@
     assert!(restart_ms <= RESTART_MS, "{restart_ms} ms");
     assert_eq!(sim.at_work(SERVICE), [0]);
 }
+
+/// Guards against an ordinary job that waits beside idle workers, behind a gang that fits on no set of
+/// workers (review/15).
+#[test]
+fn job_starts_behind_a_gang_that_never_fits() {
+    let mut sim = Sim::new(1, 3, 8);
+    sim.set_up(vec![queue("urgent", 0, false), queue("batch", 2, false)]);
+    for id in [GANG, GANG + 1] {
+        sim.submit("urgent", id, job(vec![gang(9, 31_000, 4_000)]));
+    }
+    sim.run(500);
+
+    sim.submit("batch", STRAGGLER + 1, job(vec![step(1, 2_000, 10_000)]));
+    sim.run(STANDSTILL_MS);
+
+    assert_eq!(sim.hosts(STRAGGLER + 1).len(), 1);
+}
+
+/// Guards against a gang that never starts among narrow jobs, because each worker has a small
+/// long-running task and is not kept for that reason.
+#[test]
+fn wide_gang_starts_among_narrow_jobs_beside_long_running_tasks() {
+    let mut sim = cell(8);
+    let spread = StepSpec {
+        max_per_worker: Some(1),
+        ..service(8, 1_000)
+    };
+    sim.submit("watch", SERVICE + 100, job(vec![spread]));
+    sim.run(1_000);
+    let mut id = 1_000;
+    let mut submit_narrow = |sim: &mut Sim| {
+        sim.submit("narrow", id, job(vec![step(2, 8_000, 1_900)]));
+        id += 1;
+        sim.run(100);
+    };
+    for _ in 0..40 {
+        submit_narrow(&mut sim);
+    }
+
+    sim.submit("urgent", GANG, job(vec![gang(7, 24_000, RUN_MS)]));
+    for _ in 0..150 {
+        submit_narrow(&mut sim);
+    }
+
+    assert_eq!(sim.unfinished(GANG..=GANG), Vec::<u64>::new());
+}
