Bound the time for which wide gangs hold an idle service

Callers of a late job saw it wait for over 36 s beside six idle workers of eight: two gangs that needed seven workers kept them one after the other. Each gang keeps workers for 30 s by its own clock and pauses for as long, so gangs that come in turn leave no pause.

Change: gangs that need more than half of a service's workers hold room in a service that is more than half free in turns of 30 s that belong to the service. A turn begins anew after 1 s in which nothing was held. Narrower gangs and services in use are as before; a share of the workers for a single gang was weighed and left out, as the widest gangs would then never start.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -194,6 +194,8 @@
     /// Workers reserved for gangs in the current pass, sorted.
     reserved_for_gangs: Vec<WorkerNumber>,
     restarts: restarts::Restarts,
+    /// Turns of wide gangs by service.
+    hold_turns: SortedVec<String, reservations::HoldTurn>,
     /// Workers that drain for suspects, which must run alone, and the suspects' steps.
     draining_for: SortedVec<WorkerNumber, StepKey>,
     /// Jobs whose failure after too many crashes is being committed, sorted.
@@ -268,6 +270,7 @@
             on_probation: Vec::new(),
             reserved_for_gangs: Vec::new(),
             restarts: restarts::Restarts::default(),
+            hold_turns: SortedVec::new(),
             draining_for: SortedVec::new(),
             given_up: Vec::new(),
             previously_reserved: Vec::new(),
--- a/crates/cell/src/leader/isolation.rs
+++ b/crates/cell/src/leader/isolation.rs
@@ -328,7 +328,7 @@
     }
 
     /// Returns whether more than half of the capacity of a job's service is free.
-    fn is_half_free(&self, job: &Job, now_ms: Millis) -> bool {
+    pub(super) fn is_half_free(&self, job: &Job, now_ms: Millis) -> bool {
         let of_service = |view: &WorkerView| view.record.service == job.queue.service;
         let (free, capacity) = self.millicores_of(of_service, now_ms);
         free * 2 > capacity
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -525,7 +525,7 @@
         reserving: &mut Reserving,
         now_ms: Millis,
     ) {
-        if !self.may_ever_fit(&job.queue, spec, tasks, free_capacity) {
+        if !self.may_hold_room(job, (spec, tasks), free_capacity, now_ms) {
             return;
         }
         // A gang with large slack can still wait for others to end.
@@ -547,28 +547,6 @@
         }
     }
 
-    /// Returns whether a gang fits on all usable workers together once the runs have ended that end by
-    /// themselves. Room that is reserved for another one would only keep others waiting.
-    fn may_ever_fit(
-        &self,
-        queue: &QueueRow,
-        spec: &StepSpec,
-        tasks: u32,
-        free_capacity: &FreeCapacityByWorker,
-    ) -> bool {
-        let demand = counted_demand(spec);
-        let most_per_worker = spec.max_per_worker.unwrap_or(u32::MAX);
-        let workers = free_capacity.keys().filter_map(|n| self.workers.get(n));
-        let mut slots = workers
-            .filter(|view| view.suits(spec, queue))
-            .map(|view| demand.times_in(&view.most_free).min(most_per_worker))
-            .scan(0_u32, |sum, slots| {
-                *sum = sum.saturating_add(slots);
-                Some(*sum)
-            });
-        slots.any(|sum| sum >= tasks)
-    }
-
     /// Requests advice about further workers for a step that found too few, if it may.
     fn widen_advice(
         &mut self,
--- a/crates/cell/src/leader/reservations.rs
+++ b/crates/cell/src/leader/reservations.rs
@@ -10,7 +10,7 @@
     Leader,
     pass::{FreeCapacity, FreeCapacityByWorker, counted_demand},
 };
-use crate::{Demand, StepKey, StepSpec, WorkerNumber, placement::Candidate};
+use crate::{Demand, Job, StepKey, StepSpec, WorkerNumber, placement::Candidate};
 
 /// Share of the usable workers that all gangs together may keep, in thousandths. Kept workers are idle
 /// in part until they are empty enough. A single gang may keep more.
@@ -18,6 +18,8 @@
 /// Longest time for which a gang keeps workers; nearly all runs end within it. Then the steps after it
 /// get the workers for as long, in case a run on one of them takes much longer.
 const KEEP_MS: u64 = 30_000;
+/// Time without held room after which a turn of [`HoldTurn`] begins anew.
+const TURN_GAP_MS: u64 = 1_000;
 
 /// A worker that a gang may keep.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -68,6 +70,61 @@
     (since_began_ms / KEEP_MS).is_multiple_of(2)
 }
 
+/// When gangs that need most of a service's workers may hold room while most of the service is idle:
+/// for [`KEEP_MS`], and then not for as long. The turn is the service's, because gangs that take turns
+/// would otherwise keep other work waiting for ever.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct HoldTurn {
+    /// Begin of the latest turn, and the last time at which room was held in it.
+    latest: Option<(Millis, Millis)>,
+}
+
+impl HoldTurn {
+    /// Returns whether room may be held now, and notes that it is.
+    pub fn take(&mut self, now_ms: Millis) -> bool {
+        let since = |at_ms: Millis| now_ms.saturating_sub(at_ms).0;
+        let began_ms = match self.latest {
+            // Others could use the room in between.
+            Some((began_ms, held_ms))
+                if since(began_ms) < KEEP_MS && since(held_ms) > TURN_GAP_MS =>
+            {
+                now_ms
+            }
+            Some((began_ms, _)) if since(began_ms) < KEEP_MS => began_ms,
+            Some((began_ms, _)) if since(began_ms) < 2 * KEEP_MS => return false,
+            _ => now_ms,
+        };
+        self.latest = Some((began_ms, now_ms));
+        true
+    }
+}
+
+/// Share of a service's workers that a gang needs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum GangWidth {
+    /// At most half.
+    Narrow,
+    /// More than half.
+    Wide,
+}
+
+impl GangWidth {
+    /// Returns the width of a gang; `None` if its tasks do not fit on all workers together. `slots` are the
+    /// tasks that fit on each worker.
+    pub fn new(tasks: u32, slots: impl Iterator<Item = u32>) -> Option<Self> {
+        let (mut needed, mut usable, mut room) = (0, 0, 0_u32);
+        for slots in slots.filter(|slots| *slots > 0) {
+            usable += 1;
+            needed += usize::from(room < tasks);
+            room = room.saturating_add(slots);
+            if room >= tasks && needed * 2 <= usable {
+                return Some(Self::Narrow);
+            }
+        }
+        (room >= tasks).then_some(Self::Wide)
+    }
+}
+
 /// What a waiting gang withholds from the steps after it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Withheld {
@@ -93,6 +150,33 @@
         withhold(&step.withheld, &counted_demand(spec), free_capacity);
     }
 
+    /// Returns whether a waiting gang may keep or reserve room now. Room for one that fits on no set of
+    /// workers would only keep others waiting.
+    pub(super) fn may_hold_room(
+        &mut self,
+        job: &Job,
+        (spec, tasks): (&StepSpec, u32),
+        free_capacity: &FreeCapacityByWorker,
+        now_ms: Millis,
+    ) -> bool {
+        let demand = counted_demand(spec);
+        let most_per_worker = spec.max_per_worker.unwrap_or(u32::MAX);
+        let workers = free_capacity.keys().filter_map(|n| self.workers.get(n));
+        let slots = workers
+            .filter(|view| view.suits(spec, &job.queue))
+            .map(|view| demand.times_in(&view.most_free).min(most_per_worker));
+        match GangWidth::new(tasks, slots) {
+            None => return false,
+            Some(GangWidth::Wide) if self.is_half_free(job, now_ms) => {}
+            Some(_) => return true,
+        }
+        let service = job.queue.service.clone();
+        let turn = self
+            .hold_turns
+            .get_or_insert_with(service, HoldTurn::default);
+        turn.take(now_ms)
+    }
+
     /// Ends what a step withholds, and returns the workers that it kept.
     pub(super) fn release_withheld(&mut self, key: StepKey) -> Vec<WorkerNumber> {
         let step = self.steps.get_mut(&key);
--- a/crates/cell/src/leader/reservations/tests.rs
+++ b/crates/cell/src/leader/reservations/tests.rs
@@ -1,6 +1,8 @@
 //! Which workers a gang keeps.
 
-use super::{KeepOption, is_turn_to_keep, may_keep, workers_to_keep};
+use acaciareel_types::Millis;
+
+use super::{GangWidth, HoldTurn, KeepOption, is_turn_to_keep, may_keep, workers_to_keep};
 use crate::WorkerNumber;
 
 fn option(worker: u32, slots: u32, used_millicores: u32) -> KeepOption {
@@ -88,3 +90,39 @@
 
     assert_eq!(turns, [true, true, false, false, true]);
 }
+
+/// Guards against gangs that take turns, so that other work of the service waits for ever.
+#[test]
+fn turn_to_hold_room_is_over_after_30_s_whoever_holds_it() {
+    let mut turn = HoldTurn::default();
+
+    let held: Vec<u64> = (0..120).filter(|s| turn.take(Millis(s * 1_000))).collect();
+
+    assert_eq!(held, (0..30).chain(60..90).collect::<Vec<_>>());
+}
+
+/// Guards against a gang that may not collect workers, because another one has done so before it and has
+/// started.
+#[test]
+fn turn_begins_anew_after_a_time_without_held_room() {
+    let mut turn = HoldTurn::default();
+    for s in 0..20 {
+        turn.take(Millis(s * 1_000));
+    }
+
+    let held: Vec<u64> = (25..60).filter(|s| turn.take(Millis(s * 1_000))).collect();
+
+    assert_eq!(held, (25..55).collect::<Vec<_>>());
+}
+
+/// Guards against room that is held for a gang that fits on no set of workers, and against a narrow
+/// gang that counts as a wide one.
+#[test]
+fn width_of_a_gang_is_the_share_of_workers_that_it_needs() {
+    let width = |tasks| GangWidth::new(tasks, [2, 0, 2, 2, 2].into_iter());
+
+    let widths = [2, 4, 5, 8, 9].map(width);
+
+    let (narrow, wide) = (Some(GangWidth::Narrow), Some(GangWidth::Wide));
+    assert_eq!(widths, [narrow, narrow, wide, wide, None]);
+}
--- a/crates/cell/tests/cell/held_room.rs
+++ b/crates/cell/tests/cell/held_room.rs
@@ -9,12 +9,16 @@
 const RESTART_MS: u64 = 9_000;
 /// Longest time for which a job may have nothing running beside free capacity (rule LOST of the users).
 const STANDSTILL_MS: u64 = 3_000;
+/// Longest time for which gangs may hold most of an idle service.
+const HOLD_MS: u64 = 30_000;
 const SAMPLE_MS: u64 = 100;
 /// Id of the job whose long-running task fails.
 const SERVICE: u64 = 1;
 const GANG: u64 = 2;
 /// Id of the job for whose end gangs have to wait.
 const STRAGGLER: u64 = 3;
+/// Id of a job of two steps that becomes late, as its queue has little slack.
+const LATE: u64 = 4;
 /// Id of the first of the jobs that have run before, so that run times are known.
 const FIRST_EARLIER: u64 = 100;
 /// Run time of tasks of the urgent queue.
@@ -27,22 +31,23 @@
 /// Creates a cell whose gangs come before its long-running tasks. Tasks of 12 s are known to it.
 fn cell(workers: u32) -> Sim {
     let mut sim = Sim::new(1, 3, workers);
-    let urgent = QueueRow {
+    let gangs = [("first", 0), ("urgent", 1)].map(|(name, priority)| QueueRow {
         slack_permille: 1_500,
         target_ms: 300,
-        ..queue("urgent", 0, false)
-    };
+        ..queue(name, priority, false)
+    });
     // Its jobs cannot wait for the room that is reserved for gangs.
     let narrow = QueueRow {
         slack_permille: 1_100,
         target_ms: 300,
-        ..queue("narrow", 1, false)
+        ..queue("narrow", 2, false)
     };
-    sim.set_up(vec![urgent, queue("watch", 1, false), narrow]);
+    sim.set_up([gangs.to_vec(), vec![queue("watch", 2, false), narrow]].concat());
     sim.submit("watch", SERVICE, job(vec![service(1, SERVICE_MILLICORES)]));
     sim.run(500);
     for id in (FIRST_EARLIER..).take(workers as usize) {
-        sim.submit("urgent", id, urgent_job());
+        let queue = if id % 2 == 0 { "urgent" } else { "first" };
+        sim.submit(queue, id, urgent_job());
     }
     sim.run(RUN_MS + 2_000);
     assert_eq!(sim.at_work(SERVICE), [0]);
@@ -154,7 +159,7 @@
         max_per_worker: Some(1),
         ..service(8, 1_000)
     };
-    sim.submit("watch", SERVICE + 100, job(vec![spread]));
+    sim.submit("watch", LATE + 1, job(vec![spread]));
     sim.run(1_000);
     let mut id = 1_000;
     let mut submit_narrow = |sim: &mut Sim| {
@@ -173,3 +178,24 @@
 
     assert_eq!(sim.unfinished(GANG..=GANG), Vec::<u64>::new());
 }
+
+/// Guards against a job that waits for ever beside idle workers, because gangs take turns to hold them.
+#[test]
+fn late_job_starts_behind_gangs_that_take_turns() {
+    let mut sim = cell(8);
+    let after = StepSpec {
+        depends_on: vec![0],
+        ..step(1, 20_000, 300)
+    };
+    let wide = job(vec![gang(14, TASK_MILLICORES, RUN_MS)]);
+    sim.submit("watch", STRAGGLER, job(vec![step(1, 20_000, 200_000)]));
+    sim.submit("narrow", LATE, job(vec![step(1, 20_000, 10_000), after]));
+    sim.run(8_000);
+
+    sim.submit("urgent", GANG, wide.clone());
+    sim.run(HOLD_MS - 5_000);
+    sim.submit("first", LATE + 1, wide);
+    sim.run(5_000 + 2 * STANDSTILL_MS);
+
+    assert_eq!(sim.unfinished(LATE..=LATE), Vec::<u64>::new());
+}
