Draw waits of restarts beside gangs that are on time

Without the use of held capacity no seed of restart_waits failed: the leader did not know run times of the urgent queue, so that its gangs counted as late and held nothing before long-running tasks. Jobs of the queue run first now, gangs have further steps, and a task fails up to 25 s after the gang came.

--- a/crates/cell/tests/cell/restart_waits.rs
+++ b/crates/cell/tests/cell/restart_waits.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use acaciareel_cell::{Demand, JobId, QueueRow, RunKey, TaskKey};
+use acaciareel_cell::{Demand, JobId, QueueRow, RunKey, StepSpec, TaskKey};
 
 use crate::{
     faults::seeds,
@@ -16,8 +16,13 @@
 const CALM_MS: u64 = 4_000;
 const SAMPLE_MS: u64 = 100;
 const ROUNDS: u64 = 4;
+/// Seeds that fail where gangs keep workers from restarts; played in any case.
+const SEEDS_WITH_FAULTS: [u64; 3] = [65, 109, 150];
 const SERVICE: u64 = 1;
 const FIRST_OTHER: u64 = 10;
+/// Jobs of the urgent queue that have run before, so that the leader knows run times, and their run time.
+const EARLIER_JOBS: u64 = 8;
+const EARLIER_MS: u64 = 8_000;
 
 /// A long-running job among crashes, failures, new workers and other jobs.
 struct Play {
@@ -51,17 +56,22 @@
         });
         sim.set_up(rows.to_vec());
         let cpu_millicores = 1_000 * (1 + u32::try_from(sim.random(20)).expect("few cores"));
-        let most = if sim.random(2) == 0 { 4 } else { 48 };
+        let most = [1, 4, 48][usize::try_from(sim.random(3)).expect("small")];
         let most = u64::from(workers * (32_000 / cpu_millicores)).min(most);
         let tasks = 1 + u32::try_from(sim.random(most)).expect("few tasks");
         let spec = service(tasks, cpu_millicores);
         let demand = spec.demand;
         sim.submit("watch", SERVICE, job(vec![spec]));
+        let earlier = FIRST_OTHER..FIRST_OTHER + EARLIER_JOBS;
+        for id in earlier.clone() {
+            sim.submit("before", id, job(vec![step(1, 1_000, EARLIER_MS)]));
+        }
+        sim.run(EARLIER_MS + 2_000);
         Self {
             sim,
             tasks,
             demand,
-            next_id: FIRST_OTHER,
+            next_id: earlier.end,
             next_worker: workers,
             disturbed_ms: 0,
             ran_ms: BTreeMap::new(),
@@ -146,8 +156,15 @@
         let tasks = (slots - self.sim.random(slots / 3 + 1)).max(1);
         let tasks = u32::try_from(tasks).expect("few tasks");
         let estimate_ms = 2_000 + self.sim.random(10_000);
-        let spec = gang(tasks, cpu_millicores, estimate_ms);
-        self.sim.submit("before", self.next_id, job(vec![spec]));
+        let mut steps = vec![gang(tasks, cpu_millicores, estimate_ms)];
+        // The more steps a job has, the longer its gang is on time while it waits.
+        for before in 0..u32::try_from(self.random(4)).expect("few steps") {
+            steps.push(StepSpec {
+                depends_on: vec![before],
+                ..step(1, cpu_millicores, estimate_ms)
+            });
+        }
+        self.sim.submit("before", self.next_id, job(steps));
         self.next_id += 1;
     }
 
@@ -155,7 +172,7 @@
     fn fill_workers(&mut self) {
         let workers = self.sim.workers.len();
         for _ in 0..=self.random(workers) {
-            let estimate_ms = 3_000 + self.sim.random(15_000);
+            let estimate_ms = 3_000 + self.sim.random(33_000);
             let spec = step(1, 24_000, estimate_ms);
             self.sim.submit("after", self.next_id, job(vec![spec]));
             self.next_id += 1;
@@ -215,7 +232,12 @@
         self.fill_workers();
         self.watch(SAMPLE_MS);
         other(self);
-        let pause_ms = SAMPLE_MS * (1 + self.sim.random(40));
+        let longest_ms = if self.sim.random(2) == 0 {
+            4_000
+        } else {
+            25_000
+        };
+        let pause_ms = SAMPLE_MS + self.sim.random(longest_ms);
         self.watch(pause_ms);
         end(self);
     }
@@ -237,7 +259,7 @@
 /// waits that the scheduler adds do not end or add up (review/10, review/16, review/17).
 #[test]
 fn long_running_tasks_restart_within_9_s_beside_room() {
-    for seed in seeds(0..12) {
+    for seed in seeds(0..8).chain(SEEDS_WITH_FAULTS) {
         let mut play = Play::new(seed);
         play.watch(4_000);
         for _ in 0..ROUNDS {
