Spend less of a pass on groups of waiting tasks

Cause: each pass told suspects from others twice for each waiting task and sorted all tasks into groups, searched all candidates to tell held room from none, and each change of a worker's runs went over them three times.

Change: only long-running steps are grouped task by task; held room is told every 100 ms for each step; the runs are visited once. Decisions are the same.

--- a/crates/cell/src/leader/isolation.rs
+++ b/crates/cell/src/leader/isolation.rs
@@ -187,60 +187,70 @@
         let waiting = step.waiting.iter().copied();
         let waiting = waiting.filter(|index| !is_proposed(index));
         let job = state.job(key.job);
-        let early_after_ms = match job {
-            Some(job) if spec.gang && job.queue.advice.is_some() => SHARE_ADVISED_GANG_AFTER_MS,
-            _ => SHARE_AFTER_MS,
-        };
         let is_suspect = |index: u32| {
             let task = TaskKey { step: key, index };
             job.is_some_and(|job| state.must_run_alone(job, task))
         };
-        let has_few_crashes =
-            |index: u32| state.crash_count(TaskKey { step: key, index }).may_share();
-        let waiting: Vec<u32> = waiting.collect();
-        let mut suspects = waiting
-            .iter()
-            .filter(|index| spec.gang || is_suspect(**index));
-        let all_have_few_crashes = suspects.all(|index| has_few_crashes(*index));
-        let since_ms = step.suspects_since_ms.unwrap_or(now_ms);
-        let step_waited_ms = now_ms.saturating_sub(since_ms).0;
-        let kind = |index: u32| {
-            let task = TaskKey { step: key, index };
-            let wait = || {
-                // A job may fail for crashes that its tasks did not cause, so they share workers only
-                // once none of the step gets one of its own any more. Long-running ones never fail a job.
-                let (waited_ms, few_crashes) = if spec.long_running && !spec.gang {
-                    let waited_ms = self.restarts.waited_ms(task, now_ms);
-                    (waited_ms.unwrap_or(0), has_few_crashes(index))
-                } else {
-                    (step_waited_ms, all_have_few_crashes)
-                };
-                SuspectWait::new(waited_ms, early_after_ms, few_crashes)
+        if spec.long_running && !spec.gang {
+            let kind = |index| {
+                let task = TaskKey { step: key, index };
+                let waited_ms = self.restarts.waited_ms(task, now_ms).unwrap_or(0);
+                let few_crashes = state.crash_count(task).may_share();
+                let wait = SuspectWait::new(waited_ms, SHARE_AFTER_MS, few_crashes);
+                let scope = self.capacity_scope(spec, task, now_ms);
+                (is_suspect(index).then_some(wait), Reverse(scope))
             };
-            let scope = self.capacity_scope(spec, task, now_ms);
-            (is_suspect(index).then(wait), Reverse(scope))
-        };
-        if spec.gang {
-            let (suspects, Reverse(scope)) = kind(0);
-            let group = TaskGroup {
-                tasks: waiting,
+            let mut groups: SortedVec<_, Vec<u32>> = SortedVec::new();
+            for index in waiting {
+                let tasks = groups.get_or_insert_with(kind(index), Vec::new);
+                tasks.push(index);
+            }
+            let group = |((suspects, Reverse(scope)), tasks)| TaskGroup {
+                tasks,
                 suspects,
                 scope,
             };
-            return Vec::from_iter((!group.tasks.is_empty()).then_some(group));
-        }
-        let mut groups: SortedVec<(Option<SuspectWait>, Reverse<CapacityScope>), Vec<u32>> =
-            SortedVec::new();
-        for index in waiting {
-            let tasks = groups.get_or_insert_with(kind(index), Vec::new);
-            tasks.push(index);
+            return groups.into_iter().map(group).collect();
         }
-        let group = |((suspects, Reverse(scope)), tasks)| TaskGroup {
+        let (suspects, others): (Vec<u32>, Vec<u32>) = if spec.gang {
+            let waiting: Vec<u32> = waiting.collect();
+            if is_suspect(0) {
+                (waiting, Vec::new())
+            } else {
+                (Vec::new(), waiting)
+            }
+        } else {
+            waiting.partition(|index| is_suspect(*index))
+        };
+        // A job may fail for crashes that its tasks did not cause, so they share workers only once none
+        // of the step gets one of its own any more. Long-running ones never fail a job.
+        let wait = || {
+            let early_after_ms = match job {
+                Some(job) if spec.gang && job.queue.advice.is_some() => SHARE_ADVISED_GANG_AFTER_MS,
+                _ => SHARE_AFTER_MS,
+            };
+            let since_ms = step.suspects_since_ms.unwrap_or(now_ms);
+            let waited_ms = now_ms.saturating_sub(since_ms).0;
+            let few_crashes = suspects.iter().all(|index| {
+                let index = *index;
+                state.crash_count(TaskKey { step: key, index }).may_share()
+            });
+            SuspectWait::new(waited_ms, early_after_ms, few_crashes)
+        };
+        let suspects_wait = (!suspects.is_empty()).then(wait);
+        let first = TaskKey {
+            step: key,
+            index: 0,
+        };
+        let scope = self.capacity_scope(spec, first, now_ms);
+        let groups = [(others, None), (suspects, suspects_wait)];
+        let groups = groups.into_iter().filter(|(tasks, _)| !tasks.is_empty());
+        let group = |(tasks, suspects)| TaskGroup {
             tasks,
             suspects,
             scope,
         };
-        groups.into_iter().map(group).collect()
+        groups.map(group).collect()
     }
 
     /// Ends the reservations of steps without waiting suspects, and of workers that cannot be used.
--- a/crates/cell/src/leader/pass.rs
+++ b/crates/cell/src/leader/pass.rs
@@ -420,8 +420,6 @@
                 WaitReason::Advice
             } else if alone_until_ms.is_some() {
                 WaitReason::Isolation
-            } else if self.has_held_room(&demand, &candidates) {
-                WaitReason::HeldRoom
             } else {
                 WaitReason::Room
             };
--- a/crates/cell/src/leader/restarts.rs
+++ b/crates/cell/src/leader/restarts.rs
@@ -88,8 +88,10 @@
         task: TaskKey,
         now_ms: Millis,
     ) -> CapacityScope {
+        if !spec.long_running {
+            return CapacityScope::Unheld;
+        }
         let waited_ms = self.restarts.waited_ms(task, now_ms);
-        let waited_ms = waited_ms.filter(|_| spec.long_running);
         waited_ms.map_or(CapacityScope::Unheld, CapacityScope::of_restart)
     }
 
--- a/crates/cell/src/leader/waits.rs
+++ b/crates/cell/src/leader/waits.rs
@@ -20,6 +20,10 @@
 /// Age of the latest examination from which a step counts as not examined.
 const EXAMINATION_VALID_MS: u64 = 1_000;
 
+/// Time for which a step without room counts as before, whether the room is held for others or not: to tell
+/// costs a search of all candidates.
+const ROOM_CHECK_INTERVAL_MS: u64 = 100;
+
 /// Why a step was not placed as a whole.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum WaitReason {
@@ -57,6 +61,8 @@
     pub candidates: usize,
     /// Tasks of the step that had room on them.
     pub slots: u32,
+    /// Time at which [`WaitReason::HeldRoom`] was last told from [`WaitReason::Room`].
+    room_checked_ms: Millis,
 }
 
 /// What all passes found so far, and when it was last reported.
@@ -79,9 +85,21 @@
         (demand, candidates): (&Demand, &[Candidate]),
         now_ms: Millis,
     ) {
+        let known = self.steps.get(&key).and_then(|step| step.wait);
+        let known = known.filter(|wait| {
+            let is_room = matches!(wait.reason, WaitReason::Room | WaitReason::HeldRoom);
+            is_room && now_ms.saturating_sub(wait.room_checked_ms).0 < ROOM_CHECK_INTERVAL_MS
+        });
+        let (reason, room_checked_ms) = match known {
+            _ if reason != WaitReason::Room => (reason, now_ms),
+            Some(wait) => (wait.reason, wait.room_checked_ms),
+            None if self.has_held_room(demand, candidates) => (WaitReason::HeldRoom, now_ms),
+            None => (WaitReason::Room, now_ms),
+        };
         if let Some(step) = self.steps.get_mut(&key) {
             step.wait = Some(StepWait {
                 examined_ms: now_ms,
+                room_checked_ms,
                 reason,
                 candidates: candidates.len(),
                 slots: slots_on(demand, candidates),
--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -379,10 +379,20 @@
     /// after each change of the runs.
     pub fn recompute_free(&mut self) {
         self.usage_changed = true;
-        let ends = self.runs.values().filter_map(|run| run.alone_until_ms);
-        self.isolated_until_ms = ends.max();
-        self.free = self.free_beside(|_, _| true);
-        self.most_free = self.free_beside(|_, run| run.long_running);
+        let mut isolated_until_ms = None;
+        let capacity = Some(self.record.capacity);
+        let (mut free, mut most_free) = (capacity, capacity);
+        for run in self.runs.values() {
+            isolated_until_ms = isolated_until_ms.max(run.alone_until_ms);
+            free = free.and_then(|free| free.checked_minus(&run.demand));
+            if run.long_running {
+                most_free = most_free.and_then(|free| free.checked_minus(&run.demand));
+            }
+        }
+        self.isolated_until_ms = isolated_until_ms;
+        // A worker that has shrunk below its runs has nothing free, also of resources that are left.
+        self.free = free.unwrap_or_default();
+        self.most_free = most_free.unwrap_or_default();
     }
 
     /// Returns the capacity that the counted runs leave free. A worker that has shrunk below them
