--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -601,11 +601,11 @@
                     occurrence,
                     step,
                 };
-                let gang = job.step_spec(key).is_some_and(|spec| spec.gang);
+                let spec = job.step_spec(key);
+                let gang = spec.is_some_and(|spec| spec.gang);
                 let tasks = (0u32..).zip(&progress.tasks);
                 let is_waiting = |(_, task): &(u32, &crate::Task)| task.state == TaskState::Waiting;
-                let waiting = tasks.filter(is_waiting);
-                let waiting: Vec<u32> = waiting.map(|(index, _)| index).collect();
+                let waiting: Vec<u32> = tasks.filter(is_waiting).map(|(i, _)| i).collect();
                 let partial = gang && !waiting.is_empty() && waiting.len() < progress.tasks.len();
                 let proposing = self.steps.get(&key).is_some_and(|s| !s.proposed.is_empty());
                 if partial && !proposing {
@@ -617,12 +617,10 @@
                     }
                     continue;
                 }
-                for index in &waiting {
-                    if progress.tasks[*index as usize].run > 0 {
-                        let task = TaskKey {
-                            step: key,
-                            index: *index,
-                        };
+                if spec.is_some_and(|spec| spec.long_running) {
+                    let has_run = |index: &u32| progress.tasks[*index as usize].run > 0;
+                    for index in waiting.iter().copied().filter(has_run) {
+                        let task = TaskKey { step: key, index };
                         self.restarts.note(task, io.now_ms);
                     }
                 }
--- a/crates/cell/src/leader/restarts.rs
+++ b/crates/cell/src/leader/restarts.rs
@@ -1,4 +1,4 @@
-//! How long tasks have waited for another run, and which capacity long-running ones may use then.
+//! How long long-running tasks have waited for another run, and which capacity they may use then.
 //!
 //! Capacity is held back for waiting gangs and for suspects. A long-running task serves its callers
 //! only while it runs, so its restart is held up by them for a bounded time only. The load that this
@@ -44,7 +44,7 @@
     }
 }
 
-/// Since when tasks whose last run has ended have waited. A wait lasts until a worker confirms the next
+/// Since when long-running tasks whose last run has ended have waited. A wait lasts until a worker confirms the next
 /// run; nothing that is placed or ends beside the task moves its begin.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Restarts {
