Stop a leaving worker's runs before its end is acknowledged

Cause: after a deregistration the leader took a refused connection as the end of the process. That is evidence of the network and not of the worker. Ruled out: a lease that ended too early (reason worker_ended, 35 ms after the last report), a late copy of the start (the second run has its own number).

Change: a deregistration marks the incarnation, its runs are stopped and starts under way are settled by a fence; the notice is acknowledged once the ends that the worker lists are committed. After 900 ms it gets 503, and 2 s after the first notice the worker is let go with the runs that are left. Only its leases end those.

It works because a worker obeys until it has read the acknowledgement, so its own report precedes its end.

--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -18,6 +18,7 @@
 mod authentication;
 mod backlog;
 mod callers;
+mod departures;
 mod health;
 mod identity;
 mod isolation;
@@ -106,16 +107,6 @@
     },
 }
 
-impl WorkerCall {
-    fn worker(&self) -> WorkerIncarnation {
-        match self {
-            Self::Start { worker, .. }
-            | Self::Stop { worker, .. }
-            | Self::Renewal { worker, .. } => *worker,
-        }
-    }
-}
-
 /// Unplaced tasks of a step.
 #[derive(Clone, Debug, Default)]
 struct WaitingStep {
@@ -172,6 +163,7 @@
     verifications: identity::Verifications,
     /// Each worker's record that is being committed, and where the reply goes.
     pending_announcements: Vec<(WorkerRecord, Origin)>,
+    pending_deregistrations: Vec<departures::PendingDeregistration>,
     /// Version of each queue table that is being committed, and where the reply goes.
     pending_tables: Vec<(u64, Origin)>,
     /// Jobs that have not ended, sorted. A job that leaves the list is logged as ended once.
@@ -256,6 +248,7 @@
             pending_starts: Vec::new(),
             verifications: identity::Verifications::default(),
             pending_announcements: Vec::new(),
+            pending_deregistrations: Vec::new(),
             pending_tables: Vec::new(),
             active_jobs: Vec::new(),
             scheduled_jobs: Vec::new(),
@@ -376,8 +369,10 @@
             .drain(..)
             .map(|(_, origin)| origin)
             .chain(unverified);
+        let deregistered = self.pending_deregistrations.drain(..);
+        let deregistered = deregistered.map(|pending| pending.origin);
         let pending_tables = self.pending_tables.drain(..).map(|(_, origin)| origin);
-        for origin in announced.chain(pending_tables) {
+        for origin in announced.chain(deregistered).chain(pending_tables) {
             io.reply_control(origin, ControlReply::Unavailable);
         }
         io.log("leader_ended", vec![("term", self.term.to_string())]);
@@ -720,6 +715,7 @@
         for number in numbers {
             self.check_worker(state, number, io);
         }
+        self.answer_deregistrations(state, io);
         self.record_lost_runs(state);
         self.save_run_times(io);
         self.expire_advice_calls(io);
--- a/crates/cell/src/leader/announcements.rs
+++ b/crates/cell/src/leader/announcements.rs
@@ -1,4 +1,4 @@
-//! Requests of workers and operators: announcements, deregistrations and queue tables.
+//! Requests of workers and operators: announcements and queue tables.
 
 use std::sync::Arc;
 
@@ -8,8 +8,8 @@
     worker::Departure,
 };
 use crate::{
-    CellState, Command, ControlReply, ControlRequest, Deregistration, Origin, WorkerNumber,
-    WorkerRecord, io::Io, limits::LimitExceeded,
+    CellState, Command, ControlReply, ControlRequest, Origin, WorkerNumber, WorkerRecord, io::Io,
+    limits::LimitExceeded,
 };
 
 impl Leader {
@@ -32,10 +32,7 @@
                 Ok(()) => self.announce(state, origin, worker, clock_ms, sequence, io),
                 Err(error) => refuse(origin, &error, io),
             },
-            ControlRequest::Deregister(notice) => {
-                self.deregister(state, notice, io);
-                io.reply_control(origin, ControlReply::Done);
-            }
+            ControlRequest::Deregister(notice) => self.deregister(state, origin, notice, io),
             ControlRequest::PutQueues(table) => {
                 if table.version <= state.queues().version {
                     return io.reply_control(origin, ControlReply::Done);
@@ -57,33 +54,6 @@
         }
     }
 
-    /// Marks the incarnation that ends, if it is the present one. A notice that does not name its
-    /// incarnation counts only for a worker that has announced its drain, as each does before its end.
-    fn deregister(&mut self, state: &CellState, notice: Deregistration, io: &mut Io<'_>) {
-        let number = state.worker_by_id(&notice.worker_id);
-        let Some(view) = number.and_then(|number| self.workers.get_mut(&number)) else {
-            return;
-        };
-        let present_ms = view.record.incarnation_started_ms;
-        let ends = notice
-            .incarnation_started_ms
-            .map_or(view.record.draining, |ended_ms| ended_ms == present_ms);
-        if ends && view.departure == Departure::None {
-            view.departure = Departure::Deregistered;
-        }
-        let ended_ms = notice.incarnation_started_ms;
-        let fields = vec![
-            ("worker", notice.worker_id),
-            (
-                "incarnation",
-                ended_ms.map_or_else(String::new, |ms| ms.to_string()),
-            ),
-            ("present_incarnation", present_ms.to_string()),
-            ("ends", ends.to_string()),
-        ];
-        io.log("worker_deregistered", fields);
-    }
-
     fn announce(
         &mut self,
         state: &CellState,
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -112,12 +112,14 @@
         let call = self.new_call();
         let view = self.workers.get_mut(&number)?;
         let token = view.token(term);
-        let lease_until_ms =
-            if view.runs.is_empty() || view.missed_calls >= MAX_MISSED_CALLS_FOR_LEASE {
-                None
-            } else {
-                view.grant(lease_ms, io.now_ms)
-            };
+        let lease_until_ms = if view.runs.is_empty()
+            || view.missed_calls >= MAX_MISSED_CALLS_FOR_LEASE
+            || view.is_deregistered()
+        {
+            None
+        } else {
+            view.grant(lease_ms, io.now_ms)
+        };
         let acknowledged = view.completions_committed;
         let worker = view.incarnation();
         self.worker_calls.insert(
@@ -484,15 +486,8 @@
         let Some(view) = self.workers.get_mut(&number) else {
             return;
         };
-        let ended = view.departure == Departure::Ended;
-        let lease_expired = view.missed_calls > 0 && view.counts_as_expired(io.now_ms);
-        if ended || lease_expired {
-            let reason = if ended {
-                LossReason::WorkerEnded
-            } else {
-                LossReason::LeaseExpired
-            };
-            self.lose_runs(number, |_, _| true, reason, io);
+        if view.missed_calls > 0 && view.counts_as_expired(io.now_ms) {
+            self.lose_runs(number, |_, _| true, LossReason::LeaseExpired, io);
         }
         self.forget_expired(state, number, io);
         self.stop_stalled(state, number, io);
--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -72,8 +72,6 @@
     NotAtWorker,
     /// A worker of a later incarnation replies at the same address.
     AddressReused,
-    /// The worker deregistered, and its process has ended.
-    WorkerEnded,
     /// All leases of the worker are over, and there is no contact to it.
     LeaseExpired,
 }
@@ -86,7 +84,6 @@
             Self::StartRefused => "start_refused",
             Self::NotAtWorker => "not_at_worker",
             Self::AddressReused => "address_reused",
-            Self::WorkerEnded => "worker_ended",
             Self::LeaseExpired => "lease_over",
         }
     }
@@ -156,10 +153,12 @@
 pub(super) enum Departure {
     /// Nothing shows that it ends.
     None,
-    /// It has deregistered. Without the acknowledgement it may go on for some seconds.
-    Deregistered,
-    /// It has deregistered, and no process listens at its address any more.
-    Ended,
+    /// It has deregistered. It obeys until it has read the acknowledgement, and may go on for some
+    /// seconds without one.
+    Deregistered {
+        /// Time of the first notice to this leader.
+        since_ms: Millis,
+    },
     /// The next incarnation is verified. Its record is being committed, which counts a crash.
     Replaced,
 }
@@ -271,6 +270,11 @@
         }
     }
 
+    /// Returns whether this incarnation has deregistered and has not been replaced.
+    pub fn is_deregistered(&self) -> bool {
+        matches!(self.departure, Departure::Deregistered { .. })
+    }
+
     /// Returns whether this incarnation has deregistered or has been replaced.
     pub fn is_departing(&self) -> bool {
         self.departure != Departure::None
--- a/crates/cell/src/leader/worker_commands.rs
+++ b/crates/cell/src/leader/worker_commands.rs
@@ -123,11 +123,8 @@
         if task.run != key.run || task.state != TaskState::Placed(number) {
             return false;
         }
-        if self
-            .workers
-            .get(&number)
-            .is_none_or(|view| self.may_be_replaced(view))
-        {
+        let view = self.workers.get(&number);
+        if view.is_none_or(|view| view.is_departing() || self.may_be_replaced(view)) {
             return false;
         }
         let checkpoint = if spec.gang {
@@ -204,9 +201,6 @@
         let Some(worker_call) = worker_call else {
             return;
         };
-        if *reply == WorkerReply::NotListening {
-            self.not_listening(worker_call.worker());
-        }
         match (worker_call, reply) {
             (
                 WorkerCall::Renewal {
@@ -233,7 +227,8 @@
                 self.start_replied(state, worker, (run, min_clock_ms), reply, io);
             }
             (WorkerCall::Stop { worker, run }, reply) => {
-                if *reply != WorkerReply::Stopped
+                // A refused connection fails at once; the stop is sent again as after one that was heard.
+                if !matches!(reply, WorkerReply::Stopped | WorkerReply::NotListening)
                     && let Some(view) = self.incarnation_mut(worker)
                     && let Some(run) = view.runs.get_mut(&run)
                 {
@@ -243,16 +238,6 @@
         }
     }
 
-    /// Handles a refused connection: a worker that has deregistered has ended. Of another one it may be a
-    /// crash, which its next incarnation or the end of its lease shows.
-    fn not_listening(&mut self, worker: WorkerIncarnation) {
-        if let Some(view) = self.incarnation_mut(worker)
-            && view.departure == Departure::Deregistered
-        {
-            view.departure = Departure::Ended;
-        }
-    }
-
     fn start_replied(
         &mut self,
         state: &CellState,
@@ -352,11 +337,12 @@
             StartRefusal::Ticket => self.drop_ticket(key.task.step, number),
             StartRefusal::Fenced | StartRefusal::Old | StartRefusal::Late | StartRefusal::Room => {}
         }
-        if refusal == StartRefusal::Fenced && stale_token && has_room {
-            // A call under a higher token, which decided the outcome of other starts, has overtaken
-            // this one.
-            self.send_start(state, number, key, io);
-        } else if tries > 1 || refusal == StartRefusal::Old {
+        // A call under a higher token, which decided the outcome of other starts, has overtaken this one.
+        let may_resend = refusal == StartRefusal::Fenced && stale_token && has_room;
+        if may_resend && self.send_start(state, number, key, io) {
+            return;
+        }
+        if tries > 1 || refusal == StartRefusal::Old {
             // An earlier copy of the command may have taken effect.
             if let Some(view) = self.workers.get_mut(&number) {
                 view.fence_due = true;
--- a/crates/cell/src/state.rs
+++ b/crates/cell/src/state.rs
@@ -153,6 +153,12 @@
         record.is_some_and(|record| record.incarnation(worker.number) == worker)
     }
 
+    /// Returns the runs that are placed on a worker, sorted.
+    #[must_use]
+    pub fn placed_on(&self, worker: WorkerNumber) -> &[RunKey] {
+        self.placed.on(worker)
+    }
+
     /// Returns the saved run times, as a leader encoded them; empty before the first save.
     #[must_use]
     pub fn run_times(&self) -> &[u8] {
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -9,6 +9,7 @@
 mod completion_lists;
 mod crash_counts;
 mod crashes;
+mod departures;
 mod domain_preference;
 mod faults;
 mod foreign_heartbeats;
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -95,6 +95,8 @@
     /// Workers at whose addresses connections are refused. Calls to others that are down get no reply, as
     /// after a loss of power.
     pub ended_workers: BTreeSet<String>,
+    /// Workers that go on while nothing sent to them arrives and connections to them are refused.
+    pub refusing_workers: BTreeSet<String>,
     pub crashes: Crashes,
     /// Workers whose heartbeats are lost.
     pub unheard_workers: BTreeSet<String>,
@@ -130,6 +132,8 @@
     seeds: Vec<VmId>,
     next_heartbeat_ms: BTreeMap<String, u64>,
     pub starts: u64,
+    /// Number of starts that carried a checkpoint.
+    pub checkpoints_carried: u64,
     /// Tenants of the first queue table.
     pub tenants: Vec<TenantRow>,
     /// Digest of the API key that callers send.
@@ -289,6 +293,7 @@
             workers: BTreeMap::new(),
             cut_workers: BTreeSet::new(),
             ended_workers: BTreeSet::new(),
+            refusing_workers: BTreeSet::new(),
             crashes: Crashes::default(),
             unheard_workers: BTreeSet::new(),
             worker_link_ms: LINK_MS,
@@ -312,6 +317,7 @@
             seeds: (1..=3.min(controls)).map(control).collect(),
             next_heartbeat_ms: BTreeMap::new(),
             starts: 0,
+            checkpoints_carried: 0,
             tenants: Vec::new(),
             api_key: None,
             tables: Vec::new(),
@@ -648,8 +654,12 @@
         assert!(is_new, "{} reuses call {}", call.1, call.0);
         self.check_label(&worker_id, &request);
         let listener = self.listener_at(&address);
-        let refuses_connections = listener.is_none() && self.ended_workers.contains(&worker_id);
-        let reachable = listener.is_some_and(|id| !self.cut_workers.contains(id));
+        let refuses_connections = match listener {
+            Some(id) => self.refusing_workers.contains(id),
+            None => self.ended_workers.contains(&worker_id),
+        };
+        let reachable =
+            listener.is_some_and(|id| !refuses_connections && !self.cut_workers.contains(id));
         let lost = self.random(100) < self.lost_replies_percent;
         let sent_ms = self.now_ms + self.turns.effects_delay_ms;
         self.turns.expect_reply(vm, call, sent_ms + timeout_ms);
@@ -778,11 +788,17 @@
         } else {
             worker.execute(now_ms, request, new_run)
         };
-        if let WorkerRequest::Start { run, ticket, .. } = request
+        if let WorkerRequest::Start {
+            run,
+            ticket,
+            checkpoint,
+            ..
+        } = request
             && worker.running.contains_key(run)
             && !before.contains(run)
         {
             self.starts += 1;
+            self.checkpoints_carried += u64::from(!checkpoint.is_empty());
             self.crashes.record_start(now_ms, worker_id, *run);
             self.check_start(worker_id, run.task, ticket.is_some());
             self.check_cap(run.task);
@@ -921,7 +937,9 @@
                     self.post(LOST_CALL_MS, vm, replied(call, reply));
                 }
             } else if worker.has_completions() || now_ms >= until_ms {
-                let reply = if self.cut_workers.contains(&worker_id) {
+                let is_cut = self.cut_workers.contains(&worker_id)
+                    || self.refusing_workers.contains(&worker_id);
+                let reply = if is_cut {
                     WorkerReply::NoReply
                 } else {
                     WorkerReply::Renewed(worker.report(now_ms))
@@ -959,13 +977,23 @@
     }
 
     pub fn control_request(&mut self, vm: VmId, request: ControlRequest) -> u64 {
+        self.control_request_after(0, vm, request)
+    }
+
+    /// Sends a request that is held up on its way.
+    pub fn control_request_after(
+        &mut self,
+        delay_ms: u64,
+        vm: VmId,
+        request: ControlRequest,
+    ) -> u64 {
         self.next_id += 1;
         let connection = self.next_id;
         let event = Event::Control {
             connection,
             request,
         };
-        self.post(LINK_MS, vm, event);
+        self.post(LINK_MS + delay_ms, vm, event);
         connection
     }
 
--- a/crates/cell/tests/cell/worker.rs
+++ b/crates/cell/tests/cell/worker.rs
@@ -56,6 +56,10 @@
     pub speed_permille: u64,
     /// Work of less than a millisecond that is carried over, in microseconds.
     carried_us: u64,
+    /// Time from the order to stop a run to its end.
+    pub stop_ms: u64,
+    /// Runs that are being stopped, with the time of their end.
+    stopping: BTreeMap<RunKey, u64>,
     /// Fault: starts are refused with this reason and have no effect.
     pub refusal: Option<StartRefusal>,
     clock_offset_ms: u64,
@@ -95,6 +99,8 @@
             stalls: false,
             speed_permille: 1_000,
             carried_us: 0,
+            stop_ms: 0,
+            stopping: BTreeMap::new(),
             refusal: None,
             token: 0,
             lease_until_ms: 0,
@@ -151,13 +157,14 @@
     }
 
     fn complete(&mut self, run: RunKey, outcome: RunOutcome) {
-        self.running.remove(&run);
+        let ended = self.running.remove(&run);
+        self.stopping.remove(&run);
         let highest = self.last_ended_run.entry(run.task).or_default();
         *highest = (*highest).max(run.run);
         let completion = RunCompletion {
             run,
             outcome,
-            checkpoint: String::new(),
+            checkpoint: ended.map_or_else(String::new, |ended| ended.checkpoint),
         };
         self.completions.push((self.next_completion, completion));
         self.next_completion += 1;
@@ -179,6 +186,11 @@
                 self.complete(run, RunOutcome::Interrupted);
             }
         }
+        let stopping = self.stopping.iter();
+        let stopped = stopping.filter(|(_, end_ms)| now_ms >= **end_ms);
+        for run in stopped.map(|(run, _)| *run).collect::<Vec<_>>() {
+            self.complete(run, RunOutcome::Interrupted);
+        }
         if self.fails {
             self.fail_runs(|_| true);
         }
@@ -319,7 +331,10 @@
             WorkerRequest::Stop { run, token } => {
                 if *token >= self.token {
                     self.token = *token;
-                    if self.running.contains_key(run) {
+                    if self.running.contains_key(run) && self.stop_ms > 0 {
+                        let end_ms = now_ms + self.stop_ms;
+                        self.stopping.entry(*run).or_insert(end_ms);
+                    } else if self.running.contains_key(run) {
                         self.complete(*run, RunOutcome::Interrupted);
                     } else {
                         let highest = self.last_ended_run.entry(run.task).or_default();
