Let a stopped voter stay until its successor votes

Cause: a VM that gets SIGTERM handed its leadership on but stayed a voter until it had been silent for 1.5 s; then it was removed, and its successor promoted at a later check. Ruled out: a successor that lags (it had been a learner for 4 s).

Change: a VM that is to end tells the leader every 100 ms and goes on voting, until it is no voter, nobody can take its place, or bounds.shutdown_s is nearly over. The leader promotes a learner and then removes the voter, also a silent one. losses_tolerated does not count a VM that has told that it ends.

It works because the voters that are up are a majority after any one further loss before, between and after the two changes.

--- a/crates/acaciareeld/src/cell/config.rs
+++ b/crates/acaciareeld/src/cell/config.rs
@@ -98,6 +98,8 @@
     pub policy_service: Option<SocketAddr>,
     /// Durations that depend on the deployment.
     pub bounds: Bounds,
+    /// Longest time from SIGTERM to the end of a control VM.
+    pub shutdown_ms: u64,
     pub limits: LimitsConfig,
     pub log_format: LogFormat,
     /// Log level, or levels by module, as [`logging::parse_level`] accepts them.
@@ -126,6 +128,7 @@
     "lease_ms",
     "stop_ms",
     "status_s",
+    "shutdown_s",
     "quota_overage",
     "quota_window_s",
     "quota_tolerance",
@@ -211,6 +214,7 @@
                 text => Some(text.parse().map_err(|e| cell.error("policy_service", e))?),
             };
         let mut bounds = SectionReader::new(&raw, "bounds", BOUNDS_KEYS, &mut settings)?;
+        let shutdown_ms = bounds.in_range("shutdown_s", 6, &1, &600)? * 1_000;
         let bounds = Bounds {
             lease_ms: bounds.in_range("lease_ms", 6_000, &1_000, &600_000)?,
             stop_ms: bounds.in_range("stop_ms", 1_000, &10, &60_000)?,
@@ -241,6 +245,7 @@
             control_port,
             policy_service,
             bounds,
+            shutdown_ms,
             limits,
             log_format,
             log_level,
--- a/crates/acaciareeld/src/cell/run.rs
+++ b/crates/acaciareeld/src/cell/run.rs
@@ -421,6 +421,7 @@
         bounds: config.bounds,
         election_seed: opened.incarnation.0,
         process_epoch: storage::random_process_epoch().change_context(DaemonError::Start)?,
+        shutdown_ms: config.shutdown_ms,
     };
     let control = Control::new(settings, opened.restored.clone(), now_ms());
     Ok(control)
--- a/crates/cell/src/control.rs
+++ b/crates/cell/src/control.rs
@@ -15,9 +15,11 @@
 mod delays;
 mod forwarding;
 mod members;
+mod shutdown;
 
 use delays::MessageDelays;
 use forwarding::Forwarding;
+use shutdown::Shutdown;
 
 /// Time between heartbeats of the consensus group.
 const HEARTBEAT_MS: Millis = Millis(100);
@@ -50,8 +52,6 @@
 /// Delay from which a start is not relayed any more. The leader has repeated or given up the start by
 /// then, and from 1,000 ms on it may come after the completion of the task elsewhere.
 const START_VALID_MS: u64 = 700;
-/// How long a stopping VM waits for a successor to take over before it ends.
-const HANDOVER_WAIT_MS: u64 = 1_000;
 
 /// Settings of a control VM.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -69,6 +69,8 @@
     pub election_seed: u64,
     /// Epoch of this start, which differs from those of earlier ones.
     pub process_epoch: ProcessEpoch,
+    /// Longest time from the request to end to the end of the process.
+    pub shutdown_ms: u64,
 }
 
 /// Request of an operator that waits for an election.
@@ -108,7 +110,10 @@
     connected: Vec<VmId>,
     next_status_ms: Millis,
     next_members_ms: Millis,
-    stop_at_ms: Option<Millis>,
+    shutdown: Option<Shutdown>,
+    shutdown_ms: u64,
+    /// Latest time at which each other VM told this leader that it is to end.
+    stopping_vms: SortedVec<VmId, Millis>,
     held_requests: Vec<HeldRequest>,
     forwarding: Forwarding,
     message_delays: MessageDelays,
@@ -164,7 +169,9 @@
             connected: Vec::new(),
             next_status_ms: Millis(0),
             next_members_ms: Millis(0),
-            stop_at_ms: None,
+            shutdown: None,
+            shutdown_ms: settings.shutdown_ms,
+            stopping_vms: SortedVec::new(),
             held_requests: Vec::new(),
             forwarding: Forwarding::new(settings.process_epoch),
             message_delays: MessageDelays::default(),
@@ -186,6 +193,19 @@
         self.leader.is_some()
     }
 
+    /// Returns the voters of the consensus group in force on this VM, each with the incarnation of
+    /// its stored state.
+    #[must_use]
+    pub fn voters(&self) -> Vec<MemberId> {
+        let members = self.replica.members();
+        let voters = members.iter().filter(|(_, member)| member.voter);
+        let voters = voters.map(|(vm, member)| MemberId {
+            vm: *vm,
+            incarnation: member.incarnation,
+        });
+        voters.collect()
+    }
+
     /// Returns the leader of the consensus group, if this VM knows one.
     #[must_use]
     pub fn known_leader(&self) -> Option<VmId> {
@@ -253,10 +273,12 @@
                 }
             }
             Event::SeedsChanged(seeds) => {
-                self.replica.set_join_targets(&seeds);
+                if self.shutdown.is_none() {
+                    self.replica.set_join_targets(&seeds);
+                }
                 self.seeds = seeds;
             }
-            Event::Stop => self.stop(time, out),
+            Event::Stop => self.begin_shutdown(time, out),
             Event::Caller { .. } | Event::CallerDisconnected { .. } => {}
         }
         self.with_leader(time, out, Leader::run_due_pass);
@@ -482,6 +504,7 @@
                 ..
             } => {
                 self.failure_domains.insert(from, failure_domain);
+                self.stopping_vms.remove(&from);
                 self.message_delays.forget(from);
             }
             PeerMessage::Relay {
@@ -546,6 +569,8 @@
             PeerMessage::WorkerCallReply { call, done } => {
                 self.forwarded_replied(call, done, out);
             }
+            PeerMessage::Stopping => self.vm_stopping(from, time.0, out),
+            PeerMessage::StoppingAnswer { is_replaced } => self.shutdown_answered(is_replaced),
             PeerMessage::Ping | PeerMessage::Status { .. } | PeerMessage::CallReply { .. } => {}
         }
     }
@@ -646,25 +671,16 @@
         if now_ms >= self.next_members_ms {
             self.next_members_ms = now_ms.saturating_add(Millis(MEMBERS_INTERVAL_MS));
             self.update_available_vms(time, out);
-            self.manage_members(time, out);
+            if self.manage_members(time, out) {
+                // The next change follows the commit of this one.
+                self.next_members_ms = now_ms;
+            }
             self.report_unjoined(now_ms, out);
         }
         self.with_leader(time, out, Leader::tick);
         self.release_held_requests(time, out);
         self.expire_forwarded(now_ms, out);
-        if self.stop_at_ms.is_some_and(|at_ms| now_ms >= at_ms) {
-            out.push(Effect::Stopped);
-        }
-    }
-
-    /// Transfers leadership before the process ends.
-    fn stop(&mut self, time: (Millis, u64), out: &mut Vec<Effect>) {
-        if self.stop_at_ms.is_none() {
-            self.stop_at_ms = Some(time.0.saturating_add(Millis(HANDOVER_WAIT_MS)));
-            if self.leader.is_some() {
-                self.step_replica(Input::TransferLeadership { to: None }, time, out);
-            }
-        }
+        self.advance_shutdown(time, out);
     }
 }
 
--- a/crates/cell/src/control/members.rs
+++ b/crates/cell/src/control/members.rs
@@ -1,6 +1,6 @@
 //! Members of the consensus group, and the VMs to which a control VM keeps connections.
 
-use acaciareel_consensus::{Input, MemberChange, Role};
+use acaciareel_consensus::{Input, MemberChange, MemberProgress, Role};
 use acaciareel_types::{Millis, SortedVec, VmId};
 
 use super::{Control, log};
@@ -10,7 +10,7 @@
 /// trip.
 const DOMAIN_SILENT_MS: u64 = 350;
 /// Time without contact after which a voter is replaced, if a learner is ready to take its place. A
-/// VM that restarts is back sooner, or is promoted again later.
+/// VM that restarts unplanned is back sooner, or is promoted again later.
 const REPLACE_AFTER_MS: u64 = 1_500;
 /// Time between two reports of a VM that waits to become a member; the first one is as late.
 pub(super) const UNJOINED_REPORT_INTERVAL_MS: u64 = 3_000;
@@ -65,9 +65,12 @@
     /// change.
     fn report_redundancy(&mut self, now_ms: Millis, out: &mut Vec<Effect>) {
         let progress = self.replica.progress(now_ms);
-        // The leader is a voter too.
+        // The leader is a voter too. A VM that is to end does not count on.
         let voters = 1 + progress.values().filter(|member| member.voter).count();
-        let alive = 1 + progress.values().filter(|m| m.voter && m.alive).count();
+        let alive = progress
+            .iter()
+            .filter(|(vm, member)| member.voter && member.alive && !self.is_stopping(**vm, now_ms));
+        let alive = usize::from(self.shutdown.is_none()) + alive.count();
         let tolerated = alive.saturating_sub(voters / 2 + 1);
         out.push(Effect::Gauge {
             name: "losses_tolerated",
@@ -113,50 +116,73 @@
         }
     }
 
-    /// Proposes at most one membership change towards an odd number of live voters.
-    pub(super) fn manage_members(&mut self, time: (Millis, u64), out: &mut Vec<Effect>) {
+    /// Proposes at most one membership change towards an odd number of voters that are alive and stay.
+    /// Returns whether it did, or an earlier one is not committed yet.
+    ///
+    /// The successor of a voter is promoted first. Without it the voters that are left would survive no
+    /// loss until the promotion, and a lost disk could leave them without a majority for ever. Until the
+    /// removal, a voter that is down counts against the majority, but its disk is not lost.
+    pub(super) fn manage_members(&mut self, time: (Millis, u64), out: &mut Vec<Effect>) -> bool {
         let now_ms = time.0;
         if self.leader.is_none() {
-            return;
+            return false;
         }
         self.report_redundancy(now_ms, out);
         if !self.replica.can_change_members() {
-            return;
+            return true;
         }
+        let Some(change) = self.due_change(now_ms) else {
+            return false;
+        };
+        log(
+            out,
+            "members_change",
+            vec![("change", format!("{change:?}"))],
+        );
+        self.step_replica(Input::Change(change), time, out);
+        true
+    }
+
+    /// Returns the next change of the members.
+    fn due_change(&mut self, now_ms: Millis) -> Option<MemberChange> {
         let progress = self.replica.progress(now_ms);
         let commit_index = self.replica.commit_index();
-        let mut unresponsive_voter = None;
+        let (mut stopping_voter, mut silent_voter) = (None, None);
         let mut voters = 1;
         for (vm, member) in progress.iter() {
             if member.alive {
                 self.last_alive_ms.insert(*vm, now_ms);
             }
             let alive_at_ms = *self.last_alive_ms.get_or_insert_with(*vm, || now_ms);
-            let unresponsive_ms = now_ms.saturating_sub(alive_at_ms).0;
+            let silent_ms = now_ms.saturating_sub(alive_at_ms).0;
             voters += usize::from(member.voter);
-            if member.voter && unresponsive_ms >= REPLACE_AFTER_MS {
-                unresponsive_voter = Some(*vm);
+            if member.voter && self.is_stopping(*vm, now_ms) {
+                stopping_voter = Some(*vm);
+            } else if member.voter && silent_ms >= REPLACE_AFTER_MS {
+                silent_voter = Some(*vm);
             }
         }
         self.last_alive_ms.retain(|vm, _| progress.contains_key(vm));
-        let learner = progress
+        let is_candidate = |(vm, member): &(&VmId, &MemberProgress)| {
+            !member.voter && member.alive && !self.is_stopping(**vm, now_ms)
+        };
+        let learners: Vec<_> = progress.iter().filter(is_candidate).collect();
+        let ready = learners
             .iter()
-            .find(|(_, m)| !m.voter && m.alive && m.match_index >= commit_index)
-            .map(|(vm, _)| *vm);
-        let learners = progress.values().filter(|m| !m.voter && m.alive).count();
-        let change = match (learner, unresponsive_voter) {
-            (Some(_), Some(unresponsive)) => MemberChange::Remove(unresponsive),
-            (Some(learner), None) if voters % 2 == 0 || learners >= 2 => {
-                MemberChange::Promote(learner)
+            .find(|(_, member)| member.match_index >= commit_index);
+        let learner = ready.map(|(vm, _)| **vm);
+        // A voter that stops is sure to go; one that is silent may come back.
+        let replaced = stopping_voter.or(silent_voter);
+        match (replaced, learner) {
+            (Some(replaced), _) if voters > 2 && voters % 2 == 0 => {
+                Some(MemberChange::Remove(replaced))
             }
-            _ => return,
-        };
-        log(
-            out,
-            "members_change",
-            vec![("change", format!("{change:?}"))],
-        );
-        self.step_replica(Input::Change(change), time, out);
+            (Some(_), Some(learner)) => Some(MemberChange::Promote(learner)),
+            (None, Some(learner)) if voters % 2 == 0 || learners.len() >= 2 => {
+                Some(MemberChange::Promote(learner))
+            }
+            _ => None,
+        }
     }
 
     pub(super) fn members(&self) -> Vec<VmId> {
--- /dev/null
+++ b/crates/cell/src/control/shutdown.rs
@@ -0,0 +1,128 @@
+//! Planned ends of control VMs. A voter that is to end hands its leadership over and stays until a learner
+//! has taken its place, so that the group can lose another member at any time.
+
+use acaciareel_consensus::{Input, Role};
+use acaciareel_types::{Millis, VmId};
+
+use super::Control;
+use crate::{Effect, PeerMessage};
+
+/// Shortest time from the request to end to the end, in which replies that are under way go out.
+const MIN_SHUTDOWN_MS: u64 = 1_000;
+/// Time between two notices to the leader.
+const NOTICE_INTERVAL_MS: u64 = 100;
+/// Time after the latest notice of a VM for which it counts as ending.
+const NOTICE_VALID_MS: u64 = 500;
+/// Part of the time for a shutdown that is left for the end of the process itself.
+const SHUTDOWN_MARGIN_MS: u64 = 500;
+
+/// A shutdown of this VM that is under way.
+#[derive(Debug)]
+pub(super) struct Shutdown {
+    began_ms: Millis,
+    next_notice_ms: Millis,
+    /// Whether the leader, by its latest answer, replaces this VM; `None` before the first answer.
+    is_replaced: Option<bool>,
+}
+
+impl Control {
+    /// Begins the shutdown of this VM, unless it has begun.
+    pub(super) fn begin_shutdown(&mut self, time: (Millis, u64), out: &mut Vec<Effect>) {
+        if self.shutdown.is_some() {
+            return;
+        }
+        self.shutdown = Some(Shutdown {
+            began_ms: time.0,
+            next_notice_ms: time.0,
+            is_replaced: None,
+        });
+        // Once it is replaced, this VM must not join again.
+        self.replica.set_join_targets(&[]);
+        self.advance_shutdown(time, out);
+    }
+
+    /// Hands the leadership over, asks the leader for a replacement, and ends the process when it is no
+    /// voter any more, nobody can take its place, or its time is over.
+    pub(super) fn advance_shutdown(&mut self, time: (Millis, u64), out: &mut Vec<Effect>) {
+        let now_ms = time.0;
+        let Some(shutdown) = &mut self.shutdown else {
+            return;
+        };
+        let elapsed_ms = now_ms.saturating_sub(shutdown.began_ms).0;
+        let notice_due = now_ms >= shutdown.next_notice_ms;
+        if notice_due {
+            shutdown.next_notice_ms = now_ms.saturating_add(Millis(NOTICE_INTERVAL_MS));
+        }
+        let is_replaced = shutdown.is_replaced;
+        if self.leader.is_some() {
+            if let Some(to) = self.handover_target(now_ms) {
+                self.step_replica(Input::TransferLeadership { to: Some(to) }, time, out);
+            }
+        } else if let Some(leader) = self.replica.leader().filter(|_| notice_due) {
+            let message = PeerMessage::Stopping;
+            out.push(Effect::Send {
+                to: leader,
+                message,
+            });
+        }
+        let longest_ms = self.shutdown_ms.saturating_sub(SHUTDOWN_MARGIN_MS);
+        let longest_ms = longest_ms.max(MIN_SHUTDOWN_MS);
+        let waits = self.is_voter() && is_replaced.unwrap_or_else(|| self.knows_learner());
+        if elapsed_ms >= longest_ms || (elapsed_ms >= MIN_SHUTDOWN_MS && !waits) {
+            out.push(Effect::Stopped);
+        }
+    }
+
+    /// Handles the leader's answer to a notice.
+    pub(super) fn shutdown_answered(&mut self, is_replaced: bool) {
+        if let Some(shutdown) = &mut self.shutdown {
+            shutdown.is_replaced = Some(is_replaced);
+        }
+    }
+
+    /// Notes that another VM is to end, and answers whether it is being replaced.
+    pub(super) fn vm_stopping(&mut self, vm: VmId, now_ms: Millis, out: &mut Vec<Effect>) {
+        if self.leader.is_none() {
+            return;
+        }
+        self.stopping_vms.insert(vm, now_ms);
+        self.next_members_ms = now_ms;
+        let progress = self.replica.progress(now_ms);
+        let is_voter = progress.get(&vm).is_some_and(|member| member.voter);
+        let has_learner = progress.iter().any(|(other, member)| {
+            !member.voter && member.alive && !self.is_stopping(*other, now_ms)
+        });
+        // A change that is not committed may be undone by the next leader.
+        let change_open = !self.replica.can_change_members();
+        let message = PeerMessage::StoppingAnswer {
+            is_replaced: change_open || (is_voter && has_learner),
+        };
+        out.push(Effect::Send { to: vm, message });
+    }
+
+    /// Returns whether a VM has told recently that it is to end.
+    pub(super) fn is_stopping(&self, vm: VmId, now_ms: Millis) -> bool {
+        self.stopping_vms
+            .get(&vm)
+            .is_some_and(|at_ms| now_ms.saturating_sub(*at_ms).0 < NOTICE_VALID_MS)
+    }
+
+    /// Returns the reachable voter with the longest log that does not end itself; `None` if each does.
+    fn handover_target(&self, now_ms: Millis) -> Option<VmId> {
+        let progress = self.replica.progress(now_ms);
+        let targets = progress
+            .iter()
+            .filter(|(vm, member)| member.voter && member.alive && !self.is_stopping(**vm, now_ms));
+        let target = targets.max_by_key(|(_, member)| member.match_index);
+        target.map(|(vm, _)| *vm)
+    }
+
+    fn is_voter(&self) -> bool {
+        !matches!(self.replica.role(), Role::Learner | Role::Unformed)
+    }
+
+    fn knows_learner(&self) -> bool {
+        let members = self.replica.members();
+        members.values().any(|member| !member.voter)
+    }
+}
--- a/crates/cell/src/entry.rs
+++ b/crates/cell/src/entry.rs
@@ -280,7 +280,9 @@
             | PeerMessage::RelayReply { .. }
             | PeerMessage::WorkerCall { .. }
             | PeerMessage::WorkerCallReply { .. }
-            | PeerMessage::AdviceResponse { .. } => {}
+            | PeerMessage::AdviceResponse { .. }
+            | PeerMessage::Stopping
+            | PeerMessage::StoppingAnswer { .. } => {}
         }
     }
 
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -211,6 +211,13 @@
         /// Whether the request is handled and committed. Otherwise the receiver does not lead.
         done: bool,
     },
+    /// A control VM tells the leader, until it ends, that it is to end.
+    Stopping,
+    /// Reply to `Stopping`.
+    StoppingAnswer {
+        /// Whether a learner takes the place of the VM, which stays meanwhile.
+        is_replaced: bool,
+    },
 }
 
 /// Request of a worker about itself.
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -25,6 +25,7 @@
 #[path = "../fixtures/records.rs"]
 mod records;
 mod recovery;
+mod replacements;
 mod restart_waits;
 mod returns;
 mod run_times;
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -441,6 +441,7 @@
             },
             election_seed: u64::from(vm.0),
             process_epoch: ProcessEpoch::from_random(epoch),
+            shutdown_ms: 6_000,
         };
         let restored = (!slot.disk.is_empty()).then(|| replay(&slot.disk));
         let control = Control::new(settings, restored, now_ms);
@@ -453,6 +454,16 @@
         }
     }
 
+    /// Sends a VM the request to end.
+    pub fn stop(&mut self, vm: VmId) {
+        self.reduce(vm, Event::Stop);
+    }
+
+    /// Returns the incarnation of a VM's stored state.
+    pub fn incarnation(&self, vm: VmId) -> Incarnation {
+        Incarnation(self.vms.get(&vm).map_or(0, |slot| slot.incarnation))
+    }
+
     pub fn kill_and_erase(&mut self, vm: VmId) {
         self.kill(vm);
         if let Some(slot) = self.vms.get_mut(&vm) {
