Have a leaving worker that refuses connections show that it hears

Cause: the leader acknowledged a deregistration at once and thereby sent away the only one who could say that nothing runs there; the machine of a worker that has left answers nothing. Ruled out: a gang that waits for another member.

Change: when such a worker refuses a call of the leader, its notice is answered 307 with a number. Two numbers that come back within 250 ms, with a refused connection in between, show that the path is open and no process listens; its runs then count as ended (not_listening). Deregistrations are no longer forwarded by control VMs but redirected, as the proof is about the leader's path.

It works because a refusal tells of the process, and not of a cut, only while the path to its machine is known to be open.

--- a/crates/acaciareeld/src/cell/inbound.rs
+++ b/crates/acaciareeld/src/cell/inbound.rs
@@ -298,7 +298,9 @@
     client: &Connection,
     shared: &Arc<ServerState>,
 ) -> Response<Body> {
-    let path = request.uri().path().to_owned();
+    let uri = request.uri();
+    let path = uri.path_and_query().map_or("", |path| path.as_str());
+    let path = path.to_owned();
     let method = request.method().clone();
     // The body of a read is ignored.
     let body = if method == Method::GET {
@@ -349,13 +351,22 @@
         ControlReply::Queues(source) => json(StatusCode::OK, Bytes::from_owner(source)),
         ControlReply::Redirect(vm) => {
             let leader = SocketAddr::from((address_of(vm), shared.control_port));
-            let mut response = empty(StatusCode::TEMPORARY_REDIRECT);
-            if let Ok(location) = HeaderValue::try_from(format!("http://{leader}{path}")) {
-                response.headers_mut().insert(header::LOCATION, location);
-            }
-            response
+            redirect(leader, &path)
         }
+        ControlReply::Repeat(number) => match shared.control {
+            Some(own) => redirect(own, &http::repeat_path(&path, number)),
+            None => empty(StatusCode::SERVICE_UNAVAILABLE),
+        },
+    }
+}
+
+/// Sends the caller to another address or path, with the same request.
+fn redirect(to: SocketAddr, path: &str) -> Response<Body> {
+    let mut response = empty(StatusCode::TEMPORARY_REDIRECT);
+    if let Ok(location) = HeaderValue::try_from(format!("http://{to}{path}")) {
+        response.headers_mut().insert(header::LOCATION, location);
     }
+    response
 }
 
 /// Acknowledges an announcement. Only the leader does so; it sends its own address for the next
@@ -376,6 +387,7 @@
     match reply {
         ControlReply::Done => "done",
         ControlReply::Redirect(_) => "redirect",
+        ControlReply::Repeat(_) => "repeat",
         ControlReply::Unavailable => "unavailable",
         ControlReply::Queues(_) => "queues",
     }
--- a/crates/cell/src/control.rs
+++ b/crates/cell/src/control.rs
@@ -615,7 +615,10 @@
         }
         let request = WorkerNotice::from_request(request);
         let reply = match (other, request) {
-            (Some(leader), Some(notice)) if self.forwards_workers() => {
+            // The leader itself has to talk to a worker that leaves.
+            (Some(leader), Some(notice @ WorkerNotice::Announce { .. }))
+                if self.forwards_workers() =>
+            {
                 return self.forward(time.0, leader, connection, notice, out);
             }
             (Some(leader), _) => ControlReply::Redirect(leader),
--- a/crates/cell/src/io.rs
+++ b/crates/cell/src/io.rs
@@ -49,6 +49,8 @@
     /// Start of the incarnation that ends, in Unix milliseconds of the worker's clock; `None` if the
     /// worker did not tell.
     pub incarnation_started_ms: Option<u64>,
+    /// Number from the [`ControlReply::Repeat`] that the sender has read; `None` in a first notice.
+    pub repeats: Option<u64>,
 }
 
 /// Reply on the interface for workers and operators.
@@ -60,6 +62,9 @@
     Redirect(VmId),
     /// No leader is known, or this VM leads but does not hold a valid leader lease.
     Unavailable,
+    /// The worker is to send its deregistration again, with this number, which shows that it has read
+    /// the reply.
+    Repeat(u64),
     /// The queue table in force, as the operator sent it.
     Queues(Arc<[u8]>),
 }
--- a/crates/cell/src/leader.rs
+++ b/crates/cell/src/leader.rs
@@ -105,6 +105,13 @@
         /// Whether the call was sent under a raised epoch to decide the outcome of earlier starts.
         fence: bool,
     },
+    /// A renewal that this VM sends itself, to learn whether a worker that leaves still listens.
+    ListenCheck {
+        worker: WorkerIncarnation,
+        token: u64,
+        /// Number of the last completion that the call acknowledges.
+        acknowledged: u64,
+    },
 }
 
 /// Unplaced tasks of a step.
--- a/crates/cell/src/leader/relay.rs
+++ b/crates/cell/src/leader/relay.rs
@@ -116,19 +116,12 @@
     ) {
         let may_relay = self.workers.len() >= MIN_WORKERS_FOR_RELAY;
         let relay = may_relay.then(|| self.relays.choose(&target)).flatten();
+        let Some(relay) = relay else {
+            return self.call_directly(target, call, request, timeout_ms, io);
+        };
         let CallTarget {
             address, worker_id, ..
         } = target;
-        let Some(relay) = relay else {
-            return io.effect(Effect::CallWorker {
-                call,
-                for_vm: self.me,
-                address,
-                worker_id,
-                request,
-                timeout_ms,
-            });
-        };
         let overdue_ms = io
             .now_ms
             .saturating_add(Millis(timeout_ms + RELAY_GRACE_MS));
@@ -144,6 +137,25 @@
         io.effect(Effect::Send { to: relay, message });
     }
 
+    /// Calls a process from this VM, whatever the number of workers.
+    pub(super) fn call_directly(
+        &self,
+        target: CallTarget,
+        call: u64,
+        request: WorkerRequest,
+        timeout_ms: u64,
+        io: &mut Io<'_>,
+    ) {
+        io.effect(Effect::CallWorker {
+            call,
+            for_vm: self.me,
+            address: target.address,
+            worker_id: target.worker_id,
+            request,
+            timeout_ms,
+        });
+    }
+
     /// Removes a call whose reply has arrived.
     pub(super) fn relay_completed(&mut self, call: u64) {
         self.relays.calls.remove(&call);
--- a/crates/cell/src/leader/worker.rs
+++ b/crates/cell/src/leader/worker.rs
@@ -3,7 +3,7 @@
 
 use acaciareel_types::{Millis, SortedVec};
 
-use super::{health::Health, stalls::WorkerProgress, tenants::Charge};
+use super::{departures::ListenCheck, health::Health, stalls::WorkerProgress, tenants::Charge};
 use crate::{Demand, RunKey, WorkerIncarnation, WorkerNumber, WorkerRecord};
 
 /// A worker's clock may run slower than this VM's by this share, in thousandths (2%, bound of the
@@ -72,6 +72,8 @@
     NotAtWorker,
     /// A worker of a later incarnation replies at the same address.
     AddressReused,
+    /// The worker deregistered, hears what is sent to it, and its process does not listen any more.
+    NotListening,
     /// All leases of the worker are over, and there is no contact to it.
     LeaseExpired,
 }
@@ -84,6 +86,7 @@
             Self::StartRefused => "start_refused",
             Self::NotAtWorker => "not_at_worker",
             Self::AddressReused => "address_reused",
+            Self::NotListening => "not_listening",
             Self::LeaseExpired => "lease_over",
         }
     }
@@ -155,10 +158,7 @@
     None,
     /// It has deregistered. It obeys until it has read the acknowledgement, and may go on for some
     /// seconds without one.
-    Deregistered {
-        /// Time of the first notice to this leader.
-        since_ms: Millis,
-    },
+    Deregistered(ListenCheck),
     /// The next incarnation is verified. Its record is being committed, which counts a crash.
     Replaced,
 }
@@ -272,7 +272,7 @@
 
     /// Returns whether this incarnation has deregistered and has not been replaced.
     pub fn is_deregistered(&self) -> bool {
-        matches!(self.departure, Departure::Deregistered { .. })
+        matches!(self.departure, Departure::Deregistered(_))
     }
 
     /// Returns whether this incarnation has deregistered or has been replaced.
--- a/crates/cell/src/leader/worker_commands.rs
+++ b/crates/cell/src/leader/worker_commands.rs
@@ -226,6 +226,19 @@
             ) => {
                 self.start_replied(state, worker, (run, min_clock_ms), reply, io);
             }
+            (
+                WorkerCall::ListenCheck {
+                    worker,
+                    token,
+                    acknowledged,
+                },
+                reply,
+            ) => {
+                self.listen_checked(worker, call, reply, io);
+                if let WorkerReply::Renewed(report) = reply {
+                    self.renewed(state, worker, call, (token, acknowledged), report, io);
+                }
+            }
             (WorkerCall::Stop { worker, run }, reply) => {
                 // A refused connection fails at once; the stop is sent again as after one that was heard.
                 if !matches!(reply, WorkerReply::Stopped | WorkerReply::NotListening)
--- a/crates/cell/tests/cell/departures.rs
+++ b/crates/cell/tests/cell/departures.rs
@@ -56,9 +56,13 @@
     notice: ControlRequest,
     began_ms: u64,
     next_vm: u32,
-    /// Connection of the latest notice, the time until which the worker waits, and whether it hears
-    /// the reply.
+    /// VM that received the latest notice.
+    called: u32,
+    /// Connection of the latest notice, the time until which the worker waits, and whether the reply is
+    /// delivered.
     waits: Option<(u64, u64, bool)>,
+    /// Whether the worker has ended its runs and listens no more when it sends the first notice.
+    closes_first: bool,
     /// Time of the end, and whether it was acknowledged.
     ended: Option<(u64, bool)>,
 }
@@ -70,14 +74,29 @@
             notice: sim.workers[id].deregistration(),
             began_ms: sim.now_ms,
             next_vm: 1,
+            called: 1,
             waits: None,
+            closes_first: false,
             ended: None,
         }
     }
 
+    /// A worker whose process has ended all that ran there before it sends its notice.
+    fn closing_first(sim: &mut Sim, id: &str) -> Self {
+        let worker = sim.workers.get_mut(id).expect("worker");
+        worker.alive = false;
+        worker.running.clear();
+        sim.ended_workers.insert(id.to_owned());
+        Self {
+            closes_first: true,
+            ..Self::new(sim, id)
+        }
+    }
+
     /// Sends a notice to a VM.
-    fn send(&mut self, sim: &mut Sim, vm: u32, delivery: Delivery, hears: bool) {
+    fn send(&mut self, sim: &mut Sim, vm: u32, delivery: Delivery) {
         let until_ms = sim.now_ms + REPLY_MS;
+        self.called = vm;
         let vm = control(vm);
         let connection = match delivery {
             Delivery::NoticeLost => 0,
@@ -91,11 +110,7 @@
             }
             Delivery::Heard | Delivery::ReplyLost => sim.control_request(vm, self.notice.clone()),
         };
-        self.waits = Some((
-            connection,
-            until_ms,
-            hears && delivery != Delivery::ReplyLost,
-        ));
+        self.waits = Some((connection, until_ms, delivery != Delivery::ReplyLost));
     }
 
     /// Handles a reply or its absence; `deliver` draws what becomes of the next notice. Returns whether
@@ -112,7 +127,19 @@
                 Some(ControlReply::Redirect(vm)) => {
                     let vm = vm.0;
                     let delivery = deliver(sim);
-                    self.send(sim, vm, delivery, hears);
+                    self.send(sim, vm, delivery);
+                }
+                Some(ControlReply::Repeat(number)) => {
+                    let number = *number;
+                    if let ControlRequest::Deregister(notice) = &mut self.notice {
+                        notice.repeats = Some(number);
+                    }
+                    let vm = self.called;
+                    let delivery = deliver(sim);
+                    self.send(sim, vm, delivery);
+                    if let ControlRequest::Deregister(notice) = &mut self.notice {
+                        notice.repeats = None;
+                    }
                 }
                 Some(_) => self.waits = None,
                 None if sim.now_ms >= until_ms => self.waits = None,
@@ -130,7 +157,7 @@
             } else {
                 deliver(sim)
             };
-            self.send(sim, vm, delivery, hears);
+            self.send(sim, vm, delivery);
         }
         self.ended.is_some()
     }
@@ -140,6 +167,7 @@
         let worker = sim.workers.get_mut(&self.id).expect("worker");
         worker.alive = false;
         worker.running.clear();
+        sim.ended_workers.remove(&self.id);
         self.ended = Some((sim.now_ms, acknowledged));
     }
 }
@@ -235,6 +263,59 @@
     }
 }
 
+/// Guards against a task that waits for a lease although its worker has ended what ran there, no longer
+/// listens, and says so on a connection on which it hears the answer.
+#[test]
+fn task_of_a_worker_that_no_longer_listens_starts_elsewhere_at_once() {
+    for workers in [4, 130] {
+        let mut sim = cell(5, workers);
+        sim.submit("batch", 1, job(vec![gang(2, 20_000, 16_000)]));
+        sim.run(1_500);
+        let id = sim.hosts(1).remove(0);
+        drain(&mut sim, &id);
+        let mut leaving = Leaving::closing_first(&mut sim, &id);
+
+        while !leaving.advance(&mut sim, Cut::None, |_| Delivery::Heard) {
+            sim.run(5);
+        }
+
+        let took_ms = sim.now_ms - leaving.began_ms;
+        assert!(took_ms < LET_GO_MS, "{workers} workers: {took_ms} ms");
+        sim.run_until(RESTART_MS, |sim| sim.at_work(1).len() == 2);
+    }
+}
+
+/// Guards against a task that runs twice, because its worker hears the leader again right after a cut that
+/// refused connections, is cut off again and goes on.
+#[test]
+fn refused_connection_does_not_count_once_the_cut_has_healed() {
+    for cut_ms in (0..1_200).step_by(5) {
+        let mut sim = cell(6, 2);
+        sim.submit("batch", 1, job(vec![step(1, 20_000, 9_000)]));
+        sim.run(500);
+        let id = sim.hosts(1).remove(0);
+        drain(&mut sim, &id);
+        let mut leaving = Leaving::new(&sim, &id);
+        let healed_ms = sim.now_ms + cut_ms;
+
+        loop {
+            let cut = if sim.now_ms < healed_ms {
+                Cut::Refusing
+            } else if sim.now_ms < healed_ms + 15 {
+                Cut::None
+            } else {
+                Cut::OneWay
+            };
+            set_cut(&mut sim, &id, cut);
+            if leaving.advance(&mut sim, cut, |_| Delivery::Heard) {
+                break;
+            }
+            sim.run(5);
+        }
+        sim.run_until(LEASE_END_MS, |sim| !sim.hosts(1).is_empty());
+    }
+}
+
 /// Guards against workers that end without an acknowledgement, and tasks that wait for their leases,
 /// because many leave together.
 #[test]
@@ -294,22 +375,28 @@
     }
 }
 
+/// Submits a job that outlasts the end of a worker, a gang, and a job of two steps.
+fn submit_jobs(sim: &mut Sim) {
+    sim.submit("batch", 1, job(vec![step(6, 4_000, 40_000)]));
+    sim.submit("batch", 2, job(vec![gang(4, 6_000, 9_000)]));
+    let last = StepSpec {
+        depends_on: vec![0],
+        ..step(8, 2_000, 2_000)
+    };
+    sim.submit("batch", 3, job(vec![step(8, 2_000, 3_200), last]));
+}
+
+/// Lets a worker come back after its end, under its id or another one.
+fn come_back(sim: &mut Sim, id: &str, after_ms: u64) {
+    sim.run(after_ms);
+    sim.crashes.comeback = [Comeback::SameId, Comeback::NewId][pick(sim, 2)];
+    sim.bring_back(id);
+}
+
 /// Plays a planned end with drawn faults. Adds what was drawn to the counts.
 fn play(seed: u64, drawn: &mut BTreeMap<String, u32>) {
     let mut sim = cell(100 + seed, 5);
-    sim.submit("batch", 1, job(vec![step(6, 4_000, 40_000)]));
-    sim.submit("batch", 2, job(vec![gang(4, 6_000, 9_000)]));
-    sim.submit(
-        "batch",
-        3,
-        job(vec![
-            step(8, 2_000, 3_200),
-            StepSpec {
-                depends_on: vec![0],
-                ..step(8, 2_000, 2_000)
-            },
-        ]),
-    );
+    submit_jobs(&mut sim);
     sim.run(1_000 + sim_offset(seed));
     let id = sim.hosts(1).remove(0);
     sim.workers.get_mut(&id).expect("worker").stop_ms = [0, 60, 400][pick(&mut sim, 3)];
@@ -323,12 +410,17 @@
     let cut_from_ms = sim.now_ms + [0, 0, 20, 300, 700][pick(&mut sim, 5)];
     let cut_until_ms = cut_from_ms + [400, 1_500, 5_500][pick(&mut sim, 3)];
     let kill_ms = (pick(&mut sim, 3) == 0).then(|| sim.now_ms + 100 * pick(&mut sim, 15) as u64);
-    let mut leaving = Leaving::new(&sim, &id);
+    let mut leaving = if pick(&mut sim, 3) == 0 {
+        Leaving::closing_first(&mut sim, &id)
+    } else {
+        Leaving::new(&sim, &id)
+    };
     let mut killed = None;
     for what in [
         format!("{cut:?}"),
         format!("drain heard: {hears_drain}"),
         format!("killed: {}", kill_ms.is_some()),
+        format!("closes first: {}", leaving.closes_first),
     ] {
         *drawn.entry(what).or_default() += 1;
     }
@@ -372,9 +464,7 @@
         .entry(format!("comes back: {comes_back}"))
         .or_default() += 1;
     if comes_back {
-        sim.run(500 + 100 * sim_offset(seed));
-        sim.crashes.comeback = [Comeback::SameId, Comeback::NewId][pick(&mut sim, 2)];
-        sim.bring_back(&id);
+        come_back(&mut sim, &id, 500 + 100 * sim_offset(seed));
     }
     if let Some(vm) = killed {
         sim.run(1_500);
--- a/crates/cell/tests/cell/returns.rs
+++ b/crates/cell/tests/cell/returns.rs
@@ -532,6 +532,7 @@
         ControlRequest::Deregister(Deregistration {
             worker_id: id.to_owned(),
             incarnation_started_ms: None,
+            repeats: None,
         })
     };
     sim.workers.get_mut(id).expect("worker").record.draining = false;
--- a/crates/cell/tests/cell/worker.rs
+++ b/crates/cell/tests/cell/worker.rs
@@ -143,6 +143,7 @@
         ControlRequest::Deregister(Deregistration {
             worker_id: self.record.id.clone(),
             incarnation_started_ms: Some(self.record.incarnation_started_ms),
+            repeats: None,
         })
     }
 
--- a/crates/cell/tests/cell/worker_messages.rs
+++ b/crates/cell/tests/cell/worker_messages.rs
@@ -254,6 +254,7 @@
             let notice = Deregistration {
                 worker_id: earlier.id.clone(),
                 incarnation_started_ms: named.then_some(earlier.incarnation_started_ms),
+                repeats: None,
             };
             let request = ControlRequest::Deregister(notice);
             self.sim.control_request(leader, request);
