Call a leaving worker once before its runs are stopped

Change: the stops wait for the outcome of the call that checks whether it listens; a report of the worker takes the evidence of a refusal back.

--- a/crates/cell/src/leader/departures.rs
+++ b/crates/cell/src/leader/departures.rs
@@ -88,6 +88,17 @@
         self.number = refused.then_some(call);
         self.number
     }
+
+    /// Handles a report of the worker, which shows that it listens.
+    pub fn report_received(&mut self) {
+        self.number = None;
+        self.refused = false;
+    }
+
+    /// Returns whether the process may not listen, as far as the latest call shows.
+    pub fn may_not_listen(&self) -> bool {
+        self.call.is_some() || self.number.is_some()
+    }
 }
 
 impl WorkerView {
@@ -104,7 +115,13 @@
         }
     }
 
-    fn listen_check_mut(&mut self) -> Option<&mut ListenCheck> {
+    /// Returns whether stops wait for a sign that the worker listens. Otherwise a worker that leaves and
+    /// does not would be called in vain once for each run.
+    pub(super) fn holds_stops(&self) -> bool {
+        matches!(self.departure, Departure::Deregistered(check) if check.may_not_listen())
+    }
+
+    pub(super) fn listen_check_mut(&mut self) -> Option<&mut ListenCheck> {
         match &mut self.departure {
             Departure::Deregistered(check) => Some(check),
             Departure::None | Departure::Replaced => None,
@@ -156,8 +173,8 @@
             origin,
             received_ms: io.now_ms,
         });
-        self.check_worker(state, worker.number, io);
         self.check_listening(worker, io);
+        self.check_worker(state, worker.number, io);
         self.answer_deregistrations(state, io);
     }
 
--- a/crates/cell/src/leader/departures/tests.rs
+++ b/crates/cell/src/leader/departures/tests.rs
@@ -53,6 +53,19 @@
     assert!(!check.notice_received(Some(2), Millis(now_ms + 30)));
 }
 
+/// Guards against a process that counts as ended although it has reported after a refusal.
+#[test]
+fn report_takes_the_refusal_back() {
+    let (mut now_ms, mut check) = (1_000, ListenCheck::new(Millis(1_000)));
+    refuse_and_repeat(&mut check, &mut now_ms, 1, 15);
+    check.call = Some(2);
+    let number = check.call_ended(2, true);
+    check.report_received();
+
+    assert!(!check.notice_received(number, Millis(now_ms + 20)));
+    assert!(!check.may_not_listen());
+}
+
 /// Guards against a process that counts as ended although it answered after a refusal.
 #[test]
 fn answered_call_takes_the_refusal_back() {
--- a/crates/cell/src/leader/renewal.rs
+++ b/crates/cell/src/leader/renewal.rs
@@ -233,6 +233,9 @@
         view.next_renewal_ms = Millis(0);
         view.update_clock(report.clock_ms, io.now_ms);
         view.completions_acknowledged = view.completions_acknowledged.max(acknowledged);
+        if let Some(check) = view.listen_check_mut() {
+            check.report_received();
+        }
         let first = !std::mem::replace(&mut view.runs_reported, true);
         if first {
             view.progress.first_reported(io.now_ms);
@@ -570,7 +573,7 @@
         let Some(view) = self.workers.get_mut(&number) else {
             return;
         };
-        if !io.holds_lease || !view.runs_reported {
+        if !io.holds_lease || !view.runs_reported || view.holds_stops() {
             return;
         }
         let token = view.token(term);
--- a/crates/cell/tests/cell/departures.rs
+++ b/crates/cell/tests/cell/departures.rs
@@ -285,6 +285,26 @@
     }
 }
 
+/// Guards against a leader that calls a worker which leaves and no longer listens once for each run.
+#[test]
+fn worker_that_no_longer_listens_is_not_called_for_each_run() {
+    let mut sim = cell(7, 2);
+    sim.submit("batch", 1, job(vec![step(100, 400, 16_000)]));
+    sim.run(1_500);
+    let id = sim.hosts(1).remove(0);
+    drain(&mut sim, &id);
+    let runs = sim.workers[&id].running.len() as u64;
+    let mut leaving = Leaving::closing_first(&mut sim, &id);
+    let before = sim.commands_sent();
+
+    while !leaving.advance(&mut sim, Cut::None, |_| Delivery::Heard) {
+        sim.run(5);
+    }
+
+    let calls = sim.commands_sent() - before;
+    assert!(runs >= 40 && calls < 20, "{calls} calls for {runs} runs");
+}
+
 /// Guards against a task that runs twice, because its worker hears the leader again right after a cut that
 /// refused connections, is cut off again and goes on.
 #[test]
