Keep a replaced voter from joining again before its end

A control VM that had been replaced as planned got no heartbeats any more, asked for votes, which counts as a request to join, and was a learner again until its end. A learner counts as alive for 3 s; when the successor was lost meanwhile, the leader promoted the process that had ended: two of four voters up (RECOVER).

Change: the answer to a VM that is to end tells whether it has been removed; then its replica neither requests votes nor joins. The leader takes a VM that has told that it ends for nobody's successor for 5 s, or until it connects anew.

--- a/crates/cell/src/control.rs
+++ b/crates/cell/src/control.rs
@@ -206,6 +206,12 @@
         voters.collect()
     }
 
+    /// Returns the members of the consensus group in force on this VM, voters and learners.
+    #[must_use]
+    pub fn members(&self) -> Vec<VmId> {
+        self.replica.members().keys().copied().collect()
+    }
+
     /// Returns the leader of the consensus group, if this VM knows one.
     #[must_use]
     pub fn known_leader(&self) -> Option<VmId> {
@@ -273,9 +279,7 @@
                 }
             }
             Event::SeedsChanged(seeds) => {
-                if self.shutdown.is_none() {
-                    self.replica.set_join_targets(&seeds);
-                }
+                self.replica.set_join_targets(&seeds);
                 self.seeds = seeds;
             }
             Event::Stop => self.begin_shutdown(time, out),
@@ -476,7 +480,7 @@
     }
 
     fn send_status(&mut self, out: &mut Vec<Effect>) {
-        let members: Vec<u32> = self.members().iter().map(|vm| vm.0).collect();
+        let members: Vec<u32> = self.members_and_seeds().iter().map(|vm| vm.0).collect();
         for vm in self.entry_vms.keys() {
             let message = PeerMessage::Status {
                 term: self.replica.term().0,
@@ -570,7 +574,7 @@
                 self.forwarded_replied(call, done, out);
             }
             PeerMessage::Stopping => self.vm_stopping(from, time.0, out),
-            PeerMessage::StoppingAnswer { is_replaced } => self.shutdown_answered(is_replaced),
+            PeerMessage::StoppingAnswer { replacement } => self.shutdown_answered(replacement),
             PeerMessage::Ping | PeerMessage::Status { .. } | PeerMessage::CallReply { .. } => {}
         }
     }
--- a/crates/cell/src/control/members.rs
+++ b/crates/cell/src/control/members.rs
@@ -185,8 +185,8 @@
         }
     }
 
-    pub(super) fn members(&self) -> Vec<VmId> {
-        let mut vms: Vec<VmId> = self.replica.members().keys().copied().collect();
+    pub(super) fn members_and_seeds(&self) -> Vec<VmId> {
+        let mut vms = self.members();
         vms.extend(self.seeds.iter().copied());
         vms.sort_unstable();
         vms.dedup();
@@ -198,7 +198,7 @@
     pub(super) fn connect(&mut self, now_ms: Millis, out: &mut Vec<Effect>) {
         self.last_consensus_ms
             .retain(|_, at_ms| now_ms.saturating_sub(*at_ms).0 < CONTACT_RETENTION_MS);
-        let mut vms = self.members();
+        let mut vms = self.members_and_seeds();
         vms.extend(self.last_consensus_ms.keys().copied());
         vms.sort_unstable();
         vms.dedup();
--- a/crates/cell/src/control/shutdown.rs
+++ b/crates/cell/src/control/shutdown.rs
@@ -5,14 +5,15 @@
 use acaciareel_types::{Millis, VmId};
 
 use super::Control;
-use crate::{Effect, PeerMessage};
+use crate::{Effect, PeerMessage, Replacement};
 
 /// Shortest time from the request to end to the end, in which replies that are under way go out.
 const MIN_SHUTDOWN_MS: u64 = 1_000;
 /// Time between two notices to the leader.
 const NOTICE_INTERVAL_MS: u64 = 100;
-/// Time after the latest notice of a VM for which it counts as ending.
-const NOTICE_VALID_MS: u64 = 500;
+/// Time after the latest notice of a VM for which it counts as ending, unless it connects anew. A learner
+/// that has ended counts as alive for 3 s, and must not be promoted meanwhile.
+const NOTICE_VALID_MS: u64 = 5_000;
 /// Part of the time for a shutdown that is left for the end of the process itself.
 const SHUTDOWN_MARGIN_MS: u64 = 500;
 
@@ -21,8 +22,8 @@
 pub(super) struct Shutdown {
     began_ms: Millis,
     next_notice_ms: Millis,
-    /// Whether the leader, by its latest answer, replaces this VM; `None` before the first answer.
-    is_replaced: Option<bool>,
+    /// Latest answer of the leader.
+    replacement: Option<Replacement>,
 }
 
 impl Control {
@@ -34,10 +35,8 @@
         self.shutdown = Some(Shutdown {
             began_ms: time.0,
             next_notice_ms: time.0,
-            is_replaced: None,
+            replacement: None,
         });
-        // Once it is replaced, this VM must not join again.
-        self.replica.set_join_targets(&[]);
         self.advance_shutdown(time, out);
     }
 
@@ -53,7 +52,7 @@
         if notice_due {
             shutdown.next_notice_ms = now_ms.saturating_add(Millis(NOTICE_INTERVAL_MS));
         }
-        let is_replaced = shutdown.is_replaced;
+        let replacement = shutdown.replacement;
         if self.leader.is_some() {
             if let Some(to) = self.handover_target(now_ms) {
                 self.step_replica(Input::TransferLeadership { to: Some(to) }, time, out);
@@ -67,16 +66,22 @@
         }
         let longest_ms = self.shutdown_ms.saturating_sub(SHUTDOWN_MARGIN_MS);
         let longest_ms = longest_ms.max(MIN_SHUTDOWN_MS);
-        let waits = self.is_voter() && is_replaced.unwrap_or_else(|| self.knows_learner());
+        let waits = match replacement {
+            None => self.is_voter() && self.knows_learner(),
+            Some(replacement) => replacement == Replacement::UnderWay,
+        };
         if elapsed_ms >= longest_ms || (elapsed_ms >= MIN_SHUTDOWN_MS && !waits) {
             out.push(Effect::Stopped);
         }
     }
 
     /// Handles the leader's answer to a notice.
-    pub(super) fn shutdown_answered(&mut self, is_replaced: bool) {
+    pub(super) fn shutdown_answered(&mut self, replacement: Replacement) {
         if let Some(shutdown) = &mut self.shutdown {
-            shutdown.is_replaced = Some(is_replaced);
+            shutdown.replacement = Some(replacement);
+            if replacement == Replacement::Done {
+                self.replica.withdraw();
+            }
         }
     }
 
@@ -88,15 +93,17 @@
         self.stopping_vms.insert(vm, now_ms);
         self.next_members_ms = now_ms;
         let progress = self.replica.progress(now_ms);
-        let is_voter = progress.get(&vm).is_some_and(|member| member.voter);
         let has_learner = progress.iter().any(|(other, member)| {
             !member.voter && member.alive && !self.is_stopping(*other, now_ms)
         });
-        // A change that is not committed may be undone by the next leader.
-        let change_open = !self.replica.can_change_members();
-        let message = PeerMessage::StoppingAnswer {
-            is_replaced: change_open || (is_voter && has_learner),
+        let replacement = match progress.get(&vm) {
+            // A change that is not committed may be undone by the next leader.
+            _ if !self.replica.can_change_members() => Replacement::UnderWay,
+            Some(member) if member.voter && has_learner => Replacement::UnderWay,
+            Some(_) => Replacement::None,
+            None => Replacement::Done,
         };
+        let message = PeerMessage::StoppingAnswer { replacement };
         out.push(Effect::Send { to: vm, message });
     }
 
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -48,7 +48,7 @@
     leader::Bounds,
     message::{
         AddressedRequest, AdviceRequest, AdviceResponse, CallerReply, CallerRequest, JobView,
-        PeerMessage, RefusalReason, WorkerNotice,
+        PeerMessage, RefusalReason, Replacement, WorkerNotice,
     },
     model::{
         AdviceCost, Demand, JobSpec, JobSpecError, QueueRow, QueueTable, Schedule, StepSpec,
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -215,11 +215,22 @@
     Stopping,
     /// Reply to `Stopping`.
     StoppingAnswer {
-        /// Whether a learner takes the place of the VM, which stays meanwhile.
-        is_replaced: bool,
+        /// What becomes of the VM's place in the consensus group.
+        replacement: Replacement,
     },
 }
 
+/// What becomes of the place in the consensus group of a VM that is to end.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Replacement {
+    /// Nobody can take it, or the VM is no voter.
+    None,
+    /// A learner takes it, and the VM stays meanwhile.
+    UnderWay,
+    /// The VM has been removed from the group.
+    Done,
+}
+
 /// Request of a worker about itself.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum WorkerNotice {
--- a/crates/consensus/src/bootstrap.rs
+++ b/crates/consensus/src/bootstrap.rs
@@ -190,7 +190,7 @@
     /// voters and the join targets.
     fn request_to_join(&mut self, now_ms: Millis, out: &mut Vec<Output>) {
         let interval_ms = self.settings.election_timeout_ms;
-        if !is_due(self.bootstrap.last_join_request_ms, now_ms, interval_ms) {
+        if self.withdrawn || !is_due(self.bootstrap.last_join_request_ms, now_ms, interval_ms) {
             return;
         }
         self.bootstrap.last_join_request_ms = Some(now_ms);
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -83,6 +83,9 @@
     /// Starts a pre-vote when the election timer expires; before that, repeats unanswered requests
     /// at each heartbeat interval. A candidate whose own vote is not synced yet waits.
     pub(crate) fn tick_voter(&mut self, now_ms: Millis, out: &mut Vec<Output>) {
+        if self.withdrawn {
+            return;
+        }
         if matches!(&self.state, State::Candidate(round) if round.requested_ms.is_none()) {
             return;
         }
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -44,6 +44,8 @@
     /// Time of the first of an unbroken series of `Append` messages that do not continue this log.
     pub(crate) mismatch_since_ms: Option<Millis>,
     pub(crate) bootstrap: Bootstrap,
+    /// Whether this replica was removed on purpose and must not become a member again.
+    pub(crate) withdrawn: bool,
     pub(crate) incoming_snapshot: Option<IncomingSnapshot>,
     /// Whether the restored snapshot is still to be output.
     restore_pending: bool,
@@ -82,6 +84,7 @@
             last_contact_ms: now_ms,
             election_due_ms: now_ms,
             election_deferred: false,
+            withdrawn: false,
             elections_since_contact: 0,
             verified_index: commit_index,
             pending_ack_sent_ms: None,
@@ -274,6 +277,12 @@
         }
     }
 
+    /// Ends this replica's part in the group, once it has been removed from it. It does not learn of
+    /// its removal from the log, and would otherwise request votes, which counts as a request to join.
+    pub fn withdraw(&mut self) {
+        self.withdrawn = true;
+    }
+
     /// Returns the current term, 0 until this replica learns of one.
     #[must_use]
     pub fn term(&self) -> Term {
