End a leader at once whose whole cell is stopped

A leader that was stopped together with all other control VMs of a cell with a learner waited until bounds.shutdown_s was nearly over: it asks nobody, and the list of members still has a learner.

Change: a leader waits only while there is a voter to hand over to.

Evidence: replacements::all_vms_that_are_stopped_together_end_soon fails before and passes, with 1, 3, 4 and 5 control VMs.

--- a/crates/cell/src/control/shutdown.rs
+++ b/crates/cell/src/control/shutdown.rs
@@ -53,20 +53,18 @@
             shutdown.next_notice_ms = now_ms.saturating_add(Millis(NOTICE_INTERVAL_MS));
         }
         let replacement = shutdown.replacement;
-        if self.leader.is_some() {
-            if let Some(to) = self.handover_target(now_ms) {
-                self.step_replica(Input::TransferLeadership { to: Some(to) }, time, out);
-            }
-        } else if let Some(leader) = self.replica.leader().filter(|_| notice_due) {
+        let target = self.handover_target(now_ms);
+        let leader = self.replica.leader().filter(|vm| *vm != self.me.vm);
+        if target.is_some() {
+            self.step_replica(Input::TransferLeadership { to: target }, time, out);
+        } else if let Some(to) = leader.filter(|_| notice_due) {
             let message = PeerMessage::Stopping;
-            out.push(Effect::Send {
-                to: leader,
-                message,
-            });
+            out.push(Effect::Send { to, message });
         }
         let longest_ms = self.shutdown_ms.saturating_sub(SHUTDOWN_MARGIN_MS);
         let longest_ms = longest_ms.max(MIN_SHUTDOWN_MS);
         let waits = match replacement {
+            _ if self.leader.is_some() => target.is_some(),
             None => self.is_voter() && self.knows_learner(),
             Some(replacement) => replacement == Replacement::UnderWay,
         };
@@ -114,7 +112,8 @@
             .is_some_and(|at_ms| now_ms.saturating_sub(*at_ms).0 < NOTICE_VALID_MS)
     }
 
-    /// Returns the reachable voter with the longest log that does not end itself; `None` if each does.
+    /// Returns the reachable voter with the longest log that does not end itself; `None` if each does, or
+    /// this VM does not lead.
     fn handover_target(&self, now_ms: Millis) -> Option<VmId> {
         let progress = self.replica.progress(now_ms);
         let targets = progress
--- a/crates/cell/tests/cell/replacements.rs
+++ b/crates/cell/tests/cell/replacements.rs
@@ -233,6 +233,24 @@
     }
 }
 
+/// Guards against a cell that takes as long to end as the grace period allows, because its VMs wait for each
+/// other.
+#[test]
+fn all_vms_that_are_stopped_together_end_soon() {
+    for controls in [1, 3, 4, 5] {
+        let mut group = Group::new(6, controls);
+        let vms = group.vms.clone();
+        for vm in &vms {
+            group.stop(*vm);
+        }
+
+        group.sim.run(1_500);
+
+        let up: Vec<_> = vms.iter().filter(|vm| group.sim.is_up(**vm)).collect();
+        assert!(up.is_empty(), "{controls} VMs: {up:?}");
+    }
+}
+
 /// Guards against a stopped voter that is not replaced because its successor still receives the state, and
 /// against a process that waits for it beyond its time.
 #[test]
