--- a/crates/cell/tests/cell/replacements.rs
+++ b/crates/cell/tests/cell/replacements.rs
@@ -1,4 +1,5 @@
-//! Control VMs that are replaced, stopped and restarted, and lose their disks meanwhile.
+//! Control VMs that are replaced, stopped and restarted, and lose their disks meanwhile, also soon after the
+//! first start.
 
 use std::collections::BTreeMap;
 
@@ -33,16 +34,23 @@
 
 impl Group {
     fn new(seed: u64, controls: u32) -> Self {
+        Self::formed_since(CATCH_UP_MS, seed, controls)
+    }
+
+    /// Creates a group that has had a leader for some time. All its VMs are new.
+    fn formed_since(age_ms: u64, seed: u64, controls: u32) -> Self {
         let mut sim = Sim::new(80_000 + seed, controls, 2);
-        sim.set_up(vec![queue("batch", 2, false)]);
-        sim.run(1_000);
+        sim.run_until(5_000, |sim| sim.leader().is_some());
+        sim.put_table(vec![queue("batch", 2, false)], Vec::new());
+        sim.run(age_ms);
+        let vms: Vec<VmId> = (1..=controls).map(control).collect();
         Self {
             sim,
-            vms: (1..=controls).map(control).collect(),
             successor: None,
             removed: Vec::new(),
-            lost_until_ms: BTreeMap::new(),
+            lost_until_ms: vms.iter().map(|vm| (*vm, CATCH_UP_MS)).collect(),
             stopped: BTreeMap::new(),
+            vms,
         }
     }
 
@@ -350,7 +358,8 @@
 /// Plays one drawn change of the group, and the loss of a disk around it where one may be lost.
 fn play(seed: u64, drawn: &mut BTreeMap<String, u32>) {
     let controls = 3 + u32::try_from(seed % 2).expect("small");
-    let mut group = Group::new(100 + seed, controls);
+    let age_ms = [20, 100, 1_000, CATCH_UP_MS][usize::try_from(seed / 2 % 4).expect("small")];
+    let mut group = Group::formed_since(age_ms, 100 + seed, controls);
     let draw = DRAWS[pick(&mut group.sim, DRAWS.len())];
     let (leader, follower) = (group.leader(), group.follower());
     let vm = [leader, follower][pick(&mut group.sim, 2)];
@@ -361,7 +370,7 @@
     let lead_ms = 100 * pick(&mut group.sim, 50) as u64;
     let wait_ms = 50 * pick(&mut group.sim, 100) as u64;
     *drawn.entry(format!("{draw:?}")).or_default() += 1;
-    println!("seed {seed}: {draw:?} of {vm}, {lead_ms} and {wait_ms} ms");
+    println!("seed {seed}: {draw:?} of {vm} after {age_ms} ms, {lead_ms} and {wait_ms} ms");
     match draw {
         Draw::Replacement | Draw::KilledReplacement | Draw::LostSuccessor => {
             let successor = group.add();
