Returns test: a worker ends with its acknowledgement

It passed before as the stops were faster than 10 ms. PROTOCOL.md: without an acknowledgement a worker ends some seconds later.

Replaced by one as strict: the worker ends with its acknowledgement, and its task has to run elsewhere within the same 1,500 ms, now counted from the notice.

--- a/crates/cell/tests/cell/returns.rs
+++ b/crates/cell/tests/cell/returns.rs
@@ -1,7 +1,8 @@
 //! Workers that come back: after a cut beyond their lease, or as a new incarnation.
 
 use acaciareel_cell::{
-    ControlRequest, Deregistration, JobId, StepKey, StepSpec, Task, TaskKey, TaskState,
+    ControlReply, ControlRequest, Deregistration, JobId, StepKey, StepSpec, Task, TaskKey,
+    TaskState,
 };
 
 use crate::{
@@ -591,17 +592,18 @@
     }
 }
 
-/// Starts a job of one long task, drains and deregisters its worker, and returns the worker's id.
-fn deregister_under_a_run(sim: &mut Sim) -> String {
+/// Starts a job of one long task, drains and deregisters its worker, and returns the worker's id and the
+/// connection of the notice.
+fn deregister_under_a_run(sim: &mut Sim) -> (String, u64) {
     sim.submit("batch", 1, job(vec![step(1, 20_000, 20_000)]));
     let id = wait_for_hosts(sim, 1, 1).remove(0);
     sim.workers.get_mut(&id).expect("worker").record.draining = true;
     sim.run(3_000);
     let leader = sim.leader().expect("leader");
     let notice = sim.workers[&id].deregistration();
-    sim.control_request(leader, notice);
+    let connection = sim.control_request(leader, notice);
     sim.run(10);
-    id
+    (id, connection)
 }
 
 fn end_worker(sim: &mut Sim, id: &str) {
@@ -617,7 +619,7 @@
 #[test]
 fn run_of_a_deregistered_worker_that_is_cut_off_is_not_started_elsewhere() {
     let mut sim = cell(1, 2);
-    let id = deregister_under_a_run(&mut sim);
+    let (id, _) = deregister_under_a_run(&mut sim);
     sim.cut_workers.insert(id.clone());
 
     // Without the acknowledgement the worker ends some seconds later.
@@ -628,16 +630,23 @@
     assert_eq!(sim.unfinished(1..2), Vec::<u64>::new());
 }
 
-/// Guards against a task that waits for its lease although its worker has ended as planned.
+/// Guards against a task that waits for its lease although its worker has ended as planned, with its
+/// acknowledgement.
 #[test]
 fn run_of_a_deregistered_worker_that_has_ended_starts_elsewhere_at_once() {
     let mut sim = cell(1, 2);
-    let id = deregister_under_a_run(&mut sim);
+    let (id, connection) = deregister_under_a_run(&mut sim);
 
+    // From the notice on: the stop, the commits of the end and the placement.
+    let limit_ms = sim.now_ms + 1_490;
+    let is_done = |sim: &Sim| sim.control_replies.get(&connection) == Some(&ControlReply::Done);
+    while !is_done(&sim) {
+        assert!(sim.now_ms < limit_ms, "no acknowledgement");
+        sim.run(5);
+    }
     end_worker(&mut sim, &id);
 
-    // The wait of a renewal under way, its time limit, and the commits of the loss and the placement.
-    sim.run_until(1_500, |sim| !sim.hosts(1).is_empty());
+    sim.run_until(limit_ms - sim.now_ms, |sim| !sim.hosts(1).is_empty());
 }
 
 /// Starts a worker again whose time of day has been set back by an hour, so that its next incarnation
