Draw the same property cases in each run

Change: every property takes its configuration from acaciareel_testing::seeded or seeded_cases, with one fixed seed, 1. PROPTEST_RNG_SEED and PROPTEST_CASES draw others by hand; CONTRIBUTING.md says how.

Evidence: all properties pass with the fixed seed.

--- a/crates/acaciareel/tests/queues.rs
+++ b/crates/acaciareel/tests/queues.rs
@@ -7,6 +7,7 @@
 use std::{fs, path::Path};
 
 use acaciareel_platform::queues;
+use acaciareel_testing::seeded_cases;
 use fake_server::{ClientRun, run_client};
 use proptest::prelude::*;
 use serde_json::{Value, json};
@@ -230,7 +231,7 @@
 
 proptest! {
     // Each case starts a process.
-    #![proptest_config(ProptestConfig::with_cases(64))]
+    #![proptest_config(seeded_cases(64))]
 
     /// Guards against a configuration for which the command exits as valid and which the decoder
     /// rejects, or the other way round.
--- a/crates/acaciareeld/src/cell/frames/tests.rs
+++ b/crates/acaciareeld/src/cell/frames/tests.rs
@@ -2,6 +2,7 @@
 
 use acaciareel_cell::{AddressedRequest, ApiKeyDigest, CallerRequest, PeerMessage};
 use acaciareel_consensus::Message;
+use acaciareel_testing::seeded;
 use acaciareel_types::{LogIndex, Millis, Term};
 use proptest::prelude::*;
 
@@ -41,6 +42,8 @@
 }
 
 proptest! {
+    #![proptest_config(seeded())]
+
     /// Guards against a malformed frame of a peer on which the decoder panics, which ends the
     /// process.
     #[test]
--- a/crates/acaciareeld/src/config/tests.rs
+++ b/crates/acaciareeld/src/config/tests.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use acaciareel_settings::{IniFile, SettingsError, TablesFile};
+use acaciareel_testing::seeded;
 use proptest::prelude::*;
 
 use crate::config::Config;
@@ -161,6 +162,8 @@
 }
 
 proptest! {
+    #![proptest_config(seeded())]
+
     /// Guards against settings on which the daemon panics, or fails with an error without the
     /// file's name.
     #[test]
@@ -180,6 +183,8 @@
 }
 
 proptest! {
+    #![proptest_config(seeded())]
+
     /// Guards against tables on which a daemon or the client panics, or fails with an error without
     /// the file's name.
     #[test]
--- a/crates/acaciareeld/src/http/request/tests.rs
+++ b/crates/acaciareeld/src/http/request/tests.rs
@@ -1,6 +1,7 @@
 //! Property test of requests with arbitrary headers and bodies.
 
 use acaciareel_node::ConnectionId;
+use acaciareel_testing::seeded;
 use hyper::{HeaderMap, Method, StatusCode, header::HeaderValue};
 use proptest::{collection::vec, prelude::*};
 use tempfile::TempDir;
@@ -61,6 +62,8 @@
 }
 
 proptest! {
+    #![proptest_config(seeded())]
+
     /// Guards against headers and bodies that cause a panic, or that are refused with a status that
     /// attributes the failure to the daemon instead of the sender.
     #[test]
--- a/crates/acaciareeld/src/storage/tests.rs
+++ b/crates/acaciareeld/src/storage/tests.rs
@@ -8,6 +8,7 @@
 
 use acaciareel_consensus::{Entry, MemberId, MemberSet, Payload, Record, RestoredState, Snapshot};
 use acaciareel_node::GroupId;
+use acaciareel_testing::seeded_cases;
 use acaciareel_types::{Incarnation, LogIndex, Term, VmId};
 use proptest::prelude::*;
 use tempfile::TempDir;
@@ -317,7 +318,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(200))]
+    #![proptest_config(seeded_cases(200))]
 
     /// Guards against a damaged log on which the reader panics, allocates memory for a wrong
     /// length, or fails with an error without file and offset.
--- a/crates/cell/src/run_times/tests.rs
+++ b/crates/cell/src/run_times/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the model under loads of known distribution. Errors are mean absolute errors in
 //! octaves, measured against the median that the load was generated from.
 
+use acaciareel_testing::seeded;
 use proptest::prelude::*;
 
 use super::{CriticalPath, MAX_CLASSES, RunEnd, RunTimes, octaves};
@@ -559,6 +560,8 @@
 }
 
 proptest! {
+    #![proptest_config(seeded())]
+
     /// Guards against expectations out of order, beyond what was seen, or that depend on bytes that
     /// cannot be read.
     #[test]
--- a/crates/cell/tests/cell/indexes.rs
+++ b/crates/cell/tests/cell/indexes.rs
@@ -4,6 +4,7 @@
     CellState, Command, JobId, RunCompletion, RunOutcome, TaskState, WorkerIncarnation,
     WorkerNumber, WorkerRecord,
 };
+use acaciareel_testing::seeded;
 use proptest::prelude::*;
 
 use crate::{
@@ -62,6 +63,8 @@
 }
 
 proptest! {
+    #![proptest_config(seeded())]
+
     /// Guards against an index that differs from the jobs and workers after some command, so that
     /// replicas with and without a restart count crashes differently, and against a run that stays
     /// placed on a worker that does not exist.
--- a/crates/cell/tests/cell/sim.rs
+++ b/crates/cell/tests/cell/sim.rs
@@ -688,6 +688,10 @@
                 self.worker_link_ms
             };
             self.next_id += 1;
+            if self.verbose && lost && matches!(request, WorkerRequest::Start { .. }) {
+                let now_ms = self.now_ms;
+                println!("{now_ms} {worker_id}: a start is carried out {delay_ms} ms late");
+            }
             let command = WorkerCommand {
                 from: vm,
                 process_epoch: self.vms[&vm].process_epoch,
@@ -808,6 +812,9 @@
             && worker.running.contains_key(run)
             && !before.contains(run)
         {
+            if self.verbose {
+                println!("{now_ms} {worker_id} starts {run}, ordered with call {call:?}");
+            }
             self.starts += 1;
             self.checkpoints_carried += u64::from(!checkpoint.is_empty());
             self.crashes.record_start(now_ms, worker_id, *run);
--- a/crates/cell/tests/cell/tenant_decisions.rs
+++ b/crates/cell/tests/cell/tenant_decisions.rs
@@ -5,6 +5,7 @@
     Timeliness, TokenBucket, Totals, admit_for_tenant, class, dominant_share_ppm, entitlement_ppm,
     tasks_below_share,
 };
+use acaciareel_testing::seeded;
 use acaciareel_types::Millis;
 use proptest::prelude::*;
 
@@ -54,6 +55,8 @@
 }
 
 proptest! {
+    #![proptest_config(seeded())]
+
     /// Guards against any starts beyond the cap, except for one task or gang alone.
     #[test]
     fn starts_keep_to_the_cap(
--- a/crates/node/tests/codec.rs
+++ b/crates/node/tests/codec.rs
@@ -9,6 +9,7 @@
     OperationOutcome, PeerMessage, Placing, PoolRoom, RequestKey, RequestState, StartedOn,
     StartedTask, TablesChange, TablesCommand, TablesReply, TablesSnapshot,
 };
+use acaciareel_testing::seeded;
 use acaciareel_types::{
     Answer, Attempt, BodyDigest, FailureDomain, Incarnation, LogIndex, Millis, RawTables, Request,
     Resources, SortedVec, TableVersion, TaskId, Term, Verdict, VmId, WorkerReport,
@@ -327,7 +328,7 @@
 macro_rules! codec_tests {
     ($($name:ident: $type:ident from $strategy:ident;)*) => {
         proptest! {
-            #![proptest_config(strategies::seeded())]
+            #![proptest_config(seeded())]
 
             $(
                 /// Guards against a field that is lost or changed by encoding and decoding, and
@@ -362,7 +363,7 @@
 }
 
 proptest! {
-    #![proptest_config(strategies::seeded())]
+    #![proptest_config(seeded())]
 
     /// Guards against a group name that is written to the write-ahead log and cannot be parsed
     /// back.
@@ -378,7 +379,7 @@
 }
 
 proptest! {
-    #![proptest_config(strategies::seeded())]
+    #![proptest_config(seeded())]
 
     /// Guards against VMs whose tables differ after a change that is sent as a set of changed rows.
     #[test]
--- a/crates/wire/tests/conversions.rs
+++ b/crates/wire/tests/conversions.rs
@@ -6,6 +6,7 @@
 use std::fmt::Debug;
 
 use acaciareel_consensus::{MemberSet, Record};
+use acaciareel_testing::seeded;
 use acaciareel_types::{RawTables, Tables, Verdict, WorkerReport};
 use acaciareel_wire::{DecodeError, Field, Fields, GroupRecord, consensus, http, types};
 use proptest::{collection::vec, prelude::*};
@@ -22,7 +23,7 @@
 }
 
 proptest! {
-    #![proptest_config(strategies::seeded())]
+    #![proptest_config(seeded())]
 
     /// Guards against a field that is lost or changed between two daemons.
     #[test]
