--- a/crates/cell/tests/cell/departures.rs
+++ b/crates/cell/tests/cell/departures.rs
@@ -6,7 +6,7 @@
 use acaciareel_cell::{ControlReply, ControlRequest, StepSpec};
 
 use crate::{
-    faults::seeds,
+    faults::play_seeds,
     sim::{Comeback, Sim, control, gang, job, queue, service, step},
     worker::LEASE_MS,
 };
@@ -526,13 +526,5 @@
 /// whatever becomes of the messages at the end of a worker.
 #[test]
 fn lost_late_and_repeated_messages_at_the_end_of_a_worker() {
-    let mut drawn = BTreeMap::new();
-    let seeds = seeds(0..60);
-    let all = seeds.end - seeds.start >= 60;
-    for seed in seeds {
-        play(seed, &mut drawn);
-    }
-
-    println!("{drawn:?}");
-    assert!(!all || drawn.len() == DRAWN, "{drawn:?}");
+    play_seeds(0..60, DRAWN, play);
 }
--- a/crates/cell/tests/cell/faults.rs
+++ b/crates/cell/tests/cell/faults.rs
@@ -1,6 +1,8 @@
 //! Scheduling on a cell with faults. After each start the simulation checks that the task runs
 //! nowhere else, was not done before, and fits its worker.
 
+use std::{collections::BTreeMap, fmt::Debug, ops::Range};
+
 use acaciareel_cell::{CallerReply, CallerRequest, ControlReply, ControlRequest, StepSpec};
 
 use crate::sim::{Sim, control, entry, gang, job, queue, step};
@@ -289,7 +291,7 @@
 
 /// Returns the seeds to run. `CELL_SIM_SEEDS=FIRST..LAST` sets another range, without LAST, for
 /// longer manual runs.
-pub fn seeds(usual: std::ops::Range<u64>) -> std::ops::Range<u64> {
+pub fn seeds(usual: Range<u64>) -> Range<u64> {
     let text = std::env::var("CELL_SIM_SEEDS").unwrap_or_default();
     let range = text
         .split_once("..")
@@ -297,6 +299,24 @@
     range.unwrap_or(usual)
 }
 
+/// Plays the seeds and counts what each draws. Checks that every kind came up, unless fewer seeds than
+/// usual are played.
+pub fn play_seeds<D: Ord + Debug>(
+    usual: Range<u64>,
+    kinds: usize,
+    play: impl Fn(u64, &mut BTreeMap<D, u32>),
+) {
+    let fewest = usual.end - usual.start;
+    let seeds = seeds(usual);
+    let all = seeds.end - seeds.start >= fewest;
+    let mut drawn = BTreeMap::new();
+    for seed in seeds {
+        play(seed, &mut drawn);
+    }
+    println!("{drawn:?}");
+    assert!(!all || drawn.len() == kinds, "{drawn:?}");
+}
+
 /// Guards against lost jobs and repeated tasks under sequences of random faults: killed and
 /// isolated control VMs, lost disks (one at a time), workers that start again or are cut off, and
 /// lost replies.
--- a/crates/cell/tests/cell/replacements.rs
+++ b/crates/cell/tests/cell/replacements.rs
@@ -6,7 +6,7 @@
 use acaciareel_types::VmId;
 
 use crate::{
-    faults::seeds,
+    faults::play_seeds,
     sim::{Sim, control, job, queue, step},
 };
 
@@ -441,13 +441,5 @@
 /// replacements, restarts and lost disks.
 #[test]
 fn replacements_restarts_and_lost_disks_in_any_order() {
-    let mut drawn = BTreeMap::new();
-    let seeds = seeds(0..60);
-    let all = seeds.end - seeds.start >= 60;
-    for seed in seeds {
-        play(seed, &mut drawn);
-    }
-
-    println!("{drawn:?}");
-    assert!(!all || drawn.len() == DRAWS.len(), "{drawn:?}");
+    play_seeds(0..60, DRAWS.len(), play);
 }
--- a/crates/cell/tests/cell/worker_messages.rs
+++ b/crates/cell/tests/cell/worker_messages.rs
@@ -10,7 +10,7 @@
 use acaciareel_types::VmId;
 
 use crate::{
-    faults::seeds,
+    faults::play_seeds,
     sim::{Comeback, Sim, job, queue, service, step},
     worker::Worker,
 };
@@ -409,16 +409,5 @@
 /// whatever workers, other writers and the platform say.
 #[test]
 fn messages_of_workers_and_other_writers() {
-    let mut drawn = BTreeMap::new();
-    let seeds = seeds(0..24);
-    let all = seeds.end - seeds.start >= 24;
-    for seed in seeds {
-        play(seed, &mut drawn);
-    }
-
-    println!("{drawn:?}");
-    assert!(
-        !all || DRAWS.iter().all(|draw| drawn.contains_key(draw)),
-        "{drawn:?}"
-    );
+    play_seeds(0..24, DRAWS.len(), play);
 }
