Count a refused connection only if it was attempted after the first proof

A call to a worker that leaves could be under way when the worker first showed that it hears this VM, for example after a second copy of its notice. Its refusal then counted as one between the two proofs, although it may be older than both: a cut that heals in these milliseconds would look like a process that has ended.

Change: a proof drops the call under way, and the next call follows it.

Evidence: departures::tests::call_from_before_the_first_proof_does_not_count fails before and passes.

--- a/crates/cell/src/leader/departures.rs
+++ b/crates/cell/src/leader/departures.rs
@@ -70,6 +70,8 @@
             return false;
         }
         self.number = None;
+        // Only a call from now on is between this proof and the next one.
+        self.call = None;
         let is_recent = |at_ms: Millis| now_ms.saturating_sub(at_ms).0 <= PATH_OPEN_MS;
         let not_listening = self.refused && self.heard_ms.is_some_and(is_recent);
         self.heard_ms = Some(now_ms);
--- a/crates/cell/src/leader/departures/tests.rs
+++ b/crates/cell/src/leader/departures/tests.rs
@@ -53,6 +53,22 @@
     assert!(!check.notice_received(Some(2), Millis(now_ms + 30)));
 }
 
+/// Guards against a refusal that counts although the connection was attempted before the path was shown to
+/// be open.
+#[test]
+fn call_from_before_the_first_proof_does_not_count() {
+    let (now_ms, mut check) = (1_000, ListenCheck::new(Millis(1_000)));
+    check.call = Some(1);
+    let first = check.call_ended(1, true);
+    check.call = Some(2);
+    check.notice_received(first, Millis(now_ms + 15));
+
+    let second = check.call_ended(2, true);
+
+    assert_eq!(second, None);
+    assert!(!check.notice_received(Some(2), Millis(now_ms + 30)));
+}
+
 /// Guards against a process that counts as ended although it has reported after a refusal.
 #[test]
 fn report_takes_the_refusal_back() {
--- a/crates/cell/tests/cell/replacements.rs
+++ b/crates/cell/tests/cell/replacements.rs
@@ -18,6 +18,7 @@
 /// Time within which the cell serves again once all VMs are back (`recovery_s` of the users).
 const RECOVERY_MS: u64 = 12_000;
 const STEP_MS: u64 = 5;
+
 /// A group of control VMs, and which of them count as lost.
 struct Group {
     sim: Sim,
