--- a/crates/cell/src/leader/departures.rs
+++ b/crates/cell/src/leader/departures.rs
@@ -45,12 +45,11 @@
     since_ms: Millis,
     /// Call under way to the worker's address.
     call: Option<u64>,
-    /// Number in the latest reply that asked for a repetition.
+    /// Number in the latest reply that asked for a repetition, after a refused connection; `None` once it
+    /// has been repeated, or the worker has reported.
     number: Option<u64>,
     /// Time at which a number was last repeated, if the path has been open since as far as is known.
     heard_ms: Option<Millis>,
-    /// Whether a connection was refused since.
-    refused: bool,
 }
 
 impl ListenCheck {
@@ -60,7 +59,6 @@
             call: None,
             number: None,
             heard_ms: None,
-            refused: false,
         }
     }
 
@@ -73,10 +71,7 @@
         // Only a call from now on is between this proof and the next one.
         self.call = None;
         let is_recent = |at_ms: Millis| now_ms.saturating_sub(at_ms).0 <= PATH_OPEN_MS;
-        let not_listening = self.refused && self.heard_ms.is_some_and(is_recent);
-        self.heard_ms = Some(now_ms);
-        self.refused = false;
-        not_listening
+        self.heard_ms.replace(now_ms).is_some_and(is_recent)
     }
 
     /// Handles the outcome of the call under way, and returns the number that the worker is to repeat if
@@ -86,7 +81,6 @@
             return None;
         }
         self.call = None;
-        self.refused = refused;
         self.number = refused.then_some(call);
         self.number
     }
@@ -94,7 +88,6 @@
     /// Handles a report of the worker, which shows that it listens.
     pub fn report_received(&mut self) {
         self.number = None;
-        self.refused = false;
     }
 
     /// Returns whether the process may not listen, as far as the latest call shows.
