Remove the forwarded form of deregistrations

Control VMs redirect deregistrations since the leader has to talk to a worker that leaves, so the notice was sent between VMs no more. A pending one always waits on a connection of the leader's own.

--- a/crates/cell/src/control.rs
+++ b/crates/cell/src/control.rs
@@ -619,10 +619,7 @@
         }
         let request = WorkerNotice::from_request(request);
         let reply = match (other, request) {
-            // The leader itself has to talk to a worker that leaves.
-            (Some(leader), Some(notice @ WorkerNotice::Announce { .. }))
-                if self.forwards_workers() =>
-            {
+            (Some(leader), Some(notice)) if self.forwards_workers() => {
                 return self.forward(time.0, leader, connection, notice, out);
             }
             (Some(leader), _) => ControlReply::Redirect(leader),
--- a/crates/cell/src/io.rs
+++ b/crates/cell/src/io.rs
@@ -42,7 +42,7 @@
 }
 
 /// What a worker says when it ends. It may arrive after the next incarnation has announced itself.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Deregistration {
     /// Id under which the worker announced itself.
     pub worker_id: String,
--- a/crates/cell/src/leader/departures.rs
+++ b/crates/cell/src/leader/departures.rs
@@ -208,8 +208,8 @@
         self.call_directly(target, call, request, REPLY_TIMEOUT_MS, io);
     }
 
-    /// Handles the outcome of such a call. If the connection was refused, each worker that waits here for
-    /// an answer is asked to repeat its notice.
+    /// Handles the outcome of such a call. If the connection was refused, the worker is asked to repeat
+    /// the notices that wait for an answer.
     pub(super) fn listen_checked(
         &mut self,
         worker: WorkerIncarnation,
@@ -223,10 +223,8 @@
         let Some(number) = check.and_then(|check| check.call_ended(call, refused)) else {
             return;
         };
-        let waits_here = |pending: &mut PendingDeregistration| {
-            pending.worker == worker && matches!(pending.origin, Origin::Control { .. })
-        };
-        for pending in self.pending_deregistrations.extract_if(.., waits_here) {
+        let of_worker = |pending: &mut PendingDeregistration| pending.worker == worker;
+        for pending in self.pending_deregistrations.extract_if(.., of_worker) {
             io.reply_control(pending.origin, ControlReply::Repeat(number));
         }
     }
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -3,9 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    ApiKeyDigest, ControlRequest, Deregistration, JobSpec, WorkerRecord, WorkerReply, WorkerRequest,
-};
+use crate::{ApiKeyDigest, ControlRequest, JobSpec, WorkerRecord, WorkerReply, WorkerRequest};
 
 /// Request of a caller to an entry VM.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -231,7 +229,7 @@
     Done,
 }
 
-/// Request of a worker about itself.
+/// Request of a worker that a control VM forwards to the leader.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum WorkerNotice {
     /// A worker announces itself.
@@ -243,12 +241,11 @@
         /// Number of the announcement in this incarnation.
         sequence: u64,
     },
-    /// A worker ends and must get no further runs.
-    Deregister(Deregistration),
 }
 
 impl WorkerNotice {
-    /// Returns the notice in a request; `None` if the request is an operator's.
+    /// Returns the notice in a request; `None` if the leader itself has to talk to the sender, an operator
+    /// or a worker that leaves.
     pub(crate) fn from_request(request: ControlRequest) -> Option<Self> {
         match request {
             ControlRequest::Announce {
@@ -260,8 +257,9 @@
                 clock_ms,
                 sequence,
             }),
-            ControlRequest::Deregister(notice) => Some(Self::Deregister(notice)),
-            ControlRequest::PutQueues(_) | ControlRequest::GetQueues => None,
+            ControlRequest::Deregister(_)
+            | ControlRequest::PutQueues(_)
+            | ControlRequest::GetQueues => None,
         }
     }
 }
@@ -278,7 +276,6 @@
                 clock_ms,
                 sequence,
             },
-            WorkerNotice::Deregister(notice) => Self::Deregister(notice),
         }
     }
 }
